Serve a request from end to end as separate processes

Routers (filter chain), controllers (folds of the platform's log), the operators' command line and stand-ins run as separate processes over loopback in three availability zones. bin/demo publishes a manifest, serves summaries, questions, gradings, chat and bookings, steps back and shows budgets.

--- /dev/null
+++ b/mulberrycleat/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements. Timings live here and never in the tests."""
--- /dev/null
+++ b/mulberrycleat/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller: one process a host that keeps its state."""
--- /dev/null
+++ b/mulberrycleat/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet on one machine, shown at work."""
--- /dev/null
+++ b/mulberrycleat/demo/callers.py
@@ -0,0 +1,65 @@
+"""Callers' side of the demo: plain HTTP, as any client would send it."""
+
+from __future__ import annotations
+
+import json
+from http.client import HTTPConnection
+from typing import Any, NamedTuple
+
+__all__ = ["Streamed", "book", "chat", "chat_stream"]
+
+TIMEOUT_S = 60
+
+
+class Streamed(NamedTuple):
+    """A streamed answer: its text and the number of its events."""
+
+    text: str
+    events: int
+
+
+def chat(address: str, key: str, model: str, question: str, max_tokens: int) -> dict[str, Any]:
+    """Ask a model and return the whole answer."""
+    body = _body(model, question, max_tokens, stream=False)
+    return json.loads(_post(address, "/v1/chat/completions", key, body, {}))
+
+
+def chat_stream(address: str, key: str, model: str, question: str, max_tokens: int) -> Streamed:
+    """Ask a model for a stream and return its text; raises when it ends without ``[DONE]``."""
+    body = _body(model, question, max_tokens, stream=True)
+    raw = _post(address, "/v1/chat/completions", key, body, {}).decode()
+    events = [part[len("data: ") :] for part in raw.split("\n\n") if part.startswith("data: ")]
+    if not events or events[-1] != "[DONE]":
+        raise RuntimeError(f"the stream was cut: {raw[-300:]}")
+    chunks = [json.loads(event) for event in events[:-1]]
+    parts = [c["choices"][0]["delta"].get("content", "") for c in chunks if c["choices"]]
+    return Streamed("".join(parts), len(events))
+
+
+def book(
+    address: str, key: str, pool: str, path: str, idempotency_key: str, body: dict[str, Any]
+) -> dict[str, Any]:
+    """Call a plain service once."""
+    headers = {"Idempotency-Key": idempotency_key}
+    return json.loads(_post(address, f"/v1/services/{pool}/{path}", key, body, headers))
+
+
+def _body(model: str, question: str, max_tokens: int, stream: bool) -> dict[str, Any]:
+    messages = [{"role": "user", "content": question}]
+    return {"model": model, "messages": messages, "max_tokens": max_tokens, "stream": stream}
+
+
+def _post(
+    address: str, path: str, key: str, body: dict[str, Any], headers: dict[str, str]
+) -> bytes:
+    connection = HTTPConnection(address, timeout=TIMEOUT_S)
+    try:
+        fixed = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        connection.request("POST", path, json.dumps(body), {**fixed, **headers})
+        answer = connection.getresponse()
+        data = answer.read()
+        if answer.status != 200:
+            raise RuntimeError(f"{path}: {answer.status}: {data.decode()}")
+        return data
+    finally:
+        connection.close()
--- /dev/null
+++ b/mulberrycleat/eventlog/model.py
@@ -0,0 +1,55 @@
+"""What the platform's log offers: streams of records with offsets."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, Protocol
+
+from result import Result
+
+from mulberrycleat.core import PeerError
+
+__all__ = ["Entry", "EventLog", "Page"]
+
+
+class Entry(NamedTuple):
+    """One record of a stream: its offset, when it was written (Unix seconds), its JSON value."""
+
+    offset: int
+    at: float
+    data: Any
+
+
+class Page(NamedTuple):
+    """Records read from a stream.
+
+    Attributes
+    ----------
+    earliest : int
+        Smallest offset that has not expired.
+    next : int
+        Offset to read from next.
+    end : int
+        Offset that the next append will get. ``next == end`` means that all was read.
+    entries : tuple of Entry
+        In order of offset.
+    """
+
+    earliest: int
+    next: int
+    end: int
+    entries: tuple[Entry, ...]
+
+
+class EventLog(Protocol):
+    """The platform's append-only log."""
+
+    async def append(self, stream: str, records: tuple[Any, ...]) -> Result[int, PeerError]:
+        """Append `records` as one write; return the first offset.
+
+        An error with ``sent`` True leaves open whether the write took effect.
+        """
+        ...
+
+    async def read(self, stream: str, offset: int, wait_s: float = 0.0) -> Result[Page, PeerError]:
+        """Return records from `offset` on, waiting up to `wait_s` seconds for the first."""
+        ...
--- /dev/null
+++ b/mulberrycleat/manifest/model.py
@@ -0,0 +1,158 @@
+"""The manifest: client accounts, budgets, pools, endpoints and retirement plans."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Annotated, Literal
+
+from msgspec import Meta
+
+from mulberrycleat.settings.model import Address, Name, Seconds
+
+__all__ = [
+    "Account",
+    "Budget",
+    "Endpoint",
+    "Key",
+    "Manifest",
+    "Objective",
+    "Plan",
+    "Pool",
+    "Price",
+]
+
+Sha256 = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+MilliTokens = Annotated[int, Meta(ge=0, le=1_000_000_000)]
+Count = Annotated[int, Meta(gt=0, le=1_000_000_000)]
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """A caller's key, kept as a hash, and the budget that it draws on."""
+
+    sha256: Sha256
+    budget: Name
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """A client account.
+
+    Attributes
+    ----------
+    weight : float
+        Share of a contended pool relative to other accounts.
+    """
+
+    name: Name
+    keys: tuple[Key, ...] = ()
+    weight: Annotated[float, Meta(gt=0)] = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """A prepaid budget of an account. Its tokens come from top-ups, not from the manifest."""
+
+    name: Name
+    account: Name
+
+
+@dataclass(frozen=True, slots=True)
+class Price:
+    """What a request costs, in thousandths of a budget token.
+
+    Attributes
+    ----------
+    prompt, cached, generated : int
+        For each prompt token, prompt token found in a prefix cache, and generated token.
+    fixed : int
+        For each request.
+    """
+
+    prompt: MilliTokens = 1000
+    cached: MilliTokens = 1000
+    generated: MilliTokens = 1000
+    fixed: MilliTokens = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Endpoints that can stand in for one another.
+
+    Attributes
+    ----------
+    kind : str
+        ``model`` for engines, ``service`` for plain services.
+    model : str
+        Model name that callers give; of a service, empty.
+    idempotent : bool
+        Whether a request may be run again. A caller can only tighten this by a header.
+    max_generated : int
+        Bound on generated tokens, also the default of a request that names none.
+    bytes_per_token : int
+        Fewest bytes of text that make one prompt token; bounds a reservation.
+    timeout_s : float
+        Longest time for a whole answer, in seconds.
+    """
+
+    name: Name
+    kind: Literal["model", "service"]
+    price: Price = field(default_factory=Price)
+    model: str = ""
+    idempotent: bool = True
+    max_generated: Count = 1024
+    bytes_per_token: Count = 1
+    timeout_s: Seconds = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A model engine or a plain service.
+
+    Attributes
+    ----------
+    checks_fencing : bool
+        Whether it refuses an order with an old fencing number.
+    """
+
+    name: Name
+    pool: Name
+    zone: Name
+    address: Address
+    checks_fencing: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A retirement plan: what is to become of an endpoint.
+
+    Attributes
+    ----------
+    action : str
+        ``drain`` (no new work) or ``retire`` (drain, then leave the pool).
+    """
+
+    endpoint: Name
+    action: Literal["drain", "retire"]
+
+
+@dataclass(frozen=True, slots=True)
+class Objective:
+    """A service-level objective of a pool: `target` of the answers within `bound_s` seconds."""
+
+    pool: Name
+    measure: Literal["first_token", "between_tokens", "whole_answer"]
+    bound_s: Seconds
+    target: Annotated[float, Meta(gt=0, lt=1)] = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """The whole wanted state, as operators publish it."""
+
+    accounts: tuple[Account, ...] = ()
+    budgets: tuple[Budget, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    endpoints: tuple[Endpoint, ...] = ()
+    plans: tuple[Plan, ...] = ()
+    objectives: tuple[Objective, ...] = ()
--- /dev/null
+++ b/mulberrycleat/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router: callers in front, endpoints behind, the filter chain between."""
--- /dev/null
+++ b/mulberrycleat/router/answers.py
@@ -0,0 +1,99 @@
+"""How answers and refusals look to the caller."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Step
+from mulberrycleat.router.call import Sink
+from mulberrycleat.web import Reply
+
+__all__ = ["PROBLEM_TYPE", "BufferedSink", "http_problem", "problem_event", "problem_reply"]
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+class BufferedSink:
+    """A sink that keeps a copy of the answer that passes through it."""
+
+    def __init__(self, inner: Sink) -> None:
+        self._inner = inner
+        self._status = 0
+        self._content_type = ""
+        self._chunks: list[bytes] = []
+
+    @property
+    def started(self) -> bool:
+        """Whether part of the answer has been sent."""
+        return self._inner.started
+
+    @property
+    def status(self) -> int:
+        """The HTTP status, 0 before the start."""
+        return self._status
+
+    @property
+    def content_type(self) -> str:
+        """The answer's content type."""
+        return self._content_type
+
+    @property
+    def body(self) -> bytes:
+        """The body so far."""
+        return b"".join(self._chunks)
+
+    async def start(self, status: int, headers: tuple[tuple[str, str], ...] = ()) -> None:
+        """Send the status line and the headers."""
+        self._status = status
+        self._content_type = dict(headers).get("content-type", "")
+        await self._inner.start(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._chunks.append(data)
+        await self._inner.write(data)
+
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last part of the body."""
+        self._chunks.append(data)
+        await self._inner.finish(data)
+
+
+def problem_reply(refusal: Refusal, request_id: str) -> Reply:
+    """Return a refusal as an RFC 9457 problem."""
+    headers = [("content-type", PROBLEM_TYPE), ("x-request-id", request_id)]
+    if isinstance(refusal, NotRun) and refusal.retry_after_s is not None:
+        headers.append(("retry-after", str(math.ceil(refusal.retry_after_s))))
+    if refusal.status == 401:
+        headers.append(("www-authenticate", "Bearer"))
+    body = msgspec.json.encode(_problem(refusal, request_id))
+    return Reply(refusal.status, body, tuple(headers))
+
+
+def problem_event(refusal: Refusal, request_id: str) -> bytes:
+    """Return a refusal as the last event of a stream that has begun; no ``[DONE]`` follows."""
+    return b"event: error\ndata: " + msgspec.json.encode(_problem(refusal, request_id)) + b"\n\n"
+
+
+def http_problem(status: int, reason: str) -> Reply:
+    """Return an error that arose before a request was read."""
+    return problem_reply(NotRun(Step.RECEIVE, "", reason, status, None, "bad_request"), "")
+
+
+def _problem(refusal: Refusal, request_id: str) -> dict[str, Any]:
+    problem: dict[str, Any] = {
+        "type": f"urn:mulberrycleat:{refusal.code}",
+        "title": refusal.code.replace("_", " "),
+        "status": refusal.status,
+        "detail": refusal.reason,
+        "step": refusal.step.value,
+        "peer": refusal.peer,
+        "outcome": refusal.outcome,
+        "request_id": request_id,
+    }
+    if isinstance(refusal, MayHaveRun):
+        return problem
+    return {**problem, "retry_after_s": refusal.retry_after_s}
--- /dev/null
+++ b/mulberrycleat/router/app.py
@@ -0,0 +1,154 @@
+"""The router process: callers' HTTP in front of the filter chain."""
+
+from __future__ import annotations
+
+import logging
+
+import trio
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from result import Err, Ok, Result
+
+from mulberrycleat.core import Refusal, Served, new_id
+from mulberrycleat.router.answers import BufferedSink, http_problem, problem_event, problem_reply
+from mulberrycleat.router.call import Call
+from mulberrycleat.router.chain import FilterChain
+from mulberrycleat.router.endpoints import EndpointTable
+from mulberrycleat.router.filters import (
+    AdmitFilter,
+    AuthenticateFilter,
+    BudgetFilter,
+    ClaimFilter,
+    DispatchFilter,
+    RecallFilter,
+)
+from mulberrycleat.router.link import ControllerLink
+from mulberrycleat.settings import RouterSettings
+from mulberrycleat.web import (
+    App,
+    HttpClient,
+    Reply,
+    Request,
+    Responder,
+    Route,
+    json_reply,
+    serve_app,
+)
+
+__all__ = ["Router"]
+
+log = logging.getLogger(__name__)
+
+METRICS_TYPE = (("content-type", "text/plain; version=0.0.4"),)
+SETTLE_ON_STOP_S = 5.0
+
+
+class Router:
+    """Serve callers.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        The settings file, whole.
+    fleet_key : str
+        Key that calls between the fleet's processes carry.
+    """
+
+    def __init__(self, settings: RouterSettings, fleet_key: str) -> None:
+        self._settings = settings
+        self._client = HttpClient()
+        self._link = ControllerLink(settings, fleet_key)
+        self._stopping = False
+        self._chain = FilterChain(
+            (
+                AuthenticateFilter(),
+                AdmitFilter(),
+                RecallFilter(self._link),
+                BudgetFilter(self._link),
+                ClaimFilter(self._link),
+                DispatchFilter(EndpointTable(settings.host.zone), self._client),
+            )
+        )
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "mulberrycleat_requests", "Requests", ["outcome", "code"], registry=self._registry
+        )
+        self._version = Gauge(
+            "mulberrycleat_manifest_version", "Version in force", registry=self._registry
+        )
+
+    async def run(self, stop: trio.Event) -> None:
+        """Serve until `stop` is set and the requests in flight have ended."""
+        app = App(
+            (
+                Route("POST", "/v1/chat/completions", self._serve),
+                Route("POST", "/v1/services/{pool}/{path:path}", self._serve),
+                Route("GET", "/healthz", self._health),
+                Route("GET", "/readyz", self._ready),
+                Route("GET", "/metrics", self._metrics),
+            ),
+            self._settings.max_body_bytes,
+            self._settings.receive_timeout_s,
+            http_problem,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._link.run)
+            nursery.start_soon(self._note_stop, stop)
+            await serve_app(app, self._settings.listen, stop, self._settings.drain_timeout_s)
+            with trio.move_on_after(SETTLE_ON_STOP_S):
+                while not await self._link.flush():
+                    await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+
+    async def _note_stop(self, stop: trio.Event) -> None:
+        await stop.wait()
+        self._stopping = True
+
+    async def _serve(self, request: Request, responder: Responder) -> Reply | None:
+        call = Call(new_id(), request, self._link.view, BufferedSink(responder))
+        outcome: Result[Served, Refusal] | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_gone, responder, nursery.cancel_scope)
+            outcome = await self._chain.run(call)
+            nursery.cancel_scope.cancel()
+        self._note(call, outcome)
+        if isinstance(outcome, Err):
+            return await _refuse(call, responder, outcome.err_value)
+        return None
+
+    def _note(self, call: Call, outcome: Result[Served, Refusal] | None) -> None:
+        fields = {"request": call.id, "path": call.request.path}
+        match outcome:
+            case Ok(served):
+                self._requests.labels("served", "").inc()
+                log.info("served", extra={**fields, "peer": served.endpoint})
+            case Err(refusal):
+                self._requests.labels(refusal.outcome, refusal.code).inc()
+                where = {"step": refusal.step.value, "peer": refusal.peer, "why": refusal.reason}
+                log.info("refused", extra={**fields, **where, "code": refusal.code})
+            case None:
+                self._requests.labels("cancelled", "").inc()
+                log.info("caller gone", extra=fields)
+
+    async def _health(self, request: Request, responder: Responder) -> Reply:
+        return json_reply({"status": "ok"})
+
+    async def _ready(self, request: Request, responder: Responder) -> Reply:
+        ready = self._link.fresh.is_set() and not self._stopping
+        return json_reply({"ready": ready}, 200 if ready else 503)
+
+    async def _metrics(self, request: Request, responder: Responder) -> Reply:
+        self._version.set(self._link.view.manifest_version)
+        return Reply(200, generate_latest(self._registry), METRICS_TYPE)
+
+
+async def _refuse(call: Call, responder: Responder, refusal: Refusal) -> Reply | None:
+    if not responder.started:
+        return problem_reply(refusal, call.id)
+    if not responder.finished:
+        await responder.finish(problem_event(refusal, call.id))
+    return None
+
+
+async def _cancel_when_gone(responder: Responder, scope: trio.CancelScope) -> None:
+    await responder.gone.wait()
+    scope.cancel()
--- /dev/null
+++ b/mulberrycleat/router/chain.py
@@ -0,0 +1,33 @@
+"""The filter chain."""
+
+from __future__ import annotations
+
+from result import Result
+
+from mulberrycleat.core import Refusal, Served
+from mulberrycleat.router.call import Call, Filter
+
+__all__ = ["FilterChain"]
+
+
+class FilterChain:
+    """Run a call through filters; the last one has nothing to proceed to.
+
+    Parameters
+    ----------
+    filters : tuple of Filter
+        In the order in which a request meets them.
+    """
+
+    def __init__(self, filters: tuple[Filter, ...]) -> None:
+        self._filters = filters
+
+    async def run(self, call: Call) -> Result[Served, Refusal]:
+        """Return how the call ended."""
+        return await self._from(0, call)
+
+    async def _from(self, index: int, call: Call) -> Result[Served, Refusal]:
+        async def proceed(changed: Call) -> Result[Served, Refusal]:
+            return await self._from(index + 1, changed)
+
+        return await self._filters[index].handle(call, proceed)
--- /dev/null
+++ b/mulberrycleat/router/filters/__init__.py
@@ -0,0 +1,16 @@
+"""Filters, in the order in which a request meets them."""
+
+from mulberrycleat.router.filters.admit import AdmitFilter
+from mulberrycleat.router.filters.authenticate import AuthenticateFilter
+from mulberrycleat.router.filters.budget import BudgetFilter
+from mulberrycleat.router.filters.dispatch import DispatchFilter
+from mulberrycleat.router.filters.once import ClaimFilter, RecallFilter
+
+__all__ = [
+    "AdmitFilter",
+    "AuthenticateFilter",
+    "BudgetFilter",
+    "ClaimFilter",
+    "DispatchFilter",
+    "RecallFilter",
+]
--- /dev/null
+++ b/mulberrycleat/router/filters/admit.py
@@ -0,0 +1,119 @@
+"""Filter that reads a request: its pool, its bounds, whether it may be repeated."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from mulberrycleat.budget import largest_cost
+from mulberrycleat.core import NotRun, Refusal, Served, Step
+from mulberrycleat.manifest import Manifest, Pool
+from mulberrycleat.router.call import Call, Proceed
+
+__all__ = ["AdmitFilter"]
+
+CHAT_PATH = "/v1/chat/completions"
+KEY_HEADER = "idempotency-key"
+NON_IDEMPOTENT_HEADER = "non-idempotent"
+MAX_KEY_CHARS = 200
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str
+
+
+class _ChatBody(msgspec.Struct):
+    model: str
+    messages: list[_Message]
+    stream: bool = False
+    max_tokens: int | None = None
+
+
+class AdmitFilter:
+    """Check a request and bound what it can cost."""
+
+    async def handle(self, call: Call, proceed: Proceed) -> Result[Served, Refusal]:
+        """Refuse a malformed request with 400 and an unknown pool with 404."""
+        key = call.request.headers.get(KEY_HEADER, "")
+        if len(key) > MAX_KEY_CHARS:
+            return Err(_bad(f"{KEY_HEADER}: longer than {MAX_KEY_CHARS} characters"))
+        digest = hashlib.sha256(call.request.path.encode() + b"\0" + call.request.body).hexdigest()
+        keyed = replace(call, idempotency_key=key, digest=digest)
+        is_chat = call.request.path == CHAT_PATH
+        read = _read_chat(keyed) if is_chat else _read_service(keyed)
+        match read:
+            case Ok(admitted) if not admitted.idempotent and not key:
+                reason = f"a non-idempotent request needs the header {KEY_HEADER}"
+                return Err(_bad(reason))
+            case Ok(admitted):
+                return await proceed(admitted)
+            case Err(refusal):
+                return Err(refusal)
+
+
+def _read_chat(call: Call) -> Result[Call, NotRun]:
+    try:
+        chat = msgspec.json.decode(call.request.body, type=_ChatBody)
+        body = msgspec.json.decode(call.request.body)
+    except msgspec.DecodeError as error:
+        return Err(_bad(f"body: {error}"))
+    pool = _find_pool(call.view.manifest, "model", chat.model)
+    if pool is None:
+        return Err(NotRun(Step.ADMIT, "", f"no model {chat.model!r}", 404, None, "unknown_model"))
+    if not chat.messages:
+        return Err(_bad("body: messages: at least one is needed"))
+    if chat.max_tokens is not None and chat.max_tokens < 1:
+        return Err(_bad("body: max_tokens: must be at least 1"))
+    generated = min(chat.max_tokens or pool.max_generated, pool.max_generated)
+    text_bytes = sum(len(message.content.encode()) for message in chat.messages)
+    return Ok(
+        replace(
+            call,
+            pool=pool,
+            body=_bounded(body, generated),
+            reserve_tokens=largest_cost(pool, text_bytes, len(chat.messages), generated),
+            idempotent=_is_idempotent(call, pool),
+            stream=chat.stream,
+        )
+    )
+
+
+def _read_service(call: Call) -> Result[Call, NotRun]:
+    name = call.request.params.get("pool", "")
+    pool = _find_pool(call.view.manifest, "service", name)
+    if pool is None:
+        return Err(NotRun(Step.ADMIT, "", f"no service {name!r}", 404, None, "unknown_service"))
+    return Ok(
+        replace(
+            call,
+            pool=pool,
+            reserve_tokens=largest_cost(pool, 0, 0, 0),
+            idempotent=_is_idempotent(call, pool),
+        )
+    )
+
+
+def _bounded(body: Mapping[str, Any], generated: int) -> Mapping[str, Any]:
+    return {**body, "max_tokens": generated, "stream": True}
+
+
+def _find_pool(manifest: Manifest, kind: str, name: str) -> Pool | None:
+    for pool in manifest.pools:
+        if pool.kind == kind and name == (pool.model if kind == "model" else pool.name):
+            return pool
+    return None
+
+
+def _is_idempotent(call: Call, pool: Pool) -> bool:
+    marked = call.request.headers.get(NON_IDEMPOTENT_HEADER, "").lower()
+    return pool.idempotent and marked not in ("1", "true", "yes")
+
+
+def _bad(reason: str) -> NotRun:
+    return NotRun(Step.ADMIT, "", reason, 400, None, "bad_request")
--- /dev/null
+++ b/mulberrycleat/router/link.py
@@ -0,0 +1,120 @@
+"""The router's way to the controllers of its zone."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from mulberrycleat.controller.messages import SETTLE, SYNC, Settlement, SettleRequest, SyncRequest
+from mulberrycleat.core import PeerError, new_id
+from mulberrycleat.manifest import check_manifest
+from mulberrycleat.router.call import View
+from mulberrycleat.rpc import Method, RpcClient
+from mulberrycleat.settings import RouterSettings
+
+__all__ = ["ControllerLink"]
+
+log = logging.getLogger(__name__)
+
+SYNC_WAIT_S = 5.0
+SYNC_TIMEOUT_S = 7.0
+SETTLE_EVERY_S = 0.2
+SETTLE_TIMEOUT_S = 2.0
+RETRY_EVERY_S = 0.3
+
+
+class ControllerLink:
+    """Calls to the controller of this host, the view that it sends, and settlements on the way.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Addresses of the controllers.
+    fleet_key : str
+        Key that calls between the fleet's processes carry.
+    """
+
+    def __init__(self, settings: RouterSettings, fleet_key: str) -> None:
+        self._router = f"{settings.host.name}/{new_id()}"
+        self._client = RpcClient(settings.controllers[0], fleet_key)
+        self._view = View()
+        self._unsettled: dict[str, int] = {}
+        self._fresh = trio.Event()
+
+    @property
+    def router(self) -> str:
+        """Name of this incarnation of the router."""
+        return self._router
+
+    @property
+    def view(self) -> View:
+        """The newest view."""
+        return self._view
+
+    @property
+    def fresh(self) -> trio.Event:
+        """Set once the first view has come."""
+        return self._fresh
+
+    async def call(self, method: Method, message: Any, timeout_s: float) -> Result[Any, PeerError]:
+        """Call the controller of this host."""
+        return await self._client.call(method, message, timeout_s)
+
+    def settle_later(self, request: str, tokens: int) -> None:
+        """Settle the reservation of a request with the next batch."""
+        self._unsettled[request] = tokens
+
+    async def run(self) -> None:
+        """Keep the view fresh and send settlements, for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._sync_regularly)
+            nursery.start_soon(self._settle_regularly)
+
+    async def flush(self) -> bool:
+        """Send all settlements; return whether the controller has them."""
+        batch = dict(self._unsettled)
+        if not batch:
+            return True
+        settlements = tuple(Settlement(request, tokens) for request, tokens in batch.items())
+        message = SettleRequest(self._router, settlements)
+        match await self.call(SETTLE, message, SETTLE_TIMEOUT_S):
+            case Ok(_):
+                for request in batch:
+                    del self._unsettled[request]
+                return True
+            case Err(error):
+                log.warning("settlement failed", extra={"step": "settle", "peer": error.peer})
+                return False
+
+    async def _settle_regularly(self) -> None:
+        while True:
+            await trio.sleep(SETTLE_EVERY_S)
+            await self.flush()
+
+    async def _sync_regularly(self) -> None:
+        while True:
+            wait_s = SYNC_WAIT_S if self._fresh.is_set() else 0.0
+            message = SyncRequest(self._router, self._view.version, wait_s)
+            match await self.call(SYNC, message, SYNC_TIMEOUT_S):
+                case Ok(reply):
+                    self._take(reply)
+                case Err(error):
+                    log.warning("sync failed", extra={"step": "call", "peer": error.peer})
+                    await trio.sleep(RETRY_EVERY_S)
+
+    def _take(self, reply: Any) -> None:
+        manifest = self._view.manifest
+        if reply.manifest and reply.manifest_version != self._view.manifest_version:
+            match check_manifest(msgspec.json.decode(reply.manifest)):
+                case Ok(checked):
+                    manifest = checked
+                case Err(faults):
+                    log.error("manifest refused", extra={"faults": [str(f) for f in faults]})
+                    return
+        self._view = View(reply.version, reply.manifest_version, manifest, frozenset(reply.leaving))
+        if reply.manifest_version:
+            self._fresh.set()
--- /dev/null
+++ b/mulberrycleat/scenario/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios."""
--- /dev/null
+++ b/mulberrycleat/settings/check.py
@@ -0,0 +1,164 @@
+"""Conversion of plain data into frozen data classes, reporting every fault and its path.
+
+``msgspec.convert`` stops at the first fault. :func:`convert_all` goes down field by field, so that
+one run names them all.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+import types
+import typing
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+__all__ = ["Fault", "convert_all", "line_of"]
+
+T = TypeVar("T")
+
+
+class Fault(NamedTuple):
+    """One fault in a file.
+
+    Attributes
+    ----------
+    path : str
+        The field, such as ``pools[2].price.fixed``.
+    reason : str
+        What is wrong with it.
+    line : int
+        Line number counted from 1, or 0 where it is not known.
+    """
+
+    path: str
+    reason: str
+    line: int = 0
+
+    def __str__(self) -> str:
+        where = f"line {self.line}: " if self.line else ""
+        return f"{where}{self.path or 'file'}: {self.reason}"
+
+
+def convert_all(data: Any, kind: type[T]) -> Result[T, list[Fault]]:
+    """Convert `data` to `kind`, or return every fault.
+
+    Parameters
+    ----------
+    data : mapping
+        Parsed TOML or JSON.
+    kind : type
+        A frozen data class, whose fields may be data classes, tuples and mappings of them.
+
+    Examples
+    --------
+    >>> @dataclasses.dataclass(frozen=True)
+    ... class Point:
+    ...     x: int
+    ...     y: int = 0
+    >>> convert_all({"x": 1}, Point).ok_value
+    Point(x=1, y=0)
+    >>> [str(fault) for fault in convert_all({"x": "a", "z": 1}, Point).err_value]
+    ['z: unknown field', 'x: Expected `int`, got `str`']
+    """
+    faults = list(_faults(data, kind, ""))
+    if faults:
+        return Err(faults)
+    try:
+        return Ok(msgspec.convert(data, kind, strict=True))
+    except msgspec.ValidationError as error:
+        return Err([_from_msgspec(error, "")])
+
+
+def line_of(text: str, path: str) -> int:
+    """Return the line of a TOML text at which the field of `path` stands, or 0.
+
+    >>> line_of('a = 1\\n[[pools]]\\nname = "x"\\n[[pools]]\\nname = "y"\\n', "pools[1].name")
+    5
+    """
+    best = 0
+    for here, number in _toml_lines(text):
+        if here == path:
+            return number
+        if path.startswith((here + ".", here + "[")):
+            best = number
+    return best
+
+
+def _toml_lines(text: str) -> Iterator[tuple[str, int]]:
+    table = ""
+    counts: dict[str, int] = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        if header := re.match(r"\s*(\[\[?)\s*([\w.\-\"]+)\s*\]", line):
+            name = header[2].replace('"', "")
+            name = _indexed(name, counts) if header[1] == "[[" else _latest(name, counts)
+            table = name
+            yield table, number
+        elif key := re.match(r"\s*([\w\-\"]+)\s*=", line):
+            name = key[1].replace('"', "")
+            yield (f"{table}.{name}" if table else name), number
+
+
+def _latest(name: str, counts: Mapping[str, int]) -> str:
+    """Put the newest index behind each part of a dotted name that is an array of tables."""
+    path = ""
+    for part in name.split("."):
+        path = f"{path}.{part}" if path else part
+        if path in counts:
+            path = f"{path}[{counts[path]}]"
+    return path
+
+
+def _indexed(name: str, counts: dict[str, int]) -> str:
+    parent, _, last = name.rpartition(".")
+    path = f"{_latest(parent, counts)}.{last}" if parent else last
+    counts[path] = counts.get(path, -1) + 1
+    return f"{path}[{counts[path]}]"
+
+
+def _faults(data: Any, kind: Any, path: str) -> Iterator[Fault]:
+    origin = typing.get_origin(kind)
+    if dataclasses.is_dataclass(kind):
+        yield from _dataclass_faults(data, kind, path)
+    elif origin is tuple and isinstance(data, list):
+        for index, item in enumerate(data):
+            yield from _faults(item, typing.get_args(kind)[0], f"{path}[{index}]")
+    elif origin is dict and isinstance(data, dict):
+        for key, item in data.items():
+            yield from _faults(item, typing.get_args(kind)[1], _join(path, key))
+    elif origin in (typing.Union, types.UnionType) and data is not None:
+        plain = [arg for arg in typing.get_args(kind) if arg is not type(None)]
+        yield from _faults(data, plain[0] if len(plain) == 1 else typing.Any, path)
+    else:
+        try:
+            msgspec.convert(data, kind, strict=True)
+        except msgspec.ValidationError as error:
+            yield _from_msgspec(error, path)
+
+
+def _dataclass_faults(data: Any, kind: Any, path: str) -> Iterator[Fault]:
+    if not isinstance(data, dict):
+        yield Fault(path, f"expected a table, got {type(data).__name__}")
+        return
+    hints = typing.get_type_hints(kind, include_extras=True)
+    for key in data:
+        if key not in hints:
+            yield Fault(_join(path, key), "unknown field")
+    for field in dataclasses.fields(kind):
+        here = _join(path, field.name)
+        if field.name in data:
+            yield from _faults(data[field.name], hints[field.name], here)
+        elif field.default is dataclasses.MISSING and field.default_factory is dataclasses.MISSING:
+            yield Fault(here, "missing")
+
+
+def _join(path: str, key: str) -> str:
+    return f"{path}.{key}" if path else str(key)
+
+
+def _from_msgspec(error: msgspec.ValidationError, path: str) -> Fault:
+    reason, _, inner = str(error).partition(" - at `$")
+    return Fault(path + inner.rstrip("`"), reason)
--- /dev/null
+++ b/mulberrycleat/settings/model.py
@@ -0,0 +1,160 @@
+"""Settings of each process, as frozen data classes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Annotated, Literal
+
+from msgspec import Meta
+
+__all__ = [
+    "Address",
+    "ControllerSettings",
+    "HostSettings",
+    "LogSettings",
+    "OperatorSettings",
+    "PlatformSettings",
+    "RouterSettings",
+]
+
+Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Seconds = Annotated[float, Meta(gt=0)]
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+
+
+@dataclass(frozen=True, slots=True)
+class LogSettings:
+    """Logging.
+
+    Attributes
+    ----------
+    level : str
+        ``debug``, ``info``, ``warning`` or ``error``.
+    format : str
+        ``json`` for one object a line, ``text`` for reading at a terminal.
+    """
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    format: Literal["json", "text"] = "json"
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """The entry host on which a process runs.
+
+    Attributes
+    ----------
+    name : str
+        Unique name of the host in the fleet.
+    zone : str
+        Its availability zone.
+    """
+
+    name: Name
+    zone: Name
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Addresses of the platform's services.
+
+    Attributes
+    ----------
+    log : str
+        The log service, as ``ip:port``.
+    hosts : str
+        The list of live and leaving hosts; empty where there is none.
+    weights : str
+        The weight store; empty where there is none.
+    timeout_s : float
+        Longest wait for one answer of the log, in seconds.
+    """
+
+    log: Address
+    hosts: str = ""
+    weights: str = ""
+    timeout_s: Seconds = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ControllerSettings:
+    """One controller process.
+
+    Attributes
+    ----------
+    host : HostSettings
+        Where it runs.
+    platform : PlatformSettings
+        The platform's services.
+    listen : str
+        Address for calls from routers and peers, as ``ip:port``.
+    peers : tuple of str
+        Controllers of the other hosts in the zone.
+    fleet_key_file : str
+        File with the key that calls between the fleet's processes carry.
+    settle_every_s : float
+        Time between two settlements to the log, in seconds.
+    """
+
+    host: HostSettings
+    platform: PlatformSettings
+    listen: Address
+    fleet_key_file: str
+    peers: tuple[Address, ...] = ()
+    settle_every_s: Seconds = 0.5
+    log: LogSettings = field(default_factory=LogSettings)
+
+
+@dataclass(frozen=True, slots=True)
+class RouterSettings:
+    """One router process.
+
+    Attributes
+    ----------
+    host : HostSettings
+        Where it runs.
+    listen : str
+        Address for callers, as ``ip:port``.
+    controllers : tuple of str
+        Controllers to call, the one of this host first.
+    fleet_key_file : str
+        File with the key that calls between the fleet's processes carry.
+    max_body_bytes : int
+        Largest request body that is read, in bytes.
+    receive_timeout_s : float
+        Longest time for a caller to send its request, in seconds.
+    drain_timeout_s : float
+        Longest time for streams in flight to end after a stop signal, in seconds.
+    """
+
+    host: HostSettings
+    listen: Address
+    controllers: tuple[Address, ...]
+    fleet_key_file: str
+    max_body_bytes: Annotated[int, Meta(gt=0)] = 1_048_576
+    receive_timeout_s: Seconds = 10.0
+    drain_timeout_s: Seconds = 60.0
+    log: LogSettings = field(default_factory=LogSettings)
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """The operators' command line.
+
+    Attributes
+    ----------
+    operator : str
+        Name under which manifests and top-ups are published.
+    platform : PlatformSettings
+        The platform's services.
+    controllers : tuple of str
+        Controllers to ask for the state, one a host.
+    fleet_key_file : str
+        File with the key that calls between the fleet's processes carry.
+    """
+
+    operator: Name
+    platform: PlatformSettings
+    fleet_key_file: str
+    controllers: tuple[Address, ...] = ()
+    log: LogSettings = field(default_factory=lambda: LogSettings("warning", "text"))
--- /dev/null
+++ b/mulberrycleat/standin/link.py
@@ -0,0 +1,67 @@
+"""A TCP link between two processes that can be cut, frozen and slowed."""
+
+from __future__ import annotations
+
+import trio
+
+from mulberrycleat.standin.faults import Faults
+from mulberrycleat.standin.settings import StandinSettings
+
+__all__ = ["LinkStandin"]
+
+CHUNK_BYTES = 65536
+
+
+class LinkStandin:
+    """Forward connections to ``target``.
+
+    Parameters
+    ----------
+    settings : StandinSettings
+        ``listen`` and ``target``. Faults are set over HTTP at ``control``.
+    """
+
+    def __init__(self, settings: StandinSettings) -> None:
+        self._settings = settings
+        self._faults = Faults()
+
+    def routes(self) -> tuple:
+        """Return the routes that set the faults."""
+        return self._faults.routes()
+
+    async def run(self) -> None:
+        """Forward for ever."""
+        host, _, port = self._settings.listen.rpartition(":")
+        await trio.serve_tcp(self._forward, int(port), host=host)
+
+    async def _forward(self, near: trio.SocketStream) -> None:
+        if self._faults.on.cut:
+            return
+        host, _, port = self._settings.target.rpartition(":")
+        try:
+            far = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            return
+        async with far, trio.open_nursery() as nursery:
+            nursery.start_soon(self._pump, near, far, nursery.cancel_scope)
+            nursery.start_soon(self._pump, far, near, nursery.cancel_scope)
+            nursery.start_soon(self._end_when_cut, nursery.cancel_scope)
+
+    async def _pump(
+        self, source: trio.SocketStream, sink: trio.SocketStream, scope: trio.CancelScope
+    ) -> None:
+        try:
+            while data := await source.receive_some(CHUNK_BYTES):
+                while self._faults.on.frozen:
+                    await self._faults.changed.wait()
+                if self._faults.on.delay_s:
+                    await trio.sleep(self._faults.on.delay_s)
+                await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        scope.cancel()
+
+    async def _end_when_cut(self, scope: trio.CancelScope) -> None:
+        while not self._faults.on.cut:
+            await self._faults.changed.wait()
+        scope.cancel()
--- /dev/null
+++ b/mulberrycleat/standin/settings.py
@@ -0,0 +1,69 @@
+"""Settings of the stand-ins."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Literal
+
+from mulberrycleat.settings.model import Address, LogSettings, Seconds
+
+__all__ = ["StandinSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class StandinSettings:
+    """One stand-in.
+
+    Attributes
+    ----------
+    kind : str
+        Which service it stands in for. ``link`` forwards TCP to `target` and can be cut.
+    listen : str
+        Address, as ``ip:port``.
+    target : str
+        Address to which a link forwards.
+    control : str
+        Address at which a link's faults are set.
+    retention_s : float
+        Age at which the log's records expire, in seconds.
+    appends_per_s : float
+        Appends that the log takes, a second.
+    list_lag_s : float
+        Time after which a change of the host list shows, in seconds.
+    step_s : float
+        Time of one decoding step of an engine running one request, in seconds.
+    step_per_request_s : float
+        Time that each further request adds to a step, in seconds.
+    prefill_s_per_1000 : float
+        Time to read 1,000 prompt tokens that are not cached, in seconds.
+    max_batch : int
+        Requests that an engine runs at once.
+    cache_tokens : int
+        Prompt tokens that an engine's prefix cache holds.
+    load_lag_s : float
+        Age of an engine's load report, in seconds.
+    checks_fencing : bool
+        Whether an engine refuses an order with an old fencing number.
+    service_s : float
+        Time that a plain service takes, in seconds.
+    weights_per_s : float
+        Loads that the weight store serves, a second.
+    """
+
+    kind: Literal["log", "hosts", "weights", "engine", "service", "link"]
+    listen: Address
+    target: str = ""
+    control: str = ""
+    retention_s: Seconds = 86400.0
+    appends_per_s: Seconds = 500.0
+    list_lag_s: float = 1.0
+    step_s: Seconds = 0.01
+    step_per_request_s: float = 0.0005
+    prefill_s_per_1000: float = 0.05
+    max_batch: int = 32
+    cache_tokens: int = 50_000
+    load_lag_s: float = 0.5
+    checks_fencing: bool = True
+    service_s: Seconds = 0.02
+    weights_per_s: Seconds = 0.5
+    log: LogSettings = field(default_factory=LogSettings)
--- /dev/null
+++ b/mulberrycleat/testing/__init__.py
@@ -0,0 +1,5 @@
+"""Test harness, and a local fleet of real processes for tests, demo and bench."""
+
+from mulberrycleat.testing.harness import fixture
+
+__all__ = ["fixture"]
--- /dev/null
+++ b/mulberrycleat/testing/harness.py
@@ -0,0 +1,130 @@
+"""Plain test functions with shared fixtures, run by ``unittest``.
+
+A module below a ``tests`` directory holds functions named ``test_…``. A parameter of such a
+function names a fixture: a function marked with :func:`fixture` in the same module or in
+``fixtures.py`` beside it, which returns the value or, as a generator, yields it and cleans up.
+A coroutine function runs under trio with a virtual clock.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import doctest
+import importlib
+import inspect
+import pkgutil
+import unittest
+from collections.abc import Callable, Iterator
+from types import ModuleType
+from typing import Any
+
+import trio
+from trio.testing import MockClock
+
+import mulberrycleat
+
+__all__ = ["collect", "fixture"]
+
+_MARK = "_is_fixture"
+VIRTUAL_BOUND_S = 30 * 86400.0
+
+
+def fixture(function: Callable[..., Any]) -> Callable[..., Any]:
+    """Mark a function as a fixture named after it."""
+    setattr(function, _MARK, True)
+    return function
+
+
+def collect(pattern: str = "", with_doctests: bool = True) -> unittest.TestSuite:
+    """Return the tests whose dotted name contains `pattern`, and the doctests of those modules."""
+    suite = unittest.TestSuite()
+    for name in _module_names():
+        if ".tests." in name:
+            suite.addTests(case for case in _cases(name) if pattern in case.id())
+        elif with_doctests and pattern in name and not name.endswith("__main__"):
+            suite.addTests(_doctests(name))
+    return suite
+
+
+def _module_names() -> Iterator[str]:
+    for info in pkgutil.walk_packages(mulberrycleat.__path__, "mulberrycleat."):
+        if not info.ispkg:
+            yield info.name
+
+
+def _doctests(name: str) -> unittest.TestSuite:
+    module = importlib.import_module(name)
+    with contextlib.suppress(ValueError):
+        return doctest.DocTestSuite(module)
+    return unittest.TestSuite()
+
+
+def _cases(name: str) -> Iterator[unittest.TestCase]:
+    module = importlib.import_module(name)
+    fixtures = _fixtures(module)
+    for attribute, function in vars(module).items():
+        if not attribute.startswith("test_") or not inspect.isfunction(function):
+            continue
+        if function.__module__ == name:
+            yield FunctionCase(f"{name}.{attribute}", function, fixtures)
+
+
+def _fixtures(module: ModuleType) -> dict[str, Callable[..., Any]]:
+    found: dict[str, Callable[..., Any]] = {}
+    with contextlib.suppress(ModuleNotFoundError):
+        found |= _marked(importlib.import_module(f"{module.__package__}.fixtures"))
+    return found | _marked(module)
+
+
+def _marked(module: ModuleType) -> dict[str, Callable[..., Any]]:
+    return {name: item for name, item in vars(module).items() if getattr(item, _MARK, False)}
+
+
+class FunctionCase(unittest.TestCase):
+    """One test function with its fixtures."""
+
+    def __init__(
+        self, name: str, function: Callable[..., Any], fixtures: dict[str, Callable[..., Any]]
+    ) -> None:
+        super().__init__("run_function")
+        self._name = name
+        self._function = function
+        self._fixtures = fixtures
+
+    def id(self) -> str:
+        """Return the dotted name of the function."""
+        return self._name
+
+    def __str__(self) -> str:
+        return self._name
+
+    def run_function(self) -> None:
+        """Make the fixtures, run the function, and clean up."""
+        with contextlib.ExitStack() as stack:
+            values = self._values(self._function, stack)
+            if inspect.iscoroutinefunction(self._function):
+                trio.run(
+                    _within_bound, self._function, values, clock=MockClock(autojump_threshold=0)
+                )
+            else:
+                self._function(**values)
+
+    def _values(self, function: Callable[..., Any], stack: contextlib.ExitStack) -> dict[str, Any]:
+        names = [
+            p.name for p in inspect.signature(function).parameters.values() if p.default is p.empty
+        ]
+        return {name: self._value(name, stack) for name in names}
+
+    def _value(self, name: str, stack: contextlib.ExitStack) -> Any:
+        if name not in self._fixtures:
+            raise LookupError(f"{self._name}: no fixture named {name!r}")
+        function = self._fixtures[name]
+        arguments = self._values(function, stack)
+        if inspect.isgeneratorfunction(function):
+            return stack.enter_context(contextlib.contextmanager(function)(**arguments))
+        return function(**arguments)
+
+
+async def _within_bound(function: Callable[..., Any], values: dict[str, Any]) -> None:
+    with trio.fail_after(VIRTUAL_BOUND_S):
+        await function(**values)
--- /dev/null
+++ b/mulberrycleat/testing/run.py
@@ -0,0 +1,60 @@
+"""``bin/test``: unit tests, doctests and scenarios; passes over what KNOWN-RED.txt lists."""
+
+from __future__ import annotations
+
+import sys
+import time
+import unittest
+from pathlib import Path
+
+import click
+
+from mulberrycleat.testing.harness import collect
+
+__all__ = ["main"]
+
+KNOWN_RED = Path("KNOWN-RED.txt")
+RED_FIELD = "test:"
+
+
+@click.command()
+@click.argument("pattern", default="")
+@click.option("--style-faults", default=0, help="Faults that formatter and linter found before.")
+@click.option("--verbose", "-v", is_flag=True, help="Name each test.")
+def main(pattern: str, style_faults: int, verbose: bool) -> None:
+    """Run the tests whose dotted name contains PATTERN, and end with `N passed, N failed`."""
+    suite = collect(pattern)
+    started = time.monotonic()
+    runner = unittest.TextTestRunner(verbosity=2 if verbose else 1)
+    result = runner.run(suite)
+    failed = [case.id() for case, _ in [*result.failures, *result.errors]]
+    known = _known_red()
+    passed_over = [name for name in failed if name in known]
+    new = len(failed) - len(passed_over) + style_faults
+    print(f"ran in {time.monotonic() - started:.1f} s")
+    for name in passed_over:
+        print(f"known red, passed over: {name}: {known[name]}")
+    for name in sorted(set(known) - set(failed)):
+        if pattern in name:
+            print(f"listed in {KNOWN_RED} but not failing: {name}")
+    print(f"{result.testsRun - len(failed)} passed, {new} failed")
+    sys.exit(1 if new or not result.testsRun else 0)
+
+
+def _known_red() -> dict[str, str]:
+    """Return the listed tests: lines `test: NAME`, each followed by lines that tell about it."""
+    if not KNOWN_RED.exists():
+        return {}
+    known: dict[str, str] = {}
+    name = ""
+    for line in KNOWN_RED.read_text(encoding="utf-8").splitlines():
+        if line.startswith(RED_FIELD):
+            name = line[len(RED_FIELD) :].strip()
+            known[name] = ""
+        elif name and line.strip():
+            known[name] = f"{known[name]} {line.strip()}".strip()
+    return known
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mulberrycleat/web/__init__.py
@@ -0,0 +1,21 @@
+"""HTTP towards callers, endpoints and the platform."""
+
+from mulberrycleat.web.asgi import App, Reply, Request, Responder, Route, json_reply
+from mulberrycleat.web.client import FAILURES, HttpAnswer, HttpClient, StreamedAnswer, peer_error
+from mulberrycleat.web.server import serve_app, stop_on_signal
+
+__all__ = [
+    "FAILURES",
+    "App",
+    "HttpAnswer",
+    "HttpClient",
+    "Reply",
+    "Request",
+    "Responder",
+    "Route",
+    "StreamedAnswer",
+    "json_reply",
+    "peer_error",
+    "serve_app",
+    "stop_on_signal",
+]
--- /dev/null
+++ b/mulberrycleat/web/client.py
@@ -0,0 +1,174 @@
+"""HTTP client over httpcore, with results instead of exceptions.
+
+A :class:`~mulberrycleat.core.PeerError` says whether a byte of the request may have left: failures
+to connect are the only ones for which ``sent`` is False.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+import httpcore
+import msgspec
+from result import Err, Ok, Result
+
+from mulberrycleat.core import PeerError, Step
+
+__all__ = ["HttpAnswer", "HttpClient", "StreamedAnswer"]
+
+NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+FAILURES = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.UnsupportedProtocol,
+    httpcore.ConnectionNotAvailable,
+)
+
+
+class HttpAnswer(NamedTuple):
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the parsed body; raises ``msgspec.DecodeError`` when it is not JSON."""
+        return msgspec.json.decode(self.body)
+
+
+class StreamedAnswer(NamedTuple):
+    """The head of an answer whose body is still to be read."""
+
+    status: int
+    headers: dict[str, str]
+    chunks: AsyncIterator[bytes]
+
+
+class HttpClient:
+    """Connections to peers, kept open between requests.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Longest wait for a connection, in seconds.
+    max_connections : int
+        Connections over all peers.
+    """
+
+    def __init__(self, connect_timeout_s: float = 1.0, max_connections: int = 1000) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections // 4,
+            keepalive_expiry=15.0,
+        )
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._pool.aclose()
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+        step: Step = Step.CALL,
+    ) -> Result[HttpAnswer, PeerError]:
+        """Send a request and read the whole answer.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for each read, in seconds.
+        """
+        try:
+            async with self.stream(method, url, body, headers, timeout_s) as answer:
+                data = b"".join([chunk async for chunk in answer.chunks])
+                return Ok(HttpAnswer(answer.status, answer.headers, data))
+        except FAILURES as error:
+            return Err(peer_error(error, step, url))
+
+    async def send_json(
+        self,
+        method: str,
+        url: str,
+        value: Any = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+        step: Step = Step.CALL,
+    ) -> Result[Any, PeerError]:
+        """Send `value` as JSON and return the parsed answer; a status from 400 up is an error."""
+        body = b"" if value is None else msgspec.json.encode(value)
+        merged = {"content-type": "application/json", **(headers or {})}
+        match await self.request(method, url, body, merged, timeout_s, step):
+            case Ok(answer) if answer.status < 400:
+                return _decoded(answer, step, url)
+            case Ok(answer):
+                return Err(_status_error(answer, step, url))
+            case Err(error):
+                return Err(error)
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> AsyncIterator[StreamedAnswer]:
+        """Send a request and give its answer as chunks; raises httpcore's exceptions.
+
+        Leaving the block before the last chunk closes the connection, so that no later request can
+        meet the rest of this answer.
+        """
+        timeout = {
+            "connect": self._connect_timeout_s,
+            "read": timeout_s,
+            "write": timeout_s,
+            "pool": self._connect_timeout_s,
+        }
+        async with self._pool.stream(
+            method, url, headers=_pairs(headers), content=body, extensions={"timeout": timeout}
+        ) as response:
+            found = {
+                name.decode("latin-1").lower(): value.decode("latin-1")
+                for name, value in response.headers
+            }
+            yield StreamedAnswer(response.status, found, response.aiter_stream())
+
+
+def peer_error(error: Exception, step: Step, url: str) -> PeerError:
+    """Turn one of httpcore's exceptions into a :class:`PeerError`."""
+    reason = f"{type(error).__name__}: {error}".rstrip(": ")
+    return PeerError(step, _host(url), reason, sent=not isinstance(error, NOT_SENT))
+
+
+def _pairs(headers: dict[str, str] | None) -> list[tuple[str, str]]:
+    return list((headers or {}).items())
+
+
+def _decoded(answer: HttpAnswer, step: Step, url: str) -> Result[Any, PeerError]:
+    if not answer.body:
+        return Ok(None)
+    try:
+        return Ok(answer.json())
+    except msgspec.DecodeError as error:
+        return Err(PeerError(step, _host(url), f"answer is not JSON: {error}"))
+
+
+def _status_error(answer: HttpAnswer, step: Step, url: str) -> PeerError:
+    text = answer.body[:200].decode("utf-8", "replace")
+    retry = answer.headers.get("retry-after", "")
+    after = float(retry) if retry.replace(".", "", 1).isdigit() else None
+    return PeerError(step, _host(url), f"HTTP {answer.status}: {text}", retry_after_s=after)
+
+
+def _host(url: str) -> str:
+    return url.split("/")[2] if "//" in url else url
