Check a manifest of many budgets in linear time; measure slopes

Cause: the check of keys built the set of all budget names again for each key, so its cost grew with the square of the budgets; and the type hints of a class were worked out again for each item. Ruled out: msgspec's conversion, which takes a small part of the time. Change: names are looked up in the map itself; hints are kept for each class.

--- /dev/null
+++ b/mulberrycleat/bench/slopes.py
@@ -0,0 +1,216 @@
+"""``bin/bench slopes``: what each unit of state or work costs, for docs/CAPACITY.md."""
+
+from __future__ import annotations
+
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import click
+import msgspec
+import trio
+import trio_asyncio
+
+from mulberrycleat.bench.loopback import free_address, run_standin_process
+from mulberrycleat.budget import Bill, Claim, Ledger, Settle, TopUp
+from mulberrycleat.controller import messages as m
+from mulberrycleat.eventlog import HttpEventLog
+from mulberrycleat.manifest import check_manifest
+from mulberrycleat.once import Intent, OnceState, Outcome
+from mulberrycleat.rpc import RpcClient, serve_rpc
+from mulberrycleat.settings import PlatformSettings
+from mulberrycleat.web import HttpClient
+
+__all__ = ["command"]
+
+FLEET_KEY = "bench"
+BUDGETS = 20_000
+HOLDERS_PER_BUDGET = 6
+BILLS_PER_SETTLEMENT = 20
+KEYS = 20_000
+CALLS = 1_000
+APPENDS = 300
+US = 1_000_000
+MS = 1_000
+
+
+class Slope(NamedTuple):
+    """One measured slope: its name, value, unit, and what was counted."""
+
+    name: str
+    value: float
+    unit: str
+    counted: str
+
+
+@click.command()
+def command() -> None:
+    """Measure the cost of budgets, keys, calls, appends and manifest entries."""
+    slopes = [*ledger_slopes(), *once_slopes(), *manifest_slopes()]
+    slopes += trio_asyncio.run(rpc_slopes)
+    slopes += log_slopes()
+    for slope in slopes:
+        click.echo(f"{slope.name:<32}{slope.value:>12.2f} {slope.unit:<16}{slope.counted}")
+    click.echo(json.dumps({slope.name: round(slope.value, 3) for slope in slopes}))
+
+
+def ledger_slopes() -> list[Slope]:
+    """Return the cost of a budget held and of a ledger record folded."""
+    records = _ledger_records()
+    held, bytes_held = _memory_of(lambda: _fold(Ledger(), _ledger_records()))
+    seconds = _processor_time(lambda: _fold(Ledger(), records))
+    settle = _settlement()
+    encoded = len(msgspec.json.encode(settle)) / BILLS_PER_SETTLEMENT
+    counted = f"{BUDGETS} budgets, {HOLDERS_PER_BUDGET} holders each"
+    return [
+        Slope("ledger_bytes_per_budget", bytes_held / len(held.budgets), "bytes", counted),
+        Slope("ledger_us_per_record", seconds / len(records) * US, "us", f"{len(records)} records"),
+        Slope("ledger_us_per_bill", _bill_seconds() * US, "us", "bills in settlements of 20"),
+        Slope("ledger_wire_bytes_per_bill", encoded, "bytes", "a settlement of 20 bills as JSON"),
+    ]
+
+
+def once_slopes() -> list[Slope]:
+    """Return the cost of a non-idempotent key held and folded."""
+    records = _once_records()
+    _, bytes_held = _memory_of(lambda: _fold(OnceState(), _once_records()))
+    seconds = _processor_time(lambda: _fold(OnceState(), records))
+    return [
+        Slope("once_bytes_per_key", bytes_held / KEYS, "bytes", f"{KEYS} keys with answers"),
+        Slope("once_us_per_record", seconds / len(records) * US, "us", f"{len(records)} records"),
+    ]
+
+
+def manifest_slopes() -> list[Slope]:
+    """Return the cost of a budget in a manifest, held and checked."""
+    content = _manifest_content(BUDGETS)
+    _, bytes_held = _memory_of(lambda: check_manifest(content).unwrap())
+    seconds = _processor_time(lambda: check_manifest(content).unwrap())
+    wire = len(msgspec.json.encode(content)) / BUDGETS
+    counted = f"{BUDGETS} budgets, one key each"
+    return [
+        Slope("manifest_bytes_per_budget", bytes_held / BUDGETS, "bytes", counted),
+        Slope("manifest_us_per_budget_checked", seconds / BUDGETS * US, "us", counted),
+        Slope("manifest_wire_bytes_per_budget", wire, "bytes", counted),
+    ]
+
+
+async def rpc_slopes() -> list[Slope]:
+    """Return the processor time of a call between processes, both sides together."""
+
+    async def answer(request: m.ReserveRequest) -> m.ReserveReply:
+        return m.ReserveReply(True)
+
+    address = free_address()
+    client = RpcClient(address, FLEET_KEY)
+    request = m.ReserveRequest("a1/7f", "r" * 20, "huts", 500)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(serve_rpc, {m.RESERVE: answer}, address, FLEET_KEY)
+        seconds = await _processor_time_each(
+            CALLS, lambda: client.call(m.RESERVE, request, timeout_s=5.0)
+        )
+        client.close()
+        nursery.cancel_scope.cancel()
+    return [Slope("rpc_ms_per_call", seconds * MS, "ms, both sides", f"{CALLS} calls")]
+
+
+def log_slopes() -> list[Slope]:
+    """Return a host's processor time for one append to and one read from the log."""
+    with run_standin_process("log", appends_per_s=1e6) as address:
+        return trio.run(_log_slopes, address)
+
+
+async def _log_slopes(address: str) -> list[Slope]:
+    client = HttpClient()
+    event_log = HttpEventLog(PlatformSettings(log=address), client)
+    record = msgspec.to_builtins(_settlement())
+    append_s = await _processor_time_each(APPENDS, lambda: event_log.append("bench", (record,)))
+    read_s = await _processor_time_each(APPENDS, lambda: event_log.read("bench", APPENDS - 1))
+    await client.aclose()
+    counted = f"{APPENDS} requests, host's side"
+    return [
+        Slope("log_append_ms", append_s * MS, "ms", counted),
+        Slope("log_read_ms", read_s * MS, "ms", counted),
+    ]
+
+
+def _fold(state: Any, records: list[Any]) -> Any:
+    for record in records:
+        state.apply(record)
+    return state
+
+
+def _ledger_records() -> list[Any]:
+    records: list[Any] = []
+    for number in range(BUDGETS):
+        name = f"budget-{number}"
+        records.append(TopUp(f"t{number}", name, 1_000_000))
+        for holder in range(HOLDERS_PER_BUDGET):
+            records.append(Claim(f"c{number}-{holder}", name, f"host-{holder}/7f", 10_000))
+    return records
+
+
+def _settlement() -> Settle:
+    bills = [Bill(f"{number:020x}", "budget-1234", 740) for number in range(BILLS_PER_SETTLEMENT)]
+    return Settle("zone-a-12/7f7f7f7f7f7f7f7f7f7f", 1, tuple(bills))
+
+
+def _bill_seconds() -> float:
+    count = 2_000
+    bills = _settlement().bills
+    ledger = Ledger()
+    records = [Settle("host-1/7f", seq, bills) for seq in range(1, count + 1)]
+    return _processor_time(lambda: _fold(ledger, records)) / (count * BILLS_PER_SETTLEMENT)
+
+
+def _once_records() -> list[Any]:
+    return [record for number in range(KEYS) for record in _key_records(number)]
+
+
+def _key_records(number: int) -> tuple[Any, Any]:
+    key = f"account-{number % 290}:order-{number}"
+    intent = Intent(f"{number:020x}", key, "d" * 64, "zone-a-12/7f")
+    outcome = Outcome(f"{number:020x}", key, 200, "application/json", '{"booking": 1234567}')
+    return intent, outcome
+
+
+def _manifest_content(count: int) -> dict[str, Any]:
+    accounts = [
+        {
+            "name": f"account-{number}",
+            "keys": [{"sha256": f"{number:064x}", "budget": f"budget-{number}"}],
+        }
+        for number in range(count)
+    ]
+    budgets = [{"name": f"budget-{n}", "account": f"account-{n}"} for n in range(count)]
+    return {"accounts": accounts, "budgets": budgets}
+
+
+def _memory_of(make: Callable[[], Any]) -> tuple[Any, int]:
+    """Return what `make` returns, and the bytes that it keeps."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return made, size
+
+
+def _processor_time(work: Callable[[], Any]) -> float:
+    started = time.process_time()
+    work()
+    return time.process_time() - started
+
+
+async def _processor_time_each(count: int, work: Callable[[], Awaitable[Any]]) -> float:
+    """Return the processor time of one `work`, in seconds, after a short warm-up."""
+    for _ in range(count // 10):
+        (await work()).unwrap()
+    started = time.process_time()
+    for _ in range(count):
+        (await work()).unwrap()
+    return (time.process_time() - started) / count
--- a/mulberrycleat/manifest/check.py
+++ b/mulberrycleat/manifest/check.py
@@ -4,7 +4,7 @@
 
 import json
 import tomllib
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from typing import Any
 
 from result import Err, Ok, Result
@@ -70,7 +70,7 @@
     for i, account in enumerate(manifest.accounts):
         for j, key in enumerate(account.keys):
             path = f"accounts[{i}].keys[{j}]"
-            yield from _unknown(f"{path}.budget", "budget", key.budget, set(budgets))
+            yield from _unknown(f"{path}.budget", "budget", key.budget, budgets)
             if budgets.get(key.budget, account.name) != account.name:
                 yield Fault(f"{path}.budget", f"{key.budget!r} belongs to another account")
             if key.sha256 in seen:
@@ -96,6 +96,6 @@
         seen.add(name)
 
 
-def _unknown(path: str, what: str, name: str, known: set[str]) -> Iterator[Fault]:
+def _unknown(path: str, what: str, name: str, known: Container[str]) -> Iterator[Fault]:
     if name not in known:
         yield Fault(path, f"no {what} named {name!r}")
--- a/mulberrycleat/settings/check.py
+++ b/mulberrycleat/settings/check.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import re
 import types
 import typing
@@ -143,7 +144,7 @@
     if not isinstance(data, dict):
         yield Fault(path, f"expected a table, got {type(data).__name__}")
         return
-    hints = typing.get_type_hints(kind, include_extras=True)
+    hints = _hints(kind)
     for key in data:
         if key not in hints:
             yield Fault(_join(path, key), "unknown field")
@@ -155,6 +156,11 @@
             yield Fault(here, "missing")
 
 
+@functools.cache
+def _hints(kind: Any) -> dict[str, Any]:
+    return typing.get_type_hints(kind, include_extras=True)
+
+
 def _join(path: str, key: str) -> str:
     return f"{path}.{key}" if path else str(key)
 
