Give the engine stand-in cancel, continuation, priorities, lagging load and cache events

Routers are to be built against an engine that honours priorities, cancels, continues an answer, reports load with a lag and publishes cache events late and with gaps. The stand-in had none of it.

Prompts are read in chunks of 512 tokens, the lowest priority number first; slots of the batch go by priority too. max_tokens bounds the new tokens of a continued answer; prompt_tokens leave out the continued text, whose reading still takes time. The prefix cache works in blocks of 256 bytes whose keys routers compute with the same function. New fault switches: leaving, slowdown.

--- a/mulberrycleat/standin/engine.py
+++ b/mulberrycleat/standin/engine.py
@@ -2,40 +2,47 @@
 
 from __future__ import annotations
 
-import hashlib
-from collections import OrderedDict
-from typing import Any
-
 import msgspec
 import trio
-
+from result import Err
+
+from mulberrycleat.endpoint import prefix_keys
+from mulberrycleat.standin.engine_answer import (
+    ChatBody,
+    event,
+    text_event,
+    tokens_of,
+    usage,
+    word,
+)
+from mulberrycleat.standin.engine_cache import PrefixCache
+from mulberrycleat.standin.engine_gate import PriorityGate
+from mulberrycleat.standin.engine_load import LoadHistory
+from mulberrycleat.standin.engine_work import Work, WorkTable
 from mulberrycleat.standin.faults import Faults
 from mulberrycleat.standin.settings import StandinSettings
 from mulberrycleat.web import Reply, Request, Responder, Route, json_reply
 
 __all__ = ["EngineStandin"]
 
-BYTES_PER_TOKEN = 4
 STREAM_HEADERS = (("content-type", "text/event-stream"),)
+PREFILL_CHUNK_TOKENS = 512
+DEFAULT_PRIORITY = 5
+LOWEST_PRIORITY = 9
+LEAVING_RETRY_S = "5"
 
 
-class _Message(msgspec.Struct):
-    role: str
-    content: str
-
-
-class _Body(msgspec.Struct):
-    model: str
-    messages: list[_Message]
-    max_tokens: int = 16
+class _CancelBody(msgspec.Struct):
+    request_id: str
 
 
 class EngineStandin:
     """One engine.
 
-    Answers are a function of the prompt, so that a repeat gives the same text. A prompt token is
-    four bytes. The first event of a stream carries the usage of the prompt, the last one that of
-    the whole answer.
+    Answers are a function of the prompt, so that a repeat gives the same text and a continued
+    answer the same rest. A prompt token is four bytes. The first event of a stream carries the
+    usage of the prompt, the last one that of the whole answer. Prompts are read one at a time in
+    chunks, the lowest priority number first; then up to `max_batch` answers are decoded together.
 
     Parameters
     ----------
@@ -46,18 +53,27 @@
     def __init__(self, settings: StandinSettings) -> None:
         self._settings = settings
         self._faults = Faults()
-        self._slots = trio.CapacityLimiter(settings.max_batch)
-        self._cache: OrderedDict[str, int] = OrderedDict()
-        self._waiting = 0
+        self._slots = PriorityGate(settings.max_batch)
+        self._prefill = PriorityGate(1)
+        self._cache = PrefixCache(settings)
+        self._works = WorkTable()
+        self._history = LoadHistory(settings, self._works)
         self._served = 0
         self._cut = 0
         self._generated = 0
 
+    @property
+    def works(self) -> WorkTable:
+        """What runs, has run, or must not run any more."""
+        return self._works
+
     def routes(self) -> tuple[Route, ...]:
         """Return the service's routes."""
         return (
             Route("POST", "/v1/chat/completions", self._complete),
+            Route("POST", "/v1/cancel", self._cancel),
             Route("GET", "/load", self._load),
+            Route("GET", "/cache-events", self._cache_events),
             Route("GET", "/stats", self._stats),
             *self._faults.routes(),
         )
@@ -65,101 +81,130 @@
     async def _complete(self, request: Request, responder: Responder) -> Reply | None:
         if held := await self._faults.hold():
             return held
+        if self._faults.on.leaving:
+            retry = ("retry-after", LEAVING_RETRY_S)
+            return Reply(503, b'{"error": "leaving"}', (retry,))
         try:
-            body = msgspec.json.decode(request.body, type=_Body)
-        except msgspec.DecodeError as error:
+            body = msgspec.json.decode(request.body, type=ChatBody)
+            work = _work(request, body)
+        except (msgspec.DecodeError, ValueError) as error:
             return json_reply({"error": str(error)}, 400)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_gone, responder, nursery.cancel_scope)
-            self._waiting += 1
-            try:
-                async with self._slots:
-                    await self._generate(body, responder)
-            finally:
-                self._waiting -= 1
-            nursery.cancel_scope.cancel()
-        return None
-
-    async def _generate(self, body: _Body, responder: Responder) -> None:
-        prompt = sum(_tokens(message.content) for message in body.messages)
-        cached = self._look_up(body)
-        await trio.sleep((prompt - cached) / 1000 * self._settings.prefill_s_per_1000)
+        if isinstance(refused := self._works.start(work), Err):
+            return json_reply({"error": refused.err_value}, 409)
+        return await self._run(work, body, responder)
+
+    async def _run(self, work: Work, body: ChatBody, responder: Responder) -> Reply | None:
+        self._history.sample()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_when_gone, responder, nursery.cancel_scope)
+                with work.scope:
+                    async with self._slots.hold(work.priority):
+                        await self._generate(work, body, responder)
+                nursery.cancel_scope.cancel()
+        finally:
+            work.ended = True
+            self._history.sample()
+        if work.finished or responder.gone.is_set():
+            return None
+        if responder.started:
+            raise ConnectionAbortedError("the request was cancelled")
+        return json_reply({"error": "the request was cancelled"}, 409)
+
+    async def _generate(self, work: Work, body: ChatBody, responder: Responder) -> None:
+        await self._read_prompt(work, body)
+        prompt, cached = work.prompt_tokens, work.cached_tokens
         await responder.start(200, STREAM_HEADERS)
-        await responder.write(_event({"choices": [], "usage": _usage(prompt, cached, 0)}))
-        for index in range(body.max_tokens):
+        await responder.write(event({"choices": [], "usage": usage(prompt, cached, 0)}))
+        for index in range(body.continue_tokens, body.continue_tokens + body.max_tokens):
             await trio.sleep(self._step_s())
-            await self._faults_between_tokens()
-            if self._faults.on.truncate_after and index >= self._faults.on.truncate_after:
-                self._cut += 1
-                raise ConnectionAbortedError("stream cut by a fault")
+            await self._faults_between_tokens(work)
             self._generated += 1
-            await responder.write(_event({"choices": [_choice(_word(body, index))]}))
-        final = {"choices": [_choice("", "length")], "usage": _usage(prompt, cached, index + 1)}
+            work.generated_tokens += 1
+            await responder.write(text_event(word(body, index)))
+        work.finished = True
         self._served += 1
-        await responder.write(_event(final))
+        whole = usage(prompt, cached, work.generated_tokens)
+        await responder.write(text_event("", "length", usage=whole))
         await responder.finish(b"data: [DONE]\n\n")
 
-    async def _faults_between_tokens(self) -> None:
+    async def _read_prompt(self, work: Work, body: ChatBody) -> None:
+        keys = prefix_keys(body.model, [message.content for message in body.messages])
+        work.cached_tokens = min(self._cache.look_up(keys), work.prompt_tokens)
+        left = work.prompt_tokens - work.cached_tokens + tokens_of(body.continue_text)
+        while left > 0:
+            chunk = min(left, PREFILL_CHUNK_TOKENS)
+            async with self._prefill.hold(work.priority):
+                await trio.sleep(chunk / 1000 * self._settings.prefill_s_per_1000 * self._slowdown)
+            left -= chunk
+        work.prefilled = True
+
+    async def _faults_between_tokens(self, work: Work) -> None:
         while self._faults.on.frozen:
             await self._faults.changed.wait()
+        cut_after = self._faults.on.truncate_after
+        if cut_after and work.generated_tokens >= cut_after:
+            self._cut += 1
+            raise ConnectionAbortedError("stream cut by a fault")
+
+    @property
+    def _slowdown(self) -> float:
+        return self._faults.on.slowdown
 
     def _step_s(self) -> float:
-        others = max(0, self._slots.borrowed_tokens - 1)
-        return self._settings.step_s + others * self._settings.step_per_request_s
-
-    def _look_up(self, body: _Body) -> int:
-        """Return the cached tokens of the longest known prefix, and remember this prompt."""
-        cached = 0
-        digest = hashlib.sha256(body.model.encode())
-        total = 0
-        for message in body.messages:
-            digest.update(message.content.encode())
-            total += _tokens(message.content)
-            key = digest.hexdigest()
-            if key in self._cache:
-                cached = total
-                self._cache.move_to_end(key)
-            else:
-                self._cache[key] = _tokens(message.content)
-        while sum(self._cache.values()) > self._settings.cache_tokens:
-            self._cache.popitem(last=False)
-        return cached
+        others = max(0, self._slots.held - 1)
+        step_s = self._settings.step_s + others * self._settings.step_per_request_s
+        return step_s * self._slowdown
+
+    async def _cancel(self, request: Request, responder: Responder) -> Reply:
+        if held := await self._faults.hold():
+            return held
+        try:
+            body = msgspec.json.decode(request.body, type=_CancelBody)
+        except msgspec.DecodeError as error:
+            return json_reply({"error": str(error)}, 400)
+        works = self._works.cancel(body.request_id)
+        return json_reply(
+            {
+                "known": bool(works),
+                "prompt_tokens": sum(work.prompt_tokens for work in works),
+                "cached_tokens": sum(work.cached_tokens for work in works),
+                "generated_tokens": sum(work.generated_tokens for work in works),
+                "finished": any(work.finished for work in works),
+            }
+        )
 
     async def _load(self, request: Request, responder: Responder) -> Reply:
         if held := await self._faults.hold():
             return held
-        running = self._slots.borrowed_tokens
-        return json_reply({"running": running, "waiting": self._waiting - running})
+        return json_reply(self._history.report(self._slots.held, self._slots.waiting))
+
+    async def _cache_events(self, request: Request, responder: Responder) -> Reply:
+        if held := await self._faults.hold():
+            return held
+        try:
+            first = int(request.query.get("from", "0"))
+        except ValueError as error:
+            return json_reply({"error": str(error)}, 400)
+        return json_reply(self._cache.events(first))
 
     async def _stats(self, request: Request, responder: Responder) -> Reply:
         stats = {"served": self._served, "cut": self._cut, "generated": self._generated}
         return json_reply(stats)
 
 
-def _tokens(text: str) -> int:
-    return -(-len(text.encode()) // BYTES_PER_TOKEN)
-
-
-def _word(body: _Body, index: int) -> str:
-    seed = hashlib.sha256(f"{body.messages[-1].content}:{index}".encode()).hexdigest()
-    return f"{seed[:5]} "
-
-
-def _choice(text: str, finish_reason: str | None = None) -> dict[str, Any]:
-    delta = {"content": text} if text else {}
-    return {"index": 0, "delta": delta, "finish_reason": finish_reason}
-
-
-def _usage(prompt: int, cached: int, generated: int) -> dict[str, Any]:
-    return {
-        "prompt_tokens": prompt,
-        "completion_tokens": generated,
-        "prompt_tokens_details": {"cached_tokens": cached},
-    }
-
-
-def _event(value: dict[str, Any]) -> bytes:
-    return b"data: " + msgspec.json.encode(value) + b"\n\n"
+def _work(request: Request, body: ChatBody) -> Work:
+    headers = request.headers
+    priority = int(headers.get("x-priority", DEFAULT_PRIORITY))
+    return Work(
+        request_id=headers.get("x-request-id", ""),
+        holder=headers.get("x-holder", ""),
+        fencing_number=int(headers.get("x-fencing-number", "0")),
+        at=trio.current_time(),
+        priority=min(max(priority, 0), LOWEST_PRIORITY),
+        prompt_tokens=body.prompt_tokens,
+        max_tokens=body.max_tokens,
+    )
 
 
 async def _cancel_when_gone(responder: Responder, scope: trio.CancelScope) -> None:
--- a/mulberrycleat/standin/faults.py
+++ b/mulberrycleat/standin/faults.py
@@ -25,6 +25,10 @@
         Number of next writes that take effect while their answer is lost.
     truncate_after : int
         Tokens after which an engine cuts a stream without an end; 0 for never.
+    leaving : bool
+        An engine answers new work with 503 and goes on with what it has.
+    slowdown : float
+        Factor on an engine's times.
     cut : bool
         A link passes nothing on and accepts nothing.
     """
@@ -34,6 +38,8 @@
     delay_s: float = 0.0
     lose_answers: int = 0
     truncate_after: int = 0
+    leaving: bool = False
+    slowdown: float = 1.0
     cut: bool = False
 
 
--- a/mulberrycleat/standin/settings.py
+++ b/mulberrycleat/standin/settings.py
@@ -42,6 +42,10 @@
         Prompt tokens that an engine's prefix cache holds.
     load_lag_s : float
         Age of an engine's load report, in seconds.
+    cache_event_lag_s : float
+        Age at which an engine's cache event shows, in seconds.
+    cache_event_gap : int
+        Every so many cache events one is lost; 0 for none.
     checks_fencing : bool
         Whether an engine refuses an order with an old fencing number.
     service_s : float
@@ -63,6 +67,8 @@
     max_batch: int = 32
     cache_tokens: int = 50_000
     load_lag_s: float = 0.5
+    cache_event_lag_s: float = 1.0
+    cache_event_gap: int = 10
     checks_fencing: bool = True
     service_s: Seconds = 0.02
     weights_per_s: Seconds = 0.5
