Run a whole fleet in one event loop under a virtual clock

Cause: proofs of behaviour under cuts, freezes and lost answers needed real processes and real seconds. Ruled out: hypercorn and httpcore over in-memory byte streams (grpclib would still need asyncio sockets, so half the interfaces would be imitated anyway). Change: Ports (clients, servers, wall clock) are given to Controller and Router; testing/network.py carries HTTP and calls between processes of one event loop. Identifiers, trio's task order and random are seeded, so a run repeats to the microsecond.

--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -15,10 +15,10 @@
 from mulberrycleat.controller.manifests import ManifestController
 from mulberrycleat.controller.once import OnceController
 from mulberrycleat.core import Holder, new_id
+from mulberrycleat.core.ports import Ports
 from mulberrycleat.eventlog import HttpEventLog
-from mulberrycleat.rpc import Method, RpcHandler, serve_rpc
+from mulberrycleat.rpc import Method, RpcHandler
 from mulberrycleat.settings import ControllerSettings
-from mulberrycleat.web import HttpClient
 
 __all__ = ["Controller"]
 
@@ -36,20 +36,24 @@
         The settings file, whole.
     fleet_key : str
         Key that calls between the fleet's processes carry.
+    ports : Ports, optional
+        Ways out of and into the process.
     """
 
-    def __init__(self, settings: ControllerSettings, fleet_key: str) -> None:
+    def __init__(
+        self, settings: ControllerSettings, fleet_key: str, ports: Ports | None = None
+    ) -> None:
         self._settings = settings
         self._fleet_key = fleet_key
         self._holder = Holder(settings.host.name, settings.host.zone, new_id())
-        self._client = HttpClient()
+        self._ports = ports or Ports()
         self._changes = Changes()
-        event_log = HttpEventLog(settings.platform, self._client)
+        event_log = HttpEventLog(settings.platform, self._ports.http)
         self._manifests = ManifestController(event_log, self._changes)
         self._budgets = BudgetController(settings, self._holder, event_log)
         self._once = OnceController(self._holder, event_log)
         self._hosts = HostController(
-            settings, self._holder, self._manifests, self._client, fleet_key, self._changes
+            settings, self._holder, self._manifests, self._ports, fleet_key, self._changes
         )
 
     async def run(self, stop: trio.Event) -> None:
@@ -66,7 +70,9 @@
         async with trio.open_nursery() as nursery:
             for controller in (self._manifests, self._budgets, self._once, self._hosts):
                 await nursery.start(controller.run)
-            await nursery.start(serve_rpc, self._handlers(), self._settings.listen, self._fleet_key)
+            await nursery.start(
+                self._ports.serve_rpc, self._handlers(), self._settings.listen, self._fleet_key
+            )
             log.info("ready", extra={"listen": self._settings.listen})
 
     def _handlers(self) -> Mapping[Method, RpcHandler]:
--- a/mulberrycleat/controller/hosts.py
+++ b/mulberrycleat/controller/hosts.py
@@ -11,9 +11,8 @@
 from mulberrycleat.controller.manifests import ManifestController
 from mulberrycleat.controller.messages import HEARTBEAT, Heartbeat, HeartbeatReply
 from mulberrycleat.core import Holder
-from mulberrycleat.rpc import RpcClient
+from mulberrycleat.core.ports import Ports
 from mulberrycleat.settings import ControllerSettings
-from mulberrycleat.web import HttpClient
 
 __all__ = ["HostController"]
 
@@ -39,16 +38,16 @@
         settings: ControllerSettings,
         holder: Holder,
         manifests: ManifestController,
-        client: HttpClient,
+        ports: Ports,
         fleet_key: str,
         changes: Changes,
     ) -> None:
         self._settings = settings
         self._holder = holder
         self._manifests = manifests
-        self._client = client
+        self._client = ports.http
         self._changes = changes
-        self._peers = [RpcClient(address, fleet_key) for address in settings.peers]
+        self._peers = [ports.connect_rpc(address, fleet_key) for address in settings.peers]
         self._alive: dict[str, HeartbeatReply] = {}
         self._leaving: frozenset[str] = frozenset()
 
--- a/mulberrycleat/core/ids.py
+++ b/mulberrycleat/core/ids.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-import secrets
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
-__all__ = ["Holder", "new_id"]
+__all__ = ["Holder", "new_id", "seeded_ids"]
 
-_ID_BYTES = 10
+_ID_BITS = 80
+_ID_DIGITS = _ID_BITS // 4
+_sources: list[random.Random] = [random.SystemRandom()]
 
 
 def new_id() -> str:
@@ -16,7 +20,24 @@
     >>> len(new_id())
     20
     """
-    return secrets.token_hex(_ID_BYTES)
+    return f"{_sources[-1].getrandbits(_ID_BITS):0{_ID_DIGITS}x}"
+
+
+@contextmanager
+def seeded_ids(seed: int) -> Iterator[None]:
+    """Make identifiers repeatable inside the block, for tests.
+
+    >>> with seeded_ids(1):
+    ...     first = new_id()
+    >>> with seeded_ids(1):
+    ...     first == new_id()
+    True
+    """
+    _sources.append(random.Random(seed))
+    try:
+        yield
+    finally:
+        _sources.pop()
 
 
 class Holder(NamedTuple):
--- /dev/null
+++ b/mulberrycleat/core/ports.py
@@ -0,0 +1,40 @@
+"""What a process needs of the outside: clients, servers and the wall clock.
+
+The defaults are the real ones; tests give others, so that the same code runs in one event loop.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from mulberrycleat.rpc import RpcClient, serve_rpc
+from mulberrycleat.web import BaseHttpClient, HttpClient, serve_app
+
+__all__ = ["Ports"]
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """Ways out of and into a process.
+
+    Attributes
+    ----------
+    http : BaseHttpClient
+        HTTP towards endpoints and the platform.
+    connect_rpc : callable
+        Makes the client of one controller from its ``ip:port`` and the fleet key.
+    serve_http : callable
+        Takes the arguments of :func:`~mulberrycleat.web.serve_app`.
+    serve_rpc : callable
+        Takes the arguments of :func:`~mulberrycleat.rpc.serve_rpc`.
+    now : callable
+        Returns Unix time in seconds. Durations are measured by ``trio.current_time`` instead.
+    """
+
+    http: BaseHttpClient = field(default_factory=HttpClient)
+    connect_rpc: Callable[[str, str], RpcClient] = RpcClient
+    serve_http: Callable[..., Awaitable[None]] = serve_app
+    serve_rpc: Callable[..., Awaitable[None]] = serve_rpc
+    now: Callable[[], float] = time.time
--- a/mulberrycleat/eventlog/client.py
+++ b/mulberrycleat/eventlog/client.py
@@ -9,7 +9,7 @@
 from mulberrycleat.core import PeerError, Step
 from mulberrycleat.eventlog.model import Entry, Page
 from mulberrycleat.settings import PlatformSettings
-from mulberrycleat.web import HttpClient
+from mulberrycleat.web import BaseHttpClient
 
 __all__ = ["HttpEventLog"]
 
@@ -21,11 +21,11 @@
     ----------
     settings : PlatformSettings
         Address and timeout.
-    client : HttpClient
+    client : BaseHttpClient
         Connections.
     """
 
-    def __init__(self, settings: PlatformSettings, client: HttpClient) -> None:
+    def __init__(self, settings: PlatformSettings, client: BaseHttpClient) -> None:
         self._settings = settings
         self._client = client
 
--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import Refusal, Served, new_id
+from mulberrycleat.core.ports import Ports
 from mulberrycleat.router.answers import BufferedSink, http_problem, problem_event, problem_reply
 from mulberrycleat.router.call import Call
 from mulberrycleat.router.chain import FilterChain
@@ -25,13 +26,11 @@
 from mulberrycleat.settings import RouterSettings
 from mulberrycleat.web import (
     App,
-    HttpClient,
     Reply,
     Request,
     Responder,
     Route,
     json_reply,
-    serve_app,
 )
 
 __all__ = ["Router"]
@@ -51,12 +50,16 @@
         The settings file, whole.
     fleet_key : str
         Key that calls between the fleet's processes carry.
+    ports : Ports, optional
+        Ways out of and into the process.
     """
 
-    def __init__(self, settings: RouterSettings, fleet_key: str) -> None:
+    def __init__(
+        self, settings: RouterSettings, fleet_key: str, ports: Ports | None = None
+    ) -> None:
         self._settings = settings
-        self._client = HttpClient()
-        self._link = ControllerLink(settings, fleet_key)
+        self._ports = ports or Ports()
+        self._link = ControllerLink(settings, fleet_key, self._ports)
         self._stopping = False
         self._chain = FilterChain(
             (
@@ -65,7 +68,7 @@
                 RecallFilter(self._link),
                 BudgetFilter(self._link),
                 ClaimFilter(self._link),
-                DispatchFilter(EndpointTable(settings.host.zone), self._client),
+                DispatchFilter(EndpointTable(settings.host.zone), self._ports.http),
             )
         )
         self._registry = CollectorRegistry()
@@ -93,7 +96,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._link.run)
             nursery.start_soon(self._note_stop, stop)
-            await serve_app(app, self._settings.listen, stop, self._settings.drain_timeout_s)
+            await self._ports.serve_http(
+                app, self._settings.listen, stop, self._settings.drain_timeout_s
+            )
             with trio.move_on_after(SETTLE_ON_STOP_S):
                 while not await self._link.flush():
                     await trio.sleep(0.1)
--- a/mulberrycleat/router/filters/dispatch.py
+++ b/mulberrycleat/router/filters/dispatch.py
@@ -13,7 +13,7 @@
 from mulberrycleat.router.call import Call, Proceed
 from mulberrycleat.router.endpoints import EndpointTable
 from mulberrycleat.router.events import TokenCount, read_events
-from mulberrycleat.web import FAILURES, HttpClient, peer_error
+from mulberrycleat.web import FAILURES, BaseHttpClient, peer_error
 
 __all__ = ["DispatchFilter"]
 
@@ -28,11 +28,11 @@
     ----------
     table : EndpointTable
         What this router knows of the endpoints.
-    client : HttpClient
+    client : BaseHttpClient
         Connections to endpoints.
     """
 
-    def __init__(self, table: EndpointTable, client: HttpClient) -> None:
+    def __init__(self, table: EndpointTable, client: BaseHttpClient) -> None:
         self._table = table
         self._client = client
 
--- a/mulberrycleat/router/link.py
+++ b/mulberrycleat/router/link.py
@@ -11,9 +11,10 @@
 
 from mulberrycleat.controller.messages import SETTLE, SYNC, Settlement, SettleRequest, SyncRequest
 from mulberrycleat.core import PeerError, new_id
+from mulberrycleat.core.ports import Ports
 from mulberrycleat.manifest import check_manifest
 from mulberrycleat.router.call import View
-from mulberrycleat.rpc import Method, RpcClient
+from mulberrycleat.rpc import Method
 from mulberrycleat.settings import RouterSettings
 
 __all__ = ["ControllerLink"]
@@ -36,11 +37,13 @@
         Addresses of the controllers.
     fleet_key : str
         Key that calls between the fleet's processes carry.
+    ports : Ports
+        Ways out of the process.
     """
 
-    def __init__(self, settings: RouterSettings, fleet_key: str) -> None:
+    def __init__(self, settings: RouterSettings, fleet_key: str, ports: Ports) -> None:
         self._router = f"{settings.host.name}/{new_id()}"
-        self._client = RpcClient(settings.controllers[0], fleet_key)
+        self._client = ports.connect_rpc(settings.controllers[0], fleet_key)
         self._view = View()
         self._unsettled: dict[str, int] = {}
         self._fresh = trio.Event()
--- a/mulberrycleat/standin/log.py
+++ b/mulberrycleat/standin/log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -30,15 +31,17 @@
     ----------
     settings : StandinSettings
         Retention and rate.
+    now : callable, optional
+        Returns Unix time in seconds.
     """
 
-    def __init__(self, settings: StandinSettings) -> None:
+    def __init__(self, settings: StandinSettings, now: Callable[[], float] = time.time) -> None:
         self._settings = settings
         self._faults = Faults()
-        self._streams = MemoryStreams(time.time, settings.retention_s)
+        self._streams = MemoryStreams(now, settings.retention_s)
         self._appended = trio.Event()
         self._allowance = settings.appends_per_s * BURST_S
-        self._refilled = time.monotonic()
+        self._refilled = 0.0
         self._appends = 0
 
     def routes(self) -> tuple[Route, ...]:
@@ -86,7 +89,7 @@
         return json_reply({"appends": self._appends})
 
     def _take_allowance(self) -> bool:
-        now = time.monotonic()
+        now = trio.current_time()
         rate = self._settings.appends_per_s
         self._allowance = min(self._allowance + (now - self._refilled) * rate, rate * BURST_S)
         self._refilled = now
--- a/mulberrycleat/standin/main.py
+++ b/mulberrycleat/standin/main.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -22,11 +24,11 @@
 DRAIN_S = 1.0
 
 
-def make_standin(settings: StandinSettings) -> Any:
+def make_standin(settings: StandinSettings, now: Callable[[], float] = time.time) -> Any:
     """Return the stand-in that the settings name."""
     match settings.kind:
         case "log":
-            return LogStandin(settings)
+            return LogStandin(settings, now)
         case "hosts":
             return HostListStandin(settings)
         case "weights":
--- a/mulberrycleat/testing/harness.py
+++ b/mulberrycleat/testing/harness.py
@@ -13,17 +13,23 @@
 import importlib
 import inspect
 import pkgutil
+import random
 import unittest
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
 from types import ModuleType
-from typing import Any
+from typing import Any, TypeVar
 
 import trio
+from trio._core import _run
 from trio.testing import MockClock
 
 import mulberrycleat
+from mulberrycleat.core.ids import seeded_ids
 
-__all__ = ["collect", "fixture"]
+__all__ = ["collect", "fixture", "run_virtual"]
+
+T = TypeVar("T")
 
 _MARK = "_is_fixture"
 VIRTUAL_BOUND_S = 30 * 86400.0
@@ -98,14 +104,15 @@
     def __str__(self) -> str:
         return self._name
 
+    def shortDescription(self) -> None:  # noqa: N802
+        """Return nothing, so that the runner prints names."""
+
     def run_function(self) -> None:
         """Make the fixtures, run the function, and clean up."""
         with contextlib.ExitStack() as stack:
             values = self._values(self._function, stack)
             if inspect.iscoroutinefunction(self._function):
-                trio.run(
-                    _within_bound, self._function, values, clock=MockClock(autojump_threshold=0)
-                )
+                run_virtual(partial(self._function, **values))
             else:
                 self._function(**values)
 
@@ -125,6 +132,21 @@
         return function(**arguments)
 
 
-async def _within_bound(function: Callable[..., Any], values: dict[str, Any]) -> None:
-    with trio.fail_after(VIRTUAL_BOUND_S):
-        await function(**values)
+def run_virtual(function: Callable[[], Awaitable[T]], seed: int = 0) -> T:
+    """Run a coroutine function under a virtual clock, with a fixed order of tasks.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the order in which trio runs tasks, of identifiers and of :mod:`random`.
+    """
+
+    async def within_bound() -> T:
+        with trio.fail_after(VIRTUAL_BOUND_S):
+            return await function()
+
+    _run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    _run._r.seed(seed)
+    random.seed(seed)
+    with seeded_ids(seed):
+        return trio.run(within_bound, clock=MockClock(autojump_threshold=0))
--- /dev/null
+++ b/mulberrycleat/testing/layout.py
@@ -0,0 +1,198 @@
+"""The members of a fleet under test: names, zones, addresses and settings."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+__all__ = ["HOST_KINDS", "FleetPlan", "Layout", "Member"]
+
+PLATFORM_ZONE = "platform"
+HOST_KINDS = ("router", "controller")
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What to start.
+
+    Attributes
+    ----------
+    zones : tuple of str
+        Availability zones.
+    hosts_per_zone : int
+        Entry hosts in each.
+    engines_per_zone, services_per_zone : int
+        Endpoints of each pool in each zone.
+    accounts : tuple of str
+        Client accounts; each gets one budget of its name and one key.
+    models, services : tuple of str
+        Pools of engines and of plain services; the services are not idempotent.
+    standin : mapping
+        Fields of the stand-ins' settings, by kind.
+    controller, router : mapping
+        Fields of the settings of every controller and router.
+    log_links : bool
+        Whether each zone reaches the log through a link process that can be cut.
+    """
+
+    zones: tuple[str, ...] = ("zone-a", "zone-b", "zone-c")
+    hosts_per_zone: int = 1
+    engines_per_zone: int = 1
+    services_per_zone: int = 1
+    accounts: tuple[str, ...] = ("dolerite", "swan-coastal")
+    models: tuple[str, ...] = ("survey-large",)
+    services: tuple[str, ...] = ("bookings",)
+    standin: dict[str, dict[str, Any]] = field(default_factory=dict)
+    controller: dict[str, Any] = field(default_factory=dict)
+    router: dict[str, Any] = field(default_factory=dict)
+    log_links: bool = True
+
+
+class Member(NamedTuple):
+    """One process of the fleet.
+
+    Attributes
+    ----------
+    host : str
+        The entry host of a router or controller; of another process its own name.
+    address : str
+        ``ip:port`` at which it is reached; of a link, its control address.
+    settings : mapping
+        What its settings file holds.
+    """
+
+    name: str
+    kind: str
+    zone: str
+    host: str
+    address: str
+    settings: dict[str, Any]
+
+
+class Layout:
+    """All members of a fleet, the callers' keys and the manifest that fits them.
+
+    Parameters
+    ----------
+    plan : FleetPlan
+        What the fleet consists of.
+    addresses : iterator of str
+        Gives one unused ``ip:port`` after another.
+    fleet_key_file : str
+        Path that settings name for the key between the fleet's processes.
+    """
+
+    def __init__(self, plan: FleetPlan, addresses: Iterator[str], fleet_key_file: str) -> None:
+        self._plan = plan
+        self._addresses = addresses
+        self._fleet_key_file = fleet_key_file
+        self._members: dict[str, Member] = {}
+        self._endpoints: list[dict[str, Any]] = []
+        self._keys = {account: secrets.token_urlsafe(18) for account in plan.accounts}
+        for kind in ("log", "hosts", "weights"):
+            self._add_standin(kind, kind, PLATFORM_ZONE)
+        for zone in plan.zones:
+            self._add_zone(zone)
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """Members by name."""
+        return self._members
+
+    @property
+    def keys(self) -> dict[str, str]:
+        """A caller's key for each account."""
+        return self._keys
+
+    def of_kind(self, kind: str) -> list[Member]:
+        """Return the members of one kind."""
+        return [member for member in self._members.values() if member.kind == kind]
+
+    def operator(self, name: str = "demo") -> dict[str, Any]:
+        """Return an operator's settings as plain data."""
+        return {
+            "operator": name,
+            "platform": {"log": self._members["log"].address},
+            "controllers": [member.address for member in self.of_kind("controller")],
+            "fleet_key_file": self._fleet_key_file,
+        }
+
+    def manifest(self, **changes: Any) -> dict[str, Any]:
+        """Return a manifest for this fleet as plain data, with `changes` in its fields."""
+        accounts = [
+            {"name": name, "keys": [{"sha256": _sha256(key), "budget": name}]}
+            for name, key in self._keys.items()
+        ]
+        models = [
+            {"name": f"pool-{model}", "kind": "model", "model": model, "max_generated": 256}
+            for model in self._plan.models
+        ]
+        services = [
+            {"name": name, "kind": "service", "idempotent": False, "price": {"fixed": 5000}}
+            for name in self._plan.services
+        ]
+        return {
+            "accounts": accounts,
+            "budgets": [{"name": name, "account": name} for name in self._keys],
+            "pools": models + services,
+            "endpoints": self._endpoints,
+            **changes,
+        }
+
+    def _add(self, name: str, kind: str, zone: str, host: str, settings: dict) -> None:
+        address = settings.get("control") or settings["listen"]
+        self._members[name] = Member(name, kind, zone, host, address, settings)
+
+    def _add_standin(self, name: str, kind: str, zone: str) -> str:
+        address = next(self._addresses)
+        settings = {"kind": kind, "listen": address, **self._plan.standin.get(kind, {})}
+        self._add(name, kind, zone, name, settings)
+        return address
+
+    def _add_zone(self, zone: str) -> None:
+        log_address = self._members["log"].address
+        if self._plan.log_links:
+            log_address = self._add_link(zone, log_address)
+        self._add_endpoints(zone)
+        names = [f"{zone}-{number}" for number in range(1, self._plan.hosts_per_zone + 1)]
+        listens = {name: next(self._addresses) for name in names}
+        for name in names:
+            self._add_host(name, zone, listens, log_address)
+
+    def _add_link(self, zone: str, target: str) -> str:
+        near = next(self._addresses)
+        settings = {"kind": "link", "listen": near, "target": target}
+        settings["control"] = next(self._addresses)
+        self._add(f"link-{zone}", "link", zone, f"link-{zone}", settings)
+        return near
+
+    def _add_endpoints(self, zone: str) -> None:
+        kinds = [(f"pool-{model}", "engine") for model in self._plan.models]
+        kinds += [(service, "service") for service in self._plan.services]
+        for pool, kind in kinds:
+            per_zone = getattr(self._plan, f"{kind}s_per_zone")
+            for number in range(1, per_zone + 1):
+                name = f"{pool}-{zone}-{number}"
+                address = self._add_standin(name, kind, zone)
+                self._endpoints.append(
+                    {"name": name, "pool": pool, "zone": zone, "address": address}
+                )
+
+    def _add_host(self, name: str, zone: str, listens: dict[str, str], log_address: str) -> None:
+        listen = listens[name]
+        peers = [address for other, address in listens.items() if other != name]
+        platform = {"log": log_address, "hosts": self._members["hosts"].address}
+        common = {"host": {"name": name, "zone": zone}, "fleet_key_file": self._fleet_key_file}
+        controller = {**common, "listen": listen, "peers": peers, "platform": platform}
+        self._add(
+            f"controller-{name}", "controller", zone, name, controller | self._plan.controller
+        )
+        router = {**common, "listen": next(self._addresses), "controllers": [listen, *peers]}
+        self._add(f"router-{name}", "router", zone, name, router | self._plan.router)
+
+
+def _sha256(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/mulberrycleat/testing/network.py
@@ -0,0 +1,311 @@
+"""Processes in one event loop and the links between them, for tests under a virtual clock.
+
+Only the interfaces are imitated: HTTP and calls between controllers are carried by
+:mod:`~mulberrycleat.testing.exchange` instead of sockets. A cut link holds messages until it heals,
+as TCP does, while the waiting side's timeout goes on. A frozen process neither sends nor receives;
+its timers run on, so that it acts on stale knowledge as soon as it is thawed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import Any, NamedTuple
+
+import trio
+
+__all__ = ["ANYWHERE", "KilledError", "Listener", "Network", "Process"]
+
+EPOCH_S = 1_800_000_000.0
+SAME_ZONE_DELAY_S = 0.0002
+OTHER_ZONE_DELAY_S = 0.0015
+ANYWHERE = "*"
+
+
+class KilledError(BaseException):
+    """Unwinds the tasks of a killed process, shielded ones too, at their next exchange."""
+
+
+class Listener(NamedTuple):
+    """What a process serves at an address: an ASGI application or a table of calls."""
+
+    process: Process
+    served: Any
+
+
+class Process:
+    """One running process: its place, its tasks, whether it is alive and frozen."""
+
+    def __init__(self, name: str, zone: str, host: str) -> None:
+        self._name = name
+        self._tags = frozenset({name, zone, host})
+        self._zone = zone
+        self._nursery: trio.Nursery | None = None
+        self._stop = trio.Event()
+        self._dead = trio.Event()
+        self._ended = trio.Event()
+        self._running = trio.Event()
+        self._running.set()
+        self._in_flight = 0
+        self._idle = trio.Event()
+
+    @property
+    def name(self) -> str:
+        """Unique name among the running processes."""
+        return self._name
+
+    @property
+    def zone(self) -> str:
+        """Availability zone, or another place such as ``platform``."""
+        return self._zone
+
+    @property
+    def tags(self) -> frozenset[str]:
+        """Names by which faults find the process: its own, its host's and its zone's."""
+        return self._tags
+
+    @property
+    def nursery(self) -> trio.Nursery:
+        """Holds the tasks of the process."""
+        if self._nursery is None:
+            raise RuntimeError(f"{self._name} does not run")
+        return self._nursery
+
+    @property
+    def dead(self) -> trio.Event:
+        """Set when the process was killed or has ended."""
+        return self._dead
+
+    @property
+    def ended(self) -> trio.Event:
+        """Set when its last task has ended."""
+        return self._ended
+
+    async def run(
+        self,
+        main: Callable[[trio.Event], Awaitable[None]],
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run `main` until it returns or the process is killed."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                task_status.started()
+                await main(self._stop)
+                nursery.cancel_scope.cancel()
+        except* KilledError:
+            pass
+        finally:
+            self._dead.set()
+            self._ended.set()
+
+    def ask_to_stop(self) -> None:
+        """Send the stop signal."""
+        self._stop.set()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._dead.set()
+        self._running.set()
+        self.nursery.cancel_scope.cancel()
+
+    def freeze(self) -> None:
+        """Hold everything that it sends or receives."""
+        self._running = trio.Event()
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self._running.set()
+
+    async def until_running(self) -> None:
+        """Wait while frozen; raises :class:`KilledError` inside a killed process."""
+        await self._running.wait()
+        if self._dead.is_set():
+            raise KilledError(self._name)
+
+    def began(self) -> None:
+        """Count a request in flight."""
+        self._in_flight += 1
+
+    def finished(self) -> None:
+        """Count a request that ended."""
+        self._in_flight -= 1
+        event, self._idle = self._idle, trio.Event()
+        event.set()
+
+    async def until_idle(self) -> None:
+        """Wait until no request is in flight."""
+        while self._in_flight:
+            await self._idle.wait()
+
+
+class Network:
+    """Addresses, links and their faults.
+
+    A fault names its two ends by a process, a host, a zone, or :data:`ANYWHERE`.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the jitter of link delays.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self._random = random.Random(seed)
+        self._listeners: dict[str, Listener] = {}
+        self._processes: dict[str, Process] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._slow: dict[tuple[str, str], float] = {}
+        self._lost_answers: dict[tuple[str, str], int] = {}
+        self._lanes: dict[tuple[Process, Process], trio.Lock] = {}
+        self._changed = trio.Event()
+        self._nursery: trio.Nursery | None = None
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[Network]:
+        """Let processes run inside the block; all are killed at its end."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            try:
+                yield self
+            finally:
+                for name in list(self._processes):
+                    self.kill(name)
+                self.heal_all()
+                nursery.cancel_scope.cancel()
+
+    def now(self) -> float:
+        """Return the virtual Unix time in seconds."""
+        return EPOCH_S + trio.current_time()
+
+    async def start(
+        self,
+        name: str,
+        zone: str,
+        host: str,
+        main: Callable[[Process, trio.Event], Awaitable[None]],
+    ) -> Process:
+        """Start a process; `main` gets it and its stop event."""
+        if self._nursery is None:
+            raise RuntimeError("the network does not run")
+        if name in self._processes and not self._processes[name].dead.is_set():
+            raise ValueError(f"{name} runs already")
+        process = Process(name, zone, host)
+        self._processes[name] = process
+        await self._nursery.start(process.run, partial(main, process))
+        return process
+
+    def process(self, name: str) -> Process:
+        """Return the newest process of that name."""
+        return self._processes[name]
+
+    def matching(self, tag: str) -> list[Process]:
+        """Return the processes that are alive and bear `tag`."""
+        return [p for p in self._processes.values() if tag in p.tags and not p.dead.is_set()]
+
+    def kill(self, tag: str) -> None:
+        """Kill a process, or all of a host or zone."""
+        for process in self.matching(tag):
+            process.kill()
+            self.unlisten(process)
+
+    async def stop(self, tag: str) -> None:
+        """Send the stop signal and wait for the end."""
+        stopping = self.matching(tag)
+        for process in stopping:
+            process.ask_to_stop()
+        for process in stopping:
+            await process.ended.wait()
+            self.unlisten(process)
+
+    def freeze(self, tag: str) -> None:
+        """Freeze a process, or all of a host or zone."""
+        for process in self.matching(tag):
+            process.freeze()
+
+    def thaw(self, tag: str) -> None:
+        """Thaw what was frozen."""
+        for process in self.matching(tag):
+            process.thaw()
+
+    def cut(self, one: str, other: str = ANYWHERE) -> None:
+        """Cut the links between two ends; inside of one end they stay whole."""
+        self._cuts.add((one, other))
+        self._notify()
+
+    def heal(self, one: str, other: str = ANYWHERE) -> None:
+        """Take a cut back."""
+        self._cuts.discard((one, other))
+        self._cuts.discard((other, one))
+        self._notify()
+
+    def heal_all(self) -> None:
+        """Take all cuts back."""
+        self._cuts.clear()
+        self._notify()
+
+    def slow(self, one: str, other: str, delay_s: float) -> None:
+        """Add a delay in seconds to each message between two ends; 0 takes it back."""
+        self._slow[one, other] = delay_s
+
+    def lose_answers(self, source: str, target: str, count: int = 1) -> None:
+        """Lose the next answers of `target` to `source`; what was asked takes effect."""
+        self._lost_answers[source, target] = count
+
+    def loses_answer(self, source: Process, target: Process) -> bool:
+        """Return whether the answer of `target` is lost, and count it."""
+        for (one, other), count in self._lost_answers.items():
+            if count and one in source.tags and other in target.tags:
+                self._lost_answers[one, other] = count - 1
+                return True
+        return False
+
+    def listen(self, address: str, process: Process, served: Any) -> None:
+        """Serve at an address."""
+        self._listeners[address] = Listener(process, served)
+
+    def unlisten(self, process: Process) -> None:
+        """Serve nothing more of a process."""
+        for address, listener in list(self._listeners.items()):
+            if listener.process is process:
+                del self._listeners[address]
+
+    def listener(self, address: str) -> Listener | None:
+        """Return what is served at an address."""
+        return self._listeners.get(address)
+
+    def is_cut(self, source: Process, target: Process) -> bool:
+        """Return whether no message passes between two processes."""
+        return any(
+            _meets(one, other, source, target) or _meets(one, other, target, source)
+            for one, other in self._cuts
+        )
+
+    def delay_s(self, source: Process, target: Process) -> float:
+        """Return the time that the next message takes, in seconds."""
+        same = source.zone == target.zone
+        base = SAME_ZONE_DELAY_S if same else OTHER_ZONE_DELAY_S
+        added = sum(
+            delay
+            for (one, other), delay in self._slow.items()
+            if _meets(one, other, source, target) or _meets(one, other, target, source)
+        )
+        return base * self._random.uniform(1.0, 1.5) + added
+
+    async def until_passable(self, source: Process, target: Process) -> None:
+        """Wait while the link is cut; messages of one pair keep their order."""
+        async with self._lanes.setdefault((source, target), trio.Lock()):
+            while self.is_cut(source, target):
+                await self._changed.wait()
+
+    def _notify(self) -> None:
+        event, self._changed = self._changed, trio.Event()
+        event.set()
+
+
+def _meets(one: str, other: str, source: Process, target: Process) -> bool:
+    if one not in source.tags or one in target.tags:
+        return False
+    return other == ANYWHERE or (other in target.tags and other not in source.tags)
--- /dev/null
+++ b/mulberrycleat/testing/operator.py
@@ -0,0 +1,104 @@
+"""An operator's side: publishing, top-ups, the hosts' state, whole streams."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import trio
+from result import Ok, Result
+
+from mulberrycleat.budget import TopUp
+from mulberrycleat.cli import operations
+from mulberrycleat.controller.messages import STATUS, StatusRequest
+from mulberrycleat.core import PeerError, new_id
+from mulberrycleat.core.ports import Ports
+from mulberrycleat.eventlog import HttpEventLog
+from mulberrycleat.manifest import Accepted, Publish, Verdict
+from mulberrycleat.settings import OperatorSettings
+
+__all__ = ["Operator"]
+
+POLL_S = 0.2
+STATUS_TIMEOUT_S = 1.5
+
+
+class Operator:
+    """One operator at work.
+
+    Parameters
+    ----------
+    settings : OperatorSettings
+        Addresses of log and controllers.
+    fleet_key : str
+        Key that calls between the fleet's processes carry.
+    ports : Ports
+        Ways out.
+    """
+
+    def __init__(self, settings: OperatorSettings, fleet_key: str, ports: Ports) -> None:
+        self._settings = settings
+        self._fleet_key = fleet_key
+        self._ports = ports
+        self._event_log = HttpEventLog(settings.platform, ports.http)
+
+    @property
+    def event_log(self) -> HttpEventLog:
+        """The platform's log."""
+        return self._event_log
+
+    async def publish(
+        self, content: dict[str, Any], base: int | None = None, by: str = ""
+    ) -> Result[Verdict, PeerError]:
+        """Publish a manifest, built on the version in force unless `base` is given."""
+        if base is None:
+            base = (await operations.read_history(self._event_log)).unwrap().state.version
+        record = Publish(new_id(), base, by or self._settings.operator, content)
+        return await operations.publish(self._event_log, record)
+
+    async def step_back(self) -> Result[Verdict, PeerError]:
+        """Publish the version before the one in force again."""
+        history = (await operations.read_history(self._event_log)).unwrap()
+        return await self.publish(history.contents[history.state.version - 1])
+
+    async def top_up(
+        self, budget: str, tokens: int, record_id: str = ""
+    ) -> Result[None, PeerError]:
+        """Prepay tokens."""
+        record = TopUp(record_id or new_id(), budget, tokens, self._settings.operator)
+        return await operations.top_up(self._event_log, record)
+
+    async def statuses(self) -> dict[str, dict[str, Any]]:
+        """Return the state of each controller that answers, by host."""
+        found: dict[str, dict[str, Any]] = {}
+
+        async def ask(address: str) -> None:
+            client = self._ports.connect_rpc(address, self._fleet_key)
+            match await client.call(STATUS, StatusRequest(), STATUS_TIMEOUT_S):
+                case Ok(reply):
+                    state = msgspec.json.decode(reply.body)
+                    found[state["host"]] = state
+            client.close()
+
+        async with trio.open_nursery() as nursery:
+            for address in self._settings.controllers:
+                nursery.start_soon(ask, address)
+        return found
+
+    async def wait_in_force(self, version: int, hosts: int | None = None) -> None:
+        """Wait until `hosts` controllers (all, when None) have at least `version` in force."""
+        wanted = len(self._settings.controllers) if hosts is None else hosts
+        while True:
+            states = await self.statuses()
+            if sum(state["manifest_version"] >= version for state in states.values()) >= wanted:
+                return
+            await trio.sleep(POLL_S)
+
+    async def publish_and_wait(self, content: dict[str, Any]) -> int:
+        """Publish and wait until every host has it in force; return the version."""
+        match await self.publish(content):
+            case Ok(Accepted(version)):
+                await self.wait_in_force(version)
+                return version
+            case other:
+                raise RuntimeError(f"not accepted: {other}")
--- a/mulberrycleat/testing/run.py
+++ b/mulberrycleat/testing/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import time
 import unittest
@@ -23,6 +24,7 @@
 @click.option("--verbose", "-v", is_flag=True, help="Name each test.")
 def main(pattern: str, style_faults: int, verbose: bool) -> None:
     """Run the tests whose dotted name contains PATTERN, and end with `N passed, N failed`."""
+    logging.getLogger().addHandler(logging.NullHandler())
     suite = collect(pattern)
     started = time.monotonic()
     runner = unittest.TextTestRunner(verbosity=2 if verbose else 1)
--- a/mulberrycleat/web/__init__.py
+++ b/mulberrycleat/web/__init__.py
@@ -1,12 +1,20 @@
 """HTTP towards callers, endpoints and the platform."""
 
 from mulberrycleat.web.asgi import App, Reply, Request, Responder, Route, json_reply
-from mulberrycleat.web.client import FAILURES, HttpAnswer, HttpClient, StreamedAnswer, peer_error
+from mulberrycleat.web.client import (
+    FAILURES,
+    BaseHttpClient,
+    HttpAnswer,
+    HttpClient,
+    StreamedAnswer,
+    peer_error,
+)
 from mulberrycleat.web.server import serve_app, stop_on_signal
 
 __all__ = [
     "FAILURES",
     "App",
+    "BaseHttpClient",
     "HttpAnswer",
     "HttpClient",
     "Reply",
--- a/mulberrycleat/web/client.py
+++ b/mulberrycleat/web/client.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any, NamedTuple
 
 import httpcore
@@ -16,7 +16,14 @@
 
 from mulberrycleat.core import PeerError, Step
 
-__all__ = ["HttpAnswer", "HttpClient", "StreamedAnswer"]
+__all__ = [
+    "FAILURES",
+    "BaseHttpClient",
+    "HttpAnswer",
+    "HttpClient",
+    "StreamedAnswer",
+    "peer_error",
+]
 
 NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 FAILURES = (
@@ -48,28 +55,28 @@
     chunks: AsyncIterator[bytes]
 
 
-class HttpClient:
-    """Connections to peers, kept open between requests.
-
-    Parameters
-    ----------
-    connect_timeout_s : float
-        Longest wait for a connection, in seconds.
-    max_connections : int
-        Connections over all peers.
-    """
-
-    def __init__(self, connect_timeout_s: float = 1.0, max_connections: int = 1000) -> None:
-        self._connect_timeout_s = connect_timeout_s
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            max_keepalive_connections=max_connections // 4,
-            keepalive_expiry=15.0,
-        )
+class BaseHttpClient:
+    """Whole requests on top of :meth:`stream`, which a subclass brings."""
 
     async def aclose(self) -> None:
         """Close every connection."""
-        await self._pool.aclose()
+
+    def stream(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> AbstractAsyncContextManager[StreamedAnswer]:
+        """Send a request and give its answer as chunks; raises httpcore's exceptions.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for each read, in seconds.
+        """
+        raise NotImplementedError
 
     async def request(
         self,
@@ -114,6 +121,30 @@
             case Err(error):
                 return Err(error)
 
+
+class HttpClient(BaseHttpClient):
+    """Connections to peers, kept open between requests.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Longest wait for a connection, in seconds.
+    max_connections : int
+        Connections over all peers.
+    """
+
+    def __init__(self, connect_timeout_s: float = 1.0, max_connections: int = 1000) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections // 4,
+            keepalive_expiry=15.0,
+        )
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._pool.aclose()
+
     @asynccontextmanager
     async def stream(
         self,
