--- /dev/null
+++ b/mulberrycleat/bench/capacity_rows.py
@@ -0,0 +1,252 @@
+"""The arithmetic of docs/CAPACITY.md, a row at a time."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from typing import NamedTuple
+
+__all__ = ["SIZE", "Row", "all_rows"]
+
+MB = 1e6
+KB = 1e3
+
+
+class Size(NamedTuple):
+    """The size designed for, and the settings chosen for it."""
+
+    nodes: int = 370
+    servers: int = 2_800
+    requests_per_s: int = 5_400
+    tokens_per_s: int = 1_500_000
+    budgets: int = 230_000
+    zones: int = 6
+    changes_per_day: int = 6_000
+    restarts_per_day: int = 450
+    seconds_per_day: int = 86_400
+    shards: int = 64
+    holders_per_budget: int = 6
+    settle_every_s: float = 5.0
+    rpc_per_s_batched: float = 5.0
+    retained_keys: int = 200_000
+    control_core: float = 0.025
+    control_mb: float = 64.0
+    control_kb_per_s: float = 25.0
+
+
+SIZE = Size()
+
+
+class Row(NamedTuple):
+    """One line of a table; `value` is None as long as a slope in it is not measured."""
+
+    role: str
+    what: str
+    arithmetic: str
+    value: float | None
+    unit: str
+    bound: float | None
+    mechanism: str
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the value passes its bound."""
+        return self.bound is not None and self.value is not None and self.value > self.bound
+
+
+class Formula(NamedTuple):
+    """A product or quotient of sizes and slopes, in words that are also evaluated.
+
+    ``size.NAME`` is a field of :class:`Size`; ``BENCH.NAME`` is a measured slope.
+    """
+
+    role: str
+    what: str
+    text: str
+    unit: str
+    bound: float | None
+    mechanism: str
+
+
+NAME = re.compile(r"[a-z_]+\.[a-z_0-9]+")
+
+
+def all_rows(slopes: Mapping[str, float]) -> dict[str, tuple[Row, ...]]:
+    """Return the rows of each table."""
+    return {name: tuple(_row(f, slopes) for f in part) for name, part in FORMULAS.items()}
+
+
+def _row(formula: Formula, slopes: Mapping[str, float]) -> Row:
+    known = {f"size.{name}": float(value) for name, value in SIZE._asdict().items()} | dict(slopes)
+    names = NAME.findall(formula.text)
+    value = None
+    if all(name in known for name in names):
+        value = _evaluate(NAME.sub(lambda match: repr(known[match[0]]), formula.text))
+    shown = NAME.sub(lambda match: _shown(match[0], known), formula.text)
+    return Row(
+        formula.role, formula.what, shown, value, formula.unit, formula.bound, formula.mechanism
+    )
+
+
+def _shown(name: str, known: Mapping[str, float]) -> str:
+    number = f"{known[name]:,.4g}" if name in known else "?"
+    return f"{number} ({name.replace('size.', '').replace('_', ' ')})"
+
+
+def _evaluate(text: str) -> float:
+    """Return the value of a sum of products written with numbers, ``*``, ``/`` and ``+``.
+
+    >>> _evaluate("2.0 * 3.0 / 4.0 + 1.0")
+    2.5
+    """
+    total = 0.0
+    for term in text.split(" + "):
+        parts = re.split(r" ([*/]) ", term.strip())
+        value = float(parts[0])
+        for sign, number in zip(parts[1::2], parts[2::2], strict=True):
+            value = value * float(number) if sign == "*" else value / float(number)
+        total += value
+    return total
+
+
+ROUTER = (
+    Formula(
+        "router",
+        "requests",
+        "size.requests_per_s / size.nodes * stream.cpu_ms_per_request / 1000",
+        "cores",
+        None,
+        "the platform's balancer spreads callers; data path, not control",
+    ),
+    Formula(
+        "router",
+        "streamed tokens",
+        "size.tokens_per_s / size.nodes * stream.cpu_us_per_token / 1000000",
+        "cores",
+        None,
+        "events that arrive together are passed on together; data path, not control",
+    ),
+    Formula(
+        "router",
+        "memory at start",
+        "footprint.router_mb",
+        "MB",
+        SIZE.control_mb,
+        "one process a host",
+    ),
+    Formula(
+        "router",
+        "memory with every budget's key",
+        "footprint.router_mb + size.budgets * slopes.manifest_bytes_per_budget / 1000000",
+        "MB",
+        SIZE.control_mb,
+        "keys would be looked up at the budget's home host and cached; not built",
+    ),
+)
+
+CONTROLLER = (
+    Formula(
+        "controller",
+        "memory at start",
+        "footprint.controller_mb",
+        "MB",
+        SIZE.control_mb,
+        "one process a host",
+    ),
+    Formula(
+        "controller",
+        "ledger in memory, all budgets",
+        "size.budgets * slopes.ledger_bytes_per_budget / 1000000",
+        "MB",
+        SIZE.control_mb,
+        "carried only with shards, next row",
+    ),
+    Formula(
+        "controller",
+        "ledger in memory, home shards only",
+        "size.budgets / size.shards * size.shards * size.zones / size.nodes "
+        "* slopes.ledger_bytes_per_budget / 1000000",
+        "MB",
+        SIZE.control_mb,
+        "a stream a shard; each shard has one home host in each zone",
+    ),
+    Formula(
+        "controller",
+        "fold of bills, home shards only",
+        "size.requests_per_s * size.zones / size.nodes * slopes.ledger_us_per_bill / 1000000",
+        "cores",
+        SIZE.control_core,
+        "settlements are batched, one record a holder and period",
+    ),
+    Formula(
+        "controller",
+        "calls from its router",
+        "size.requests_per_s / size.nodes * slopes.rpc_ms_per_call / 1000 "
+        "+ size.rpc_per_s_batched * slopes.rpc_ms_per_call / 1000",
+        "cores",
+        SIZE.control_core,
+        "one Reserve a request, settlements in batches; both sides counted",
+    ),
+    Formula(
+        "controller",
+        "reads of the ledger, home shards only",
+        "size.requests_per_s * slopes.ledger_wire_bytes_per_bill * size.zones / size.nodes / 1000",
+        "KB/s",
+        SIZE.control_kb_per_s,
+        "one reader of a shard in each zone",
+    ),
+    Formula(
+        "controller",
+        "manifest changes",
+        "size.changes_per_day / size.seconds_per_day "
+        "* slopes.manifest_wire_bytes_per_budget / 1000",
+        "KB/s",
+        SIZE.control_kb_per_s,
+        "a record carries what changed",
+    ),
+    Formula(
+        "controller",
+        "non-idempotent keys in memory",
+        "size.retained_keys / size.shards * slopes.once_bytes_per_key / 1000000",
+        "MB",
+        SIZE.control_mb,
+        "keys expire; a stream a shard",
+    ),
+)
+
+LOG = (
+    Formula(
+        "log",
+        "settlements",
+        "size.nodes / size.settle_every_s",
+        "appends/s",
+        300.0,
+        "one settlement in flight a holder; the period grows with the hosts",
+    ),
+    Formula(
+        "log",
+        "bytes of bills",
+        "size.requests_per_s * slopes.ledger_wire_bytes_per_bill / 1000",
+        "KB/s",
+        None,
+        "spread over the shards",
+    ),
+    Formula(
+        "log",
+        "a host's processor time for its appends",
+        "slopes.log_append_ms / size.settle_every_s / 1000",
+        "cores",
+        SIZE.control_core,
+        "batched",
+    ),
+    Formula(
+        "log",
+        "manifest changes",
+        "size.changes_per_day / size.seconds_per_day",
+        "appends/s",
+        300.0,
+        "one record a change",
+    ),
+)
+
+FORMULAS = {"router": ROUTER, "controller": CONTROLLER, "log": LOG}
