Continue a broken stream at another endpoint and check each answer

Cause: a stream cut by an endpoint's death reached the caller as an error although another engine could have gone on; a try that failed after its dispatch was called not run when a later try found no endpoint; malformed, foreign and early-ending streams were passed on.

Change: the dispatch filter only chooses and retries; router/exchanges holds one try at an engine or a service. A later engine gets the text so far as `continue_text`, its events are rewritten to belong to the first one's answer, and the whole is billed once. Events are checked for form, size, order and owner. What may have run stays so over later tries. When the caller goes or time is up, the engine is told by /v1/cancel and its own count is billed. A stream that ends in an error has no [DONE] and no last HTTP chunk. Retries draw on budgets by account and pool, wait with jitter, and never pass the caller's deadline (x-timeout-s, bounded by the pool's timeout_s).

Ruled out: retrying at the same endpoint (its request id is spent once cancelled); taking the engine's "unknown request" as proof that a non-idempotent call did not run (an engine that restarted knows nothing either).

--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -142,10 +142,15 @@
 
 
 async def _refuse(call: Call, responder: Responder, refusal: Refusal) -> Reply | None:
+    """Answer with a problem, or end a stream that has begun with an error event.
+
+    Such a stream is left without its last chunk, so that the server closes the connection and no
+    HTTP client can take the body for a whole one.
+    """
     if not responder.started:
         return problem_reply(refusal, call.id)
     if not responder.finished:
-        await responder.finish(problem_event(refusal, call.id))
+        await responder.write(problem_event(refusal, call.id))
     return None
 
 
--- a/mulberrycleat/router/call.py
+++ b/mulberrycleat/router/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -65,7 +66,7 @@
     dispatched : bool
         Whether a byte of the request may have left for an endpoint.
     count : TokenCount
-        Tokens of the newest attempt.
+        Text and tokens over all tries.
     """
 
     def __init__(self) -> None:
@@ -103,6 +104,8 @@
         Hash of the request's path and body.
     stream : bool
         Whether the caller wants server-sent events.
+    deadline : float
+        Time of trio's clock after which the caller does not want an answer, in seconds.
     meter : Meter
         Shared by all copies of the call.
     """
@@ -120,6 +123,7 @@
     idempotency_key: str = ""
     digest: str = ""
     stream: bool = False
+    deadline: float = math.inf
     meter: Meter = field(default_factory=Meter)
 
 
--- /dev/null
+++ b/mulberrycleat/router/exchanges/model.py
@@ -0,0 +1,129 @@
+"""One try of a request at a model engine."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from mulberrycleat.budget import cost_of
+from mulberrycleat.core import PeerError, Refusal, Served, Step
+from mulberrycleat.manifest import Endpoint
+from mulberrycleat.router.call import Call
+from mulberrycleat.router.events import BrokenAnswerError, Event, read_events
+from mulberrycleat.router.exchanges.failures import (
+    REQUEST_ID_HEADER,
+    failure,
+    refused,
+    wrong_owner,
+)
+from mulberrycleat.router.exchanges.writer import AnswerWriter
+from mulberrycleat.web import FAILURES, HttpClient, peer_error
+
+__all__ = ["run_model"]
+
+FIRST_EVENT_TIMEOUT_S = 20.0
+STALL_TIMEOUT_S = 10.0
+CANCEL_TIMEOUT_S = 1.0
+END_OF_BODY_TIMEOUT_S = 0.2
+
+
+async def run_model(client: HttpClient, call: Call, endpoint: Endpoint) -> Result[Served, Refusal]:
+    """Send a request to an engine and pass its answer on.
+
+    The engine continues the text that earlier engines left unfinished, if any. When the call is
+    cancelled, the engine is told and its count of the work done is taken over.
+    """
+    url = f"http://{endpoint.address}/v1/chat/completions"
+    dispatched_before = call.meter.dispatched
+    call.meter.count.begin()
+    call.meter.dispatched = True
+    try:
+        async with client.stream(
+            "POST", url, _body(call), _headers(call), FIRST_EVENT_TIMEOUT_S
+        ) as answer:
+            if answer.status != 200:
+                return Err(refused(call, endpoint.name, answer.status))
+            if owner := wrong_owner(call, answer.headers):
+                raise BrokenAnswerError(f"the answer belongs to request {owner!r}")
+            await _pass_on(call, answer.chunks)
+    except FAILURES as error:
+        found = peer_error(error, Step.DISPATCH, url)
+        return Err(failure(call, PeerError(found.step, endpoint.name, found.reason, found.sent)))
+    except BrokenAnswerError as error:
+        return Err(failure(call, PeerError(Step.STREAM, endpoint.name, str(error))))
+    except trio.Cancelled:
+        if not await _cancel(client, call, endpoint):
+            call.meter.dispatched = dispatched_before
+        raise
+    return Ok(_served(call, endpoint))
+
+
+async def _pass_on(call: Call, chunks: AsyncIterator[bytes]) -> None:
+    """Give the events to the writer as they come; raises when the answer is not whole."""
+    count = call.meter.count
+    writer = AnswerWriter(call)
+    timeout_s = FIRST_EVENT_TIMEOUT_S
+    async with contextlib.aclosing(read_events(chunks)) as events:
+        while event := await _next(events, timeout_s):
+            timeout_s = STALL_TIMEOUT_S
+            count.take(event)
+            if count.done:
+                break
+            await writer.pass_on(event)
+        if not count.complete and not await writer.end_at_bound():
+            raise BrokenAnswerError("the answer was cut short")
+        await writer.finish()
+        with contextlib.suppress(*FAILURES, BrokenAnswerError):
+            await _read_to_end(events)
+
+
+async def _next(events: AsyncIterator[Event], timeout_s: float) -> Event | None:
+    try:
+        with trio.fail_after(timeout_s):
+            return await anext(events, None)
+    except trio.TooSlowError as error:
+        raise BrokenAnswerError(f"no event in {timeout_s:g} s") from error
+
+
+async def _read_to_end(events: AsyncIterator[Event]) -> None:
+    """Read the end of the body, so that the connection can serve another request."""
+    with trio.move_on_after(END_OF_BODY_TIMEOUT_S):
+        async for _ in events:
+            return
+
+
+async def _cancel(client: HttpClient, call: Call, endpoint: Endpoint) -> bool:
+    """End the work at the engine and take its count of it; return False when it never began."""
+    url = f"http://{endpoint.address}/v1/cancel"
+    count = call.meter.count
+    with trio.CancelScope(shield=True, deadline=trio.current_time() + CANCEL_TIMEOUT_S):
+        match await client.send_json(
+            "POST", url, {"request_id": call.id}, timeout_s=CANCEL_TIMEOUT_S, step=Step.DISPATCH
+        ):
+            case Ok({"known": True, "prompt_tokens": prompt, "generated_tokens": done} as answer):
+                count.take_cancelled(prompt, int(answer.get("cached_tokens", 0)), done)
+            case Ok({"known": False}):
+                return False
+    return True
+
+
+def _body(call: Call) -> bytes:
+    count = call.meter.count
+    if not count.text:
+        return msgspec.json.encode(call.body)
+    rest = {"continue_text": count.text, "continue_tokens": count.generated}
+    return msgspec.json.encode({**call.body, **rest})
+
+
+def _headers(call: Call) -> dict[str, str]:
+    return {"content-type": "application/json", REQUEST_ID_HEADER: call.id}
+
+
+def _served(call: Call, endpoint: Endpoint) -> Served:
+    count = call.meter.count
+    cost = cost_of(call.pool.price, count.prompt, count.cached, count.generated)
+    return Served(cost, endpoint.name, count.prompt, count.cached, count.generated)
--- /dev/null
+++ b/mulberrycleat/router/exchanges/service.py
@@ -0,0 +1,63 @@
+"""One try of a request at a plain service."""
+
+from __future__ import annotations
+
+import trio
+from result import Err, Ok, Result
+
+from mulberrycleat.core import MayHaveRun, PeerError, Refusal, Served, Step
+from mulberrycleat.manifest import Endpoint
+from mulberrycleat.router.call import Call
+from mulberrycleat.router.exchanges.failures import REQUEST_ID_HEADER, failure, wrong_owner
+from mulberrycleat.web import HttpAnswer, HttpClient
+
+__all__ = ["run_service"]
+
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+FORWARDED_HEADERS = ("content-type", "location")
+SERVER_ERROR = 500
+
+
+async def run_service(
+    client: HttpClient, call: Call, endpoint: Endpoint
+) -> Result[Served, Refusal]:
+    """Send a request to a service; the answer is passed on once it has come whole."""
+    url = f"http://{endpoint.address}/{call.request.params.get('path', '')}"
+    timeout_s = max(0.0, call.deadline - trio.current_time())
+    call.meter.dispatched = True
+    match await client.request(
+        "POST", url, call.request.body, _headers(call), timeout_s, Step.DISPATCH
+    ):
+        case Ok(answer) if owner := wrong_owner(call, answer.headers):
+            reason = f"the answer belongs to request {owner!r}"
+            return Err(failure(call, PeerError(Step.DISPATCH, endpoint.name, reason)))
+        case Ok(answer) if answer.status < SERVER_ERROR:
+            await _send(call, answer)
+            return Ok(Served(call.reserve_tokens, endpoint.name))
+        case Ok(answer):
+            reason = f"the endpoint answered {answer.status}"
+            return Err(MayHaveRun(Step.DISPATCH, endpoint.name, reason))
+        case Err(error):
+            found = PeerError(error.step, endpoint.name, error.reason, error.sent)
+            return Err(failure(call, found))
+
+
+async def _send(call: Call, answer: HttpAnswer) -> None:
+    kept = {name: answer.headers[name] for name in FORWARDED_HEADERS if name in answer.headers}
+    headers = {
+        "content-type": DEFAULT_CONTENT_TYPE,
+        **kept,
+        "content-length": str(len(answer.body)),
+        "x-request-id": call.id,
+    }
+    await call.sink.start(answer.status, tuple(headers.items()))
+    await call.sink.finish(answer.body)
+
+
+def _headers(call: Call) -> dict[str, str]:
+    content_type = call.request.headers.get("content-type", "application/json")
+    return {
+        "content-type": content_type,
+        REQUEST_ID_HEADER: call.id,
+        "idempotency-key": call.idempotency_key or call.id,
+    }
--- /dev/null
+++ b/mulberrycleat/router/exchanges/writer.py
@@ -0,0 +1,103 @@
+"""How a model's answer is written to the caller."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from mulberrycleat.router.call import Call
+from mulberrycleat.router.events import Event
+
+__all__ = ["AnswerWriter"]
+
+END = b"data: [DONE]\n\n"
+FINISHED_BY_LENGTH = "length"
+
+
+class AnswerWriter:
+    """Write one engine's part of an answer: event by event, or as one JSON object at the end.
+
+    Parameters
+    ----------
+    call : Call
+        The call; its token count has taken in each event before it is passed on.
+    """
+
+    def __init__(self, call: Call) -> None:
+        self._call = call
+        self._count = call.meter.count
+        self._resumed = call.sink.started
+
+    async def pass_on(self, event: Event) -> None:
+        """Write an event to a caller that wants a stream."""
+        if not self._call.stream:
+            return
+        if not self._call.sink.started:
+            await self._call.sink.start(200, _stream_headers(self._call))
+        if not self._resumed:
+            await self._call.sink.write(event.raw)
+        elif rewritten := self._rewrite(event):
+            await self._call.sink.write(rewritten)
+
+    async def end_at_bound(self) -> bool:
+        """End an answer whose text reached its bound while its last event was lost."""
+        if self._count.generated < self._call.body["max_tokens"]:
+            return False
+        self._count.finish_reason = FINISHED_BY_LENGTH
+        if self._call.stream:
+            choice = {"index": 0, "delta": {}, "finish_reason": FINISHED_BY_LENGTH}
+            chunk = {"choices": [choice], "usage": self._count.usage()}
+            await self._call.sink.write(_encode({"id": self._count.id, **chunk}))
+        return True
+
+    async def finish(self) -> None:
+        """Write the end of the answer."""
+        if self._call.stream:
+            await self._call.sink.finish(END)
+        else:
+            await self._send_whole()
+
+    def _rewrite(self, event: Event) -> bytes:
+        """Return an event of a later engine as if the first had sent it."""
+        value = msgspec.json.decode(event.data)
+        if not value.get("choices"):
+            return b""
+        if self._count.id:
+            value["id"] = self._count.id
+        if value.get("usage"):
+            value["usage"] = self._count.usage()
+        return _encode(value)
+
+    async def _send_whole(self) -> None:
+        call = self._call
+        message = {"role": "assistant", "content": self._count.text}
+        choice = {"index": 0, "message": message, "finish_reason": self._count.finish_reason}
+        body = msgspec.json.encode(
+            {
+                "id": call.id,
+                "object": "chat.completion",
+                "model": call.pool.model,
+                "choices": [choice],
+                "usage": self._count.usage(),
+            }
+        )
+        headers = (
+            ("content-type", "application/json"),
+            ("content-length", str(len(body))),
+            ("x-request-id", call.id),
+        )
+        await call.sink.start(200, headers)
+        await call.sink.finish(body)
+
+
+def _encode(value: dict[str, Any]) -> bytes:
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
+
+
+def _stream_headers(call: Call) -> tuple[tuple[str, str], ...]:
+    return (
+        ("content-type", "text/event-stream"),
+        ("cache-control", "no-cache"),
+        ("x-request-id", call.id),
+    )
--- a/mulberrycleat/router/filters/admit.py
+++ b/mulberrycleat/router/filters/admit.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Mapping
 from dataclasses import replace
 from typing import Any
 
 import msgspec
+import trio
 from result import Err, Ok, Result
 
 from mulberrycleat.budget import largest_cost
@@ -20,6 +22,7 @@
 CHAT_PATH = "/v1/chat/completions"
 KEY_HEADER = "idempotency-key"
 NON_IDEMPOTENT_HEADER = "non-idempotent"
+TIMEOUT_HEADER = "x-timeout-s"
 MAX_KEY_CHARS = 200
 
 
@@ -45,6 +48,9 @@
             return Err(_bad(f"{KEY_HEADER}: longer than {MAX_KEY_CHARS} characters"))
         digest = hashlib.sha256(call.request.path.encode() + b"\0" + call.request.body).hexdigest()
         keyed = replace(call, idempotency_key=key, digest=digest)
+        deadline = _deadline(call)
+        if deadline is None:
+            return Err(_bad(f"{TIMEOUT_HEADER}: must be a number of seconds above 0"))
         is_chat = call.request.path == CHAT_PATH
         read = _read_chat(keyed) if is_chat else _read_service(keyed)
         match read:
@@ -52,7 +58,8 @@
                 reason = f"a non-idempotent request needs the header {KEY_HEADER}"
                 return Err(_bad(reason))
             case Ok(admitted):
-                return await proceed(admitted)
+                bound = trio.current_time() + admitted.pool.timeout_s
+                return await proceed(replace(admitted, deadline=min(deadline, bound)))
             case Err(refusal):
                 return Err(refusal)
 
@@ -115,5 +122,17 @@
     return pool.idempotent and marked not in ("1", "true", "yes")
 
 
+def _deadline(call: Call) -> float | None:
+    """Return until when the caller waits by its own word; None when the word is malformed."""
+    given = call.request.headers.get(TIMEOUT_HEADER)
+    if given is None:
+        return math.inf
+    try:
+        timeout_s = float(given)
+    except ValueError:
+        return None
+    return trio.current_time() + timeout_s if timeout_s > 0 else None
+
+
 def _bad(reason: str) -> NotRun:
     return NotRun(Step.ADMIT, "", reason, 400, None, "bad_request")
--- /dev/null
+++ b/mulberrycleat/router/retries.py
@@ -0,0 +1,108 @@
+"""When a request may be tried again: retry budgets and backoff."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+__all__ = ["RetryBudget", "RetryPolicy"]
+
+RETRY_SHARE = 0.2
+ACCOUNT_BURST = 20.0
+POOL_BURST = 60.0
+BACKOFF_FIRST_S = 0.05
+BACKOFF_LARGEST_S = 1.0
+
+
+class RetryBudget:
+    """Token bucket: each request puts `share` in, each retry takes one out.
+
+    Parameters
+    ----------
+    share : float
+        Retries allowed for each request.
+    burst : float
+        Retries allowed at once after a quiet time.
+
+    Examples
+    --------
+    >>> budget = RetryBudget(share=0.5, burst=1.0)
+    >>> budget.take()
+    >>> budget.available
+    False
+    """
+
+    def __init__(self, share: float, burst: float) -> None:
+        self._share = share
+        self._burst = burst
+        self._tokens = burst
+
+    @property
+    def available(self) -> bool:
+        """Whether a retry may be taken."""
+        return self._tokens >= 1
+
+    def note_request(self) -> None:
+        """Count a first try."""
+        self._tokens = min(self._burst, self._tokens + self._share)
+
+    def take(self) -> None:
+        """Take one retry out."""
+        self._tokens -= 1
+
+
+class RetryPolicy:
+    """Retry budgets by client account and by pool, and the wait before each retry.
+
+    Accounts and pools are those of the manifest, which bounds their number.
+
+    Parameters
+    ----------
+    source : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(self, source: random.Random | None = None) -> None:
+        self._random = source or random.Random()
+        self._accounts: dict[str, RetryBudget] = {}
+        self._pools: dict[str, RetryBudget] = {}
+
+    def note_request(self, account: str, pool: str) -> None:
+        """Count a first try."""
+        for budget in self._budgets(account, pool):
+            budget.note_request()
+
+    def take(self, account: str, pool: str) -> bool:
+        """Take one retry from both budgets; return False when either has none."""
+        budgets = self._budgets(account, pool)
+        if not all(budget.available for budget in budgets):
+            return False
+        for budget in budgets:
+            budget.take()
+        return True
+
+    def backoff_s(self, retry: int) -> float:
+        """Return the wait before retry number `retry`, counted from 1, in seconds."""
+        bound = min(BACKOFF_LARGEST_S, BACKOFF_FIRST_S * 2 ** (retry - 1))
+        return self._random.uniform(0, bound)
+
+    async def wait(self, retry: int, deadline: float) -> bool:
+        """Wait before a retry; return False at once when it would come past `deadline`."""
+        wait_s = self.backoff_s(retry)
+        if trio.current_time() + wait_s >= deadline:
+            return False
+        await trio.sleep(wait_s)
+        return True
+
+    def _budgets(self, account: str, pool: str) -> tuple[RetryBudget, RetryBudget]:
+        return (
+            _budget(self._accounts, account, ACCOUNT_BURST),
+            _budget(self._pools, pool, POOL_BURST),
+        )
+
+
+def _budget(budgets: dict[str, RetryBudget], name: str, burst: float) -> RetryBudget:
+    if name not in budgets:
+        budgets[name] = RetryBudget(RETRY_SHARE, burst)
+    return budgets[name]
--- /dev/null
+++ b/mulberrycleat/router/tests/fakes.py
@@ -0,0 +1,198 @@
+"""Endpoints and callers in this process, for tests of the filters."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+from result import Err, Ok
+
+from mulberrycleat.core import PeerError, Step
+from mulberrycleat.manifest import Endpoint, Manifest, Pool
+from mulberrycleat.router.call import Call, View
+from mulberrycleat.router.endpoints import EndpointTable
+from mulberrycleat.router.events import read_events
+from mulberrycleat.router.filters import DispatchFilter
+from mulberrycleat.web import HttpAnswer, Request, StreamedAnswer, peer_error
+
+PROMPT_TOKENS = 10
+MODEL_POOL = Pool(name="p", kind="model", model="m", timeout_s=60.0)
+SERVICE_POOL = Pool(name="p", kind="service", idempotent=False, timeout_s=60.0)
+
+
+@dataclass
+class FakeEngine:
+    """A model engine that follows a script.
+
+    Attributes
+    ----------
+    cut_after, freeze_after : int or None
+        Tokens after which the stream breaks off or falls silent.
+    events : bytes
+        Sent in place of the token at `events_at`.
+    """
+
+    cut_after: int | None = None
+    freeze_after: int | None = None
+    events_at: int | None = None
+    events: bytes = b""
+    status: int = 200
+    unreachable: bool = False
+    owner: str | None = None
+    done_early: int | None = None
+    silent_cut: bool = False
+    bodies: list[dict[str, Any]] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    generated: int = 0
+
+    async def chunks(self, body: dict[str, Any]) -> AsyncIterator[bytes]:
+        self.generated = 0
+        first = body.get("continue_tokens", 0)
+        yield event({"choices": [], "usage": usage(0)})
+        for sent, index in enumerate(range(first, body["max_tokens"])):
+            await trio.sleep(0.01)
+            if sent == self.freeze_after:
+                await trio.sleep_forever()
+            if sent == self.cut_after:
+                if self.silent_cut:
+                    return
+                raise httpcore.RemoteProtocolError("incomplete chunked read")
+            if sent == self.events_at:
+                yield self.events
+                continue
+            if sent == self.done_early:
+                yield b"data: [DONE]\n\n"
+                return
+            self.generated += 1
+            yield event({"choices": [{"index": 0, "delta": {"content": f"w{index} "}}]})
+        end = {"index": 0, "delta": {}, "finish_reason": "length"}
+        yield event({"choices": [end], "usage": usage(self.generated)})
+        yield b"data: [DONE]\n\n"
+
+
+@dataclass
+class FakeService:
+    """A plain service; `fault` is raised after it has taken the booking."""
+
+    fault: Exception | None = None
+    status: int = 200
+    owner: str | None = None
+    bookings: list[str] = field(default_factory=list)
+
+
+class FakeClient:
+    """The endpoints by address, called as the HTTP client would."""
+
+    def __init__(self, endpoints: dict[str, FakeEngine | FakeService]) -> None:
+        self._endpoints = endpoints
+
+    @asynccontextmanager
+    async def stream(
+        self, method: str, url: str, body: bytes, headers: dict[str, str], timeout_s: float
+    ) -> AsyncIterator[StreamedAnswer]:
+        engine = self._endpoints[url.split("/")[2]]
+        if engine.unreachable:
+            raise httpcore.ConnectError("refused")
+        engine.bodies.append(msgspec.json.decode(body))
+        owner = engine.owner or headers["x-request-id"]
+        chunks = engine.chunks(engine.bodies[-1])
+        yield StreamedAnswer(engine.status, {"x-request-id": owner}, chunks)
+
+    async def request(
+        self, method: str, url: str, body: bytes, headers: Any, timeout_s: float, step: Step
+    ) -> Any:
+        service = self._endpoints[url.split("/")[2]]
+        if isinstance(service.fault, httpcore.ConnectError):
+            return Err(peer_error(service.fault, step, url))
+        service.bookings.append(headers["idempotency-key"])
+        if service.fault:
+            return Err(peer_error(service.fault, step, url))
+        owner = service.owner or headers["x-request-id"]
+        answer = {"content-type": "application/json", "x-request-id": owner}
+        return Ok(HttpAnswer(service.status, answer, b'{"booking": 1}'))
+
+    async def send_json(
+        self, method: str, url: str, value: Any, timeout_s: float, step: Step
+    ) -> Any:
+        engine = self._endpoints[url.split("/")[2]]
+        if engine.freeze_after is not None:
+            return Err(PeerError(step, url, "no answer"))
+        engine.cancelled.append(value["request_id"])
+        counts = {"prompt_tokens": PROMPT_TOKENS, "cached_tokens": 0}
+        return Ok({"known": True, **counts, "generated_tokens": engine.generated + 2})
+
+
+class FakeCaller:
+    """The caller's side of an answer."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.finished = False
+        self.body = b""
+
+    @property
+    def started(self) -> bool:
+        return self.status != 0
+
+    async def start(self, status: int, headers: Any = ()) -> None:
+        assert not self.status, "started twice"
+        self.status = status
+
+    async def write(self, data: bytes) -> None:
+        self.body += data
+
+    async def finish(self, data: bytes = b"") -> None:
+        assert not self.finished, "finished twice"
+        self.body += data
+        self.finished = True
+
+
+def event(value: dict[str, Any]) -> bytes:
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
+
+
+def usage(generated: int) -> dict[str, Any]:
+    return {"prompt_tokens": PROMPT_TOKENS, "completion_tokens": generated}
+
+
+def make_call(pool: Pool, count: int = 2, **fields: Any) -> Call:
+    endpoints = tuple(
+        Endpoint(name=f"e{i}", pool="p", zone="z", address=f"127.0.0.1:{i}")
+        for i in range(1, count + 1)
+    )
+    manifest = Manifest(pools=(pool,), endpoints=endpoints)
+    request = Request("POST", "/", {}, {}, b"{}", {"path": "permits"})
+    body = {"model": "m", "messages": [], "max_tokens": 6, "stream": True}
+    given = {"id": "r1", "account": "huts", "stream": True, "idempotent": pool.idempotent}
+    given |= {"reserve_tokens": 100, "body": body, "sink": FakeCaller(), **fields}
+    return Call(request=request, view=View(1, 1, manifest), pool=pool, **given)
+
+
+async def dispatch(call: Call, *endpoints: FakeEngine | FakeService) -> Any:
+    by_address = {f"127.0.0.1:{i}": e for i, e in enumerate(endpoints, start=1)}
+    dispatch_filter = DispatchFilter(EndpointTable("z"), FakeClient(by_address))
+
+    async def proceed(call: Call) -> Any:
+        raise AssertionError("the last filter has nothing to proceed to")
+
+    return await dispatch_filter.handle(call, proceed)
+
+
+async def received(caller: FakeCaller) -> list[dict[str, Any] | str]:
+    """Return the data of the caller's events, parsed but for ``[DONE]``."""
+
+    async def chunks() -> AsyncIterator[bytes]:
+        yield caller.body
+
+    found = [one.data async for one in read_events(chunks())]
+    return [data.decode() if data == b"[DONE]" else msgspec.json.decode(data) for data in found]
+
+
+def text_of(events: list[Any]) -> str:
+    choices = [c for e in events if isinstance(e, dict) for c in e.get("choices", [])]
+    return "".join(choice["delta"].get("content", "") for choice in choices)
