--- a/mulberrycleat/router/exchanges/model.py
+++ b/mulberrycleat/router/exchanges/model.py
@@ -21,7 +21,7 @@
     wrong_owner,
 )
 from mulberrycleat.router.exchanges.writer import AnswerWriter
-from mulberrycleat.web import FAILURES, HttpClient, peer_error
+from mulberrycleat.web import FAILURES, BaseHttpClient, peer_error
 
 __all__ = ["run_model"]
 
@@ -31,7 +31,9 @@
 END_OF_BODY_TIMEOUT_S = 0.2
 
 
-async def run_model(client: HttpClient, call: Call, endpoint: Endpoint) -> Result[Served, Refusal]:
+async def run_model(
+    client: BaseHttpClient, call: Call, endpoint: Endpoint
+) -> Result[Served, Refusal]:
     """Send a request to an engine and pass its answer on.
 
     The engine continues the text that earlier engines left unfinished, if any. When the call is
@@ -64,23 +66,31 @@
 
 async def _pass_on(call: Call, chunks: AsyncIterator[bytes]) -> None:
     """Give the events to the writer as they come; raises when the answer is not whole."""
-    count = call.meter.count
     writer = AnswerWriter(call)
-    timeout_s = FIRST_EVENT_TIMEOUT_S
     async with contextlib.aclosing(read_events(chunks)) as events:
-        while event := await _next(events, timeout_s):
-            timeout_s = STALL_TIMEOUT_S
-            count.take(event)
-            if count.done:
-                break
-            await writer.pass_on(event)
-        if not count.complete and not await writer.end_at_bound():
-            raise BrokenAnswerError("the answer was cut short")
+        try:
+            await _pass_events(call, events, writer)
+        except (*FAILURES, BrokenAnswerError):
+            if not call.meter.count.complete and not await writer.end_at_bound():
+                raise
         await writer.finish()
         with contextlib.suppress(*FAILURES, BrokenAnswerError):
             await _read_to_end(events)
 
 
+async def _pass_events(call: Call, events: AsyncIterator[Event], writer: AnswerWriter) -> None:
+    count = call.meter.count
+    timeout_s = FIRST_EVENT_TIMEOUT_S
+    while event := await _next(events, timeout_s):
+        timeout_s = STALL_TIMEOUT_S
+        count.take(event)
+        if count.done:
+            return
+        await writer.pass_on(event)
+    if not count.complete:
+        raise BrokenAnswerError("the answer was cut short")
+
+
 async def _next(events: AsyncIterator[Event], timeout_s: float) -> Event | None:
     try:
         with trio.fail_after(timeout_s):
@@ -96,7 +106,7 @@
             return
 
 
-async def _cancel(client: HttpClient, call: Call, endpoint: Endpoint) -> bool:
+async def _cancel(client: BaseHttpClient, call: Call, endpoint: Endpoint) -> bool:
     """End the work at the engine and take its count of it; return False when it never began."""
     url = f"http://{endpoint.address}/v1/cancel"
     count = call.meter.count
@@ -115,7 +125,11 @@
     count = call.meter.count
     if not count.text:
         return msgspec.json.encode(call.body)
-    rest = {"continue_text": count.text, "continue_tokens": count.generated}
+    rest = {
+        "continue_text": count.text,
+        "continue_tokens": count.generated,
+        "max_tokens": call.body["max_tokens"] - count.generated,
+    }
     return msgspec.json.encode({**call.body, **rest})
 
 
--- a/mulberrycleat/router/exchanges/service.py
+++ b/mulberrycleat/router/exchanges/service.py
@@ -9,21 +9,22 @@
 from mulberrycleat.manifest import Endpoint
 from mulberrycleat.router.call import Call
 from mulberrycleat.router.exchanges.failures import REQUEST_ID_HEADER, failure, wrong_owner
-from mulberrycleat.web import HttpAnswer, HttpClient
+from mulberrycleat.web import BaseHttpClient, HttpAnswer
 
 __all__ = ["run_service"]
 
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 FORWARDED_HEADERS = ("content-type", "location")
 SERVER_ERROR = 500
+READ_TIMEOUT_S = 20.0
 
 
 async def run_service(
-    client: HttpClient, call: Call, endpoint: Endpoint
+    client: BaseHttpClient, call: Call, endpoint: Endpoint
 ) -> Result[Served, Refusal]:
     """Send a request to a service; the answer is passed on once it has come whole."""
     url = f"http://{endpoint.address}/{call.request.params.get('path', '')}"
-    timeout_s = max(0.0, call.deadline - trio.current_time())
+    timeout_s = min(READ_TIMEOUT_S, call.deadline - trio.current_time())
     call.meter.dispatched = True
     match await client.request(
         "POST", url, call.request.body, _headers(call), timeout_s, Step.DISPATCH
--- a/mulberrycleat/router/filters/dispatch.py
+++ b/mulberrycleat/router/filters/dispatch.py
@@ -11,7 +11,7 @@
 from mulberrycleat.router.endpoints import EndpointTable
 from mulberrycleat.router.exchanges import no_endpoint, past_deadline, run_model, run_service
 from mulberrycleat.router.retries import RetryPolicy
-from mulberrycleat.web import HttpClient
+from mulberrycleat.web import BaseHttpClient
 
 __all__ = ["DispatchFilter"]
 
@@ -25,14 +25,14 @@
     ----------
     table : EndpointTable
         What this router knows of the endpoints.
-    client : HttpClient
+    client : BaseHttpClient
         Connections to endpoints.
     retries : RetryPolicy
         When a request may be tried again.
     """
 
     def __init__(
-        self, table: EndpointTable, client: HttpClient, retries: RetryPolicy | None = None
+        self, table: EndpointTable, client: BaseHttpClient, retries: RetryPolicy | None = None
     ) -> None:
         self._table = table
         self._client = client
--- a/mulberrycleat/router/tests/fakes.py
+++ b/mulberrycleat/router/tests/fakes.py
@@ -54,7 +54,7 @@
         self.generated = 0
         first = body.get("continue_tokens", 0)
         yield event({"choices": [], "usage": usage(0)})
-        for sent, index in enumerate(range(first, body["max_tokens"])):
+        for sent, index in enumerate(range(first, first + body["max_tokens"])):
             await trio.sleep(0.01)
             if sent == self.freeze_after:
                 await trio.sleep_forever()
