Choose endpoints by expected completion, in pure code, with a bench against simpler rules

Adds learned speeds, load reports less own work, beliefs about prefix caches, ejection with a bound, a fair queue and admission by deadline, all free of I/O, and bin/bench routing. The router does not use them yet.

--- /dev/null
+++ b/mulberrycleat/bench/routing.py
@@ -0,0 +1,165 @@
+"""``bin/bench routing``: endpoint choice under load, against simpler rules."""
+
+from __future__ import annotations
+
+import json
+from typing import NamedTuple
+
+import click
+
+from mulberrycleat.bench.routing_load import DEPLOYMENTS, Deployment, cold_capacity
+from mulberrycleat.bench.routing_rules import RULES, RuleSpec
+from mulberrycleat.bench.routing_sim import Outcome, Run, RunPlan
+
+__all__ = ["command"]
+
+LOADS = (0.5, 0.8, 0.95, 1.2)
+WARM_UP_SHARE = 0.2
+CALIBRATION_LOAD = 0.6
+TARGETS = {
+    "first_token_p95_ratio": 0.8,
+    "short_wait_p95_ratio": 0.5,
+    "goodput_ratio_overload": 1.2,
+    "wrong_outcomes": 0,
+}
+
+
+class Cell(NamedTuple):
+    """Measures of one run.
+
+    Attributes
+    ----------
+    first_p95_s, short_p95_s, long_p95_s : float
+        Time to the first token over all, short and long requests; one that never got it, or was
+        refused, counts with its whole deadline.
+    goodput : float
+        Tokens of answers and their prompts that were whole in time, a second.
+    in_time : float
+        Share of the requests that were whole in time.
+    hits : float
+        Share of the prompt tokens that were cached.
+    """
+
+    first_p95_s: float
+    short_p95_s: float
+    long_p95_s: float
+    goodput: float
+    in_time: float
+    long_in_time: float
+    hits: float
+    refused: float
+    wrong: int
+
+
+def measure(plan: RunPlan) -> Cell:
+    """Run a plan and measure it after its warm-up."""
+    run = Run(plan)
+    begin = plan.duration_s * WARM_UP_SHARE
+    outcomes = [outcome for outcome in run.run() if outcome.at >= begin]
+    long = [outcome for outcome in outcomes if outcome.request.is_long]
+    short = [outcome for outcome in outcomes if not outcome.request.is_long]
+    served = [outcome for outcome in outcomes if outcome.end == "served"]
+    tokens = sum(o.request.demand.prompt_tokens + o.request.answer_tokens for o in served)
+    prompt = sum(engine.prompt_tokens for engine in run.engines.values())
+    hits = sum(engine.hit_tokens for engine in run.engines.values())
+    return Cell(
+        _p95(outcomes),
+        _p95(short),
+        _p95(long),
+        tokens / (plan.duration_s - begin),
+        len(served) / len(outcomes),
+        sum(o.end == "served" for o in long) / len(long),
+        hits / prompt,
+        sum(o.end == "not_run" for o in outcomes) / len(outcomes),
+        sum(_is_wrong(outcome) for outcome in outcomes),
+    )
+
+
+def _is_wrong(outcome: Outcome) -> bool:
+    """Return whether a request had no end or two, or was refused as not run though it was."""
+    if outcome.ends != 1:
+        return True
+    return outcome.end == "not_run" and outcome.generated > 0
+
+
+def _p95(outcomes: list[Outcome]) -> float:
+    waits = sorted(o.first_s if o.first_s is not None else o.request.deadline_s for o in outcomes)
+    return waits[int(len(waits) * 0.95)]
+
+
+def capacity_of(deployment: Deployment, seed: int, duration_s: float) -> float:
+    """Return the requests a second that the engines carry with round robin's share of hits."""
+    per_s = cold_capacity(deployment) * CALIBRATION_LOAD
+    cell = measure(RunPlan(deployment, RULES[0], per_s, duration_s, seed, False))
+    return cold_capacity(deployment, cell.hits)
+
+
+def summarise(cells: dict[tuple[str, float, bool, str], Cell]) -> dict[str, float]:
+    """Return the worst ratio over deployments and deaths of the chosen rule to the best other."""
+    names = [rule.name for rule in RULES if rule.baseline]
+
+    def ratios(field: str, loads: tuple[float, ...], best: type) -> list[float]:
+        found = []
+        for (deployment, load, death, name), cell in cells.items():
+            if name != "chosen" or load not in loads:
+                continue
+            others = [getattr(cells[deployment, load, death, n], field) for n in names]
+            found.append(getattr(cell, field) / best(others))
+        return found
+
+    return {
+        "first_token_p95_ratio": round(max(ratios("first_p95_s", (0.8, 0.95), min)), 3),
+        "short_wait_p95_ratio": round(max(ratios("short_p95_s", (0.95,), min)), 3),
+        "goodput_ratio_overload": round(min(ratios("goodput", (1.2,), max)), 3),
+        "prefix_hit_ratio": round(min(ratios("hits", (0.8, 0.95), max)), 3),
+        "wrong_outcomes": sum(c.wrong for key, c in cells.items() if key[3] == "chosen"),
+    }
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--duration", default=150.0, show_default=True, help="Virtual seconds of a run.")
+@click.option("--load", "loads", multiple=True, type=float, help="Only these loads.")
+@click.option("--deployment", "only", help="Only this deployment.")
+def command(seed: int, duration: float, loads: tuple[float, ...], only: str | None) -> None:
+    """Compare endpoint choice with simpler rules under a virtual clock."""
+    cells = {}
+    for deployment in DEPLOYMENTS:
+        if only and deployment.name != only:
+            continue
+        capacity = capacity_of(deployment, seed, duration)
+        click.echo(f"{deployment.name}: load 1.0 is {capacity:.1f} requests a second")
+        for load in loads or LOADS:
+            for death in (False, True):
+                _compare(cells, deployment, load, capacity, duration, seed, death)
+    if loads or only:
+        return
+    result = summarise(cells)
+    click.echo(f"targets {json.dumps(TARGETS)}")
+    click.echo(json.dumps(result))
+
+
+def _compare(
+    cells: dict,
+    deployment: Deployment,
+    load: float,
+    capacity: float,
+    duration: float,
+    seed: int,
+    death: bool,
+) -> None:
+    click.echo(f"{deployment.name} at {load:.0%}{', one endpoint dies' if death else ''}")
+    for rule in RULES:
+        cell = measure(RunPlan(deployment, rule, capacity * load, duration, seed, death))
+        cells[deployment.name, load, death, rule.name] = cell
+        click.echo(_line(rule, cell))
+
+
+def _line(rule: RuleSpec, cell: Cell) -> str:
+    return (
+        f"  {rule.name:30} first token p95 {cell.first_p95_s:6.2f} s"
+        f" (short {cell.short_p95_s:5.2f}, long {cell.long_p95_s:5.2f})"
+        f" goodput {cell.goodput:7.0f}/s in time {cell.in_time:6.1%}"
+        f" (long {cell.long_in_time:6.1%}) hits {cell.hits:5.1%}"
+        f" refused {cell.refused:5.1%} wrong {cell.wrong}"
+    )
--- /dev/null
+++ b/mulberrycleat/bench/routing_clock.py
@@ -0,0 +1,46 @@
+"""A virtual clock that runs callbacks in order of time."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+
+__all__ = ["Clock"]
+
+
+class Clock:
+    """Callbacks at virtual times, in seconds.
+
+    Examples
+    --------
+    >>> clock = Clock()
+    >>> clock.after(2.0, lambda: print("late"))
+    >>> clock.after(1.0, lambda: print("early"))
+    >>> clock.run_until(3.0)
+    early
+    late
+    >>> clock.now
+    3.0
+    """
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._order = count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+
+    @property
+    def now(self) -> float:
+        """The time."""
+        return self._now
+
+    def after(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Run `call` in `delay_s` seconds."""
+        heapq.heappush(self._events, (self._now + delay_s, next(self._order), call))
+
+    def run_until(self, end: float) -> None:
+        """Run what is due up to a time."""
+        while self._events and self._events[0][0] <= end:
+            self._now, _, call = heapq.heappop(self._events)
+            call()
+        self._now = end
--- /dev/null
+++ b/mulberrycleat/bench/routing_sim.py
@@ -0,0 +1,268 @@
+"""One run of the routing bench: routers, engines and callers under a virtual clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from mulberrycleat.bench.routing_clock import Clock
+from mulberrycleat.bench.routing_engine import EngineModel, Job
+from mulberrycleat.bench.routing_load import Deployment, RoutedRequest, requests_of
+from mulberrycleat.bench.routing_rules import BASE_PRIORITY, Rule, RuleSpec, make_rule
+from mulberrycleat.endpoint import (
+    Admission,
+    Applicant,
+    Chooser,
+    Hold,
+    Refuse,
+    Send,
+    priority_of,
+)
+from mulberrycleat.manifest.model import Endpoint
+
+__all__ = ["Outcome", "Run", "RunPlan"]
+
+REPORT_EVERY_S = 0.5
+REPORT_LAG_S = 0.7
+EVENT_LAG_S = 1.0
+LOST_EVENT_SHARE = 0.1
+CONNECT_FAILURE_S = 0.005
+OTHER_ZONE_S = 0.002
+RELEASE_EVERY_S = 0.05
+MAX_TRIES = 3
+DEATH_AT_SHARE = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class RunPlan:
+    """One run: a rule at a load, with or without the death of the first endpoint."""
+
+    deployment: Deployment
+    rule: RuleSpec
+    per_s: float
+    duration_s: float
+    seed: int
+    death: bool
+
+
+@dataclass(slots=True, eq=False)
+class Outcome:
+    """What became of one request; times in seconds after its arrival.
+
+    Attributes
+    ----------
+    end : str
+        ``served``, ``not_run``, ``may_have_run``, ``gave_up`` (the caller did), or ``open``.
+    ends : int
+        How often an end was told to the caller.
+    """
+
+    request: RoutedRequest
+    at: float
+    first_s: float | None = None
+    whole_s: float | None = None
+    end: str = "open"
+    ends: int = 0
+    generated: int = 0
+    tried: set[str] = field(default_factory=set)
+    job: Job | None = None
+    endpoint: str = ""
+
+
+class RouterModel:
+    """One router with its own view."""
+
+    def __init__(self, run: Run, zone: str, random: Random) -> None:
+        self._run = run
+        self._clock = run.clock
+        self._zone = zone
+        self.rule: Rule = make_rule(run.plan.rule, zone, random)
+        settings = run.plan.rule.admission
+        self._admission = Admission(settings, random) if settings else None
+        self._held: dict[str, tuple[Outcome, Hold]] = {}
+
+    def arrive(self, outcome: Outcome) -> None:
+        """Take a caller's request."""
+        request = outcome.request
+        self._clock.after(request.deadline_s, lambda: self._give_up(outcome))
+        if self._admission is None:
+            self.dispatch(outcome)
+            return
+        now = self._clock.now
+        choice = self.rule.choose(self._run.endpoints, request.demand, now, ())
+        applicant = Applicant(
+            request.account, 1.0, request.demand, now + request.deadline_s, outcome
+        )
+        match self._admission.offer(applicant, choice.estimate, now):
+            case Send():
+                self.dispatch(outcome)
+            case Refuse():
+                self._finish(outcome, "not_run")
+            case Hold() as hold:
+                self._held[request.id] = (outcome, hold)
+
+    def release(self) -> None:
+        """Send what waits, as far as the endpoints can begin with it."""
+        while self._admission and (applicant := self._admission.head()) is not None:
+            now = self._clock.now
+            choice = self.rule.choose(self._run.endpoints, applicant.demand, now, ())
+            verdict = self._admission.try_release(choice.estimate, now)
+            if verdict is None:
+                return
+            outcome = applicant.item
+            self._held.pop(outcome.request.id, None)
+            if isinstance(verdict, Send):
+                self.dispatch(outcome)
+            else:
+                self._finish(outcome, "not_run")
+
+    def dispatch(self, outcome: Outcome) -> None:
+        """Send a request to an endpoint, or refuse it after the last try."""
+        if outcome.ends:
+            return
+        now = self._clock.now
+        request = outcome.request
+        choice = None
+        if len(outcome.tried) < MAX_TRIES:
+            choice = self.rule.choose(self._run.endpoints, request.demand, now, outcome.tried)
+        if choice is None:
+            self._finish(outcome, "may_have_run" if outcome.generated else "not_run")
+            return
+        name = choice.endpoint.name
+        outcome.tried.add(name)
+        outcome.endpoint = name
+        self.rule.sent(choice.endpoint, request.id, request.demand, now)
+        engine = self._run.engines[name]
+        priority = priority_of(request.demand) if self._run.plan.rule.priorities else BASE_PRIORITY
+        job = Job(
+            request.id,
+            request.demand,
+            request.answer_tokens,
+            priority,
+            lambda job: self._first(outcome, job),
+            lambda job, failed: self._ended(outcome, name, job, failed),
+        )
+        outcome.job = job
+        way_s = OTHER_ZONE_S if engine.spec.zone != self._zone else 0.0
+        self._clock.after(way_s, lambda: self._arrive_at(engine, outcome, name, job))
+
+    def _arrive_at(self, engine: EngineModel, outcome: Outcome, name: str, job: Job) -> None:
+        if job.state == "ended":
+            return
+        if engine.dead:
+            self._clock.after(CONNECT_FAILURE_S, lambda: self._ended(outcome, name, job, True))
+        else:
+            engine.submit(job)
+
+    def _first(self, outcome: Outcome, job: Job) -> None:
+        now = self._clock.now
+        self.rule.first_token(outcome.endpoint, job.request_id, job.cached, now)
+        if outcome.first_s is None:
+            outcome.first_s = now - outcome.at
+
+    def _ended(self, outcome: Outcome, name: str, job: Job, failed: bool) -> None:
+        if outcome.job is not job or outcome.ends:
+            return
+        self.rule.ended(name, job.request_id, job.generated, self._clock.now, failed)
+        outcome.generated += job.generated
+        if failed:
+            self.dispatch(outcome)
+        else:
+            outcome.whole_s = self._clock.now - outcome.at
+            self._finish(outcome, "served")
+        self.release()
+
+    def _give_up(self, outcome: Outcome) -> None:
+        """End a request at its deadline; what waits here was truly not run."""
+        if outcome.ends:
+            return
+        if outcome.request.id in self._held:
+            _, hold = self._held.pop(outcome.request.id)
+            self._admission.withdraw(hold.entry)
+            self._finish(outcome, "not_run")
+            return
+        engine = self._run.engines[outcome.endpoint]
+        if not engine.dead and outcome.job.state != "ended":
+            engine.cancel(outcome.job)
+        outcome.job.state = "ended"
+        now = self._clock.now
+        failed = None if outcome.first_s is not None else True
+        self.rule.ended(outcome.endpoint, outcome.request.id, outcome.job.generated, now, failed)
+        outcome.generated += outcome.job.generated
+        self._finish(outcome, "gave_up")
+        self.release()
+
+    def _finish(self, outcome: Outcome, end: str) -> None:
+        outcome.ends += 1
+        outcome.end = end
+
+
+class Run:
+    """One run of a plan."""
+
+    def __init__(self, plan: RunPlan) -> None:
+        self.plan = plan
+        self.clock = Clock()
+        self._random = Random(plan.seed)
+        self.engines: dict[str, EngineModel] = {}
+        self.endpoints: list[Endpoint] = []
+        for number, spec in enumerate(plan.deployment.engines):
+            name = f"engine-{number}"
+            self.engines[name] = EngineModel(spec, self.clock, self._publisher(name))
+            self.endpoints.append(Endpoint(name, "pool", spec.zone, f"127.0.0.1:{number + 1}"))
+        zones = sorted({spec.zone for spec in plan.deployment.engines})
+        self.routers = [
+            RouterModel(self, zones[number % len(zones)], Random(f"{plan.seed}:{number}"))
+            for number in range(plan.deployment.routers)
+        ]
+        self.outcomes: list[Outcome] = []
+
+    def run(self) -> list[Outcome]:
+        """Run to the end and return what became of each request."""
+        plan = self.plan
+        balancer = Random(f"balancer:{plan.seed}")
+        for at, request in requests_of(plan.deployment, plan.seed, plan.per_s, plan.duration_s):
+            outcome = Outcome(request, at)
+            self.outcomes.append(outcome)
+            router = balancer.choice(self.routers)
+            self.clock.after(at, lambda r=router, o=outcome: r.arrive(o))
+        if plan.death:
+            victim = next(iter(self.engines.values()))
+            self.clock.after(plan.duration_s * DEATH_AT_SHARE, victim.die)
+        if plan.rule.reports:
+            self.clock.after(REPORT_EVERY_S, self._report)
+        if plan.rule.admission:
+            self.clock.after(RELEASE_EVERY_S, self._release)
+        self.clock.run_until(plan.duration_s + 60.0)
+        return self.outcomes
+
+    def _release(self) -> None:
+        for router in self.routers:
+            router.release()
+        self.clock.after(RELEASE_EVERY_S, self._release)
+
+    def _report(self) -> None:
+        reports = {
+            name: engine.report() for name, engine in self.engines.items() if not engine.dead
+        }
+        self.clock.after(REPORT_LAG_S, lambda: self._deliver(reports))
+        self.clock.after(REPORT_EVERY_S, self._report)
+
+    def _deliver(self, reports: dict) -> None:
+        for router in self.routers:
+            for name, report in reports.items():
+                router.rule.take_report(name, report)
+            router.release()
+
+    def _publisher(self, name: str) -> Callable[[str, tuple[int, ...]], None]:
+        def publish(kind: str, keys: tuple[int, ...]) -> None:
+            if self.plan.rule.events and self._random.random() >= LOST_EVENT_SHARE:
+                self.clock.after(EVENT_LAG_S, lambda: self._tell(name, kind, keys))
+
+        return publish
+
+    def _tell(self, name: str, kind: str, keys: tuple[int, ...]) -> None:
+        for router in self.routers:
+            if isinstance(router.rule, Chooser):
+                router.rule.take_cache_event(name, kind, keys)
--- a/mulberrycleat/endpoint/__init__.py
+++ b/mulberrycleat/endpoint/__init__.py
@@ -1,6 +1,35 @@
 """Endpoints: what is known of them, and the choice among them."""
 
+from mulberrycleat.endpoint.admission import (
+    Admission,
+    AdmissionSettings,
+    Applicant,
+    Hold,
+    Refuse,
+    Send,
+)
+from mulberrycleat.endpoint.chooser import Choice, ChoiceSettings, Chooser
+from mulberrycleat.endpoint.demand import Demand, priority_of
 from mulberrycleat.endpoint.prefix import BLOCK_BYTES, prefix_keys
+from mulberrycleat.endpoint.state import Estimate, LoadReport
 from mulberrycleat.endpoint.view import EndpointView, choose
 
-__all__ = ["BLOCK_BYTES", "EndpointView", "choose", "prefix_keys"]
+__all__ = [
+    "BLOCK_BYTES",
+    "Admission",
+    "AdmissionSettings",
+    "Applicant",
+    "Choice",
+    "ChoiceSettings",
+    "Chooser",
+    "Demand",
+    "EndpointView",
+    "Estimate",
+    "Hold",
+    "LoadReport",
+    "Refuse",
+    "Send",
+    "choose",
+    "prefix_keys",
+    "priority_of",
+]
--- /dev/null
+++ b/mulberrycleat/endpoint/chooser.py
@@ -0,0 +1,180 @@
+"""The choice of an endpoint by expected completion."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import NamedTuple
+
+from mulberrycleat.endpoint.demand import Demand, priority_of
+from mulberrycleat.endpoint.health import Standing
+from mulberrycleat.endpoint.index import PrefixIndex
+from mulberrycleat.endpoint.state import EndpointState, Estimate, LoadReport
+from mulberrycleat.manifest.model import Endpoint
+
+__all__ = ["Choice", "ChoiceSettings", "Chooser"]
+
+FIRST_GENERATED_SHARE = 0.5
+GENERATED_GAIN = 0.02
+SHARE_GAIN = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceSettings:
+    """How endpoints are compared.
+
+    Attributes
+    ----------
+    other_zone_s : float
+        What an endpoint of another availability zone must save, in seconds.
+    work_weight : float
+        Weight of the endpoint's time that a request takes up, beside the request's own time.
+    near_share, near_s : float
+        Endpoints within this share and time (seconds) of the best are chosen among at random, so
+        that routers with the same old report don't all choose the same one.
+    max_ejected_share : float
+        Largest share of a pool that may be ejected at once.
+    """
+
+    other_zone_s: float = 0.02
+    work_weight: float = 1.0
+    near_share: float = 0.1
+    near_s: float = 0.01
+    max_ejected_share: float = 0.34
+
+
+class Choice(NamedTuple):
+    """A chosen endpoint with what is expected of it."""
+
+    endpoint: Endpoint
+    estimate: Estimate
+    cached_tokens: int
+
+
+class Chooser:
+    """What a router knows of its endpoints, and the choice among them. Free of I/O.
+
+    Times are seconds of any one clock.
+
+    Parameters
+    ----------
+    settings : ChoiceSettings
+        How endpoints are compared.
+    zone : str
+        Availability zone of the router.
+    random : Random
+        Source of the choice among near-best endpoints.
+    """
+
+    def __init__(self, settings: ChoiceSettings, zone: str, random: Random) -> None:
+        self._settings = settings
+        self._zone = zone
+        self._random = random
+        self._states: dict[str, EndpointState] = {}
+        self._index = PrefixIndex()
+        self._generated_share = FIRST_GENERATED_SHARE
+        self._shares = [1.0] * 10
+
+    def state(self, endpoint: Endpoint) -> EndpointState:
+        """Return what is known of an endpoint; a new address makes it a new one."""
+        found = self._states.get(endpoint.name)
+        if found is None or found.endpoint.address != endpoint.address:
+            found = self._states[endpoint.name] = EndpointState(endpoint)
+            self._index.forget(endpoint.name)
+        return found
+
+    def choose(
+        self, endpoints: Iterable[Endpoint], demand: Demand, now: float, tried: Collection[str] = ()
+    ) -> Choice | None:
+        """Return the endpoint to send a request to, or None when there is none.
+
+        Parameters
+        ----------
+        endpoints : iterable of Endpoint
+            Those that may get new work.
+        tried : collection of str
+            Names to leave out.
+        """
+        states = self._usable([self.state(endpoint) for endpoint in endpoints], now)
+        cached = self._index.cached_tokens(demand.keys)
+        generated = demand.max_tokens * self._generated_share
+        share = self._shares[priority_of(demand)]
+        scored = []
+        for state in states:
+            if state.endpoint.name in tried:
+                continue
+            tokens = min(cached.get(state.endpoint.name, 0), demand.prompt_tokens)
+            estimate = state.estimate(demand, tokens, generated, share, now)
+            scored.append((self._score(state, estimate), Choice(state.endpoint, estimate, tokens)))
+        return self._pick(scored)
+
+    def sent(self, endpoint: Endpoint, request_id: str, demand: Demand, now: float) -> None:
+        """Note that a request was sent."""
+        name = endpoint.name
+        cached = self._index.cached_tokens(demand.keys).get(name, 0)
+        share = self._shares[priority_of(demand)]
+        self.state(endpoint).sent(request_id, demand, cached, share, now)
+        self._index.add(name, demand.keys)
+        self._note_share(demand)
+
+    def first_token(self, name: str, request_id: str, cached_tokens: int, now: float) -> None:
+        """Note that the first event came, with the prompt tokens that were cached."""
+        self._states[name].first_token(request_id, now, cached_tokens)
+
+    def ended(
+        self, name: str, request_id: str, generated: int, now: float, failed: bool | None
+    ) -> None:
+        """Note that a request ended; `failed` is None when that says nothing of the endpoint."""
+        state = self._states[name]
+        flight = state.flights.get(request_id)
+        if flight is not None and failed is False and flight.demand.max_tokens:
+            share = generated / flight.demand.max_tokens
+            self._generated_share += GENERATED_GAIN * (share - self._generated_share)
+        state.ended(request_id, generated, now, failed)
+
+    def take_report(self, name: str, report: LoadReport) -> None:
+        """Take a load report."""
+        if name in self._states:
+            self._states[name].take_report(report)
+
+    def take_cache_event(self, name: str, kind: str, keys: tuple[int, ...]) -> None:
+        """Take a cache event of kind ``stored`` or ``evicted``."""
+        if kind == "stored":
+            self._index.add(name, keys)
+        elif kind == "evicted":
+            self._index.remove(name, keys)
+
+    def _usable(self, states: list[EndpointState], now: float) -> list[EndpointState]:
+        """Leave out ejected endpoints, up to the bound, and busy ones on trial."""
+        ejected = []
+        usable = []
+        for state in states:
+            standing = state.health.standing(now)
+            if standing is Standing.EJECTED:
+                ejected.append(state)
+            elif standing is Standing.GOOD or not state.requests:
+                usable.append(state)
+        bound = int(len(states) * self._settings.max_ejected_share)
+        ejected.sort(key=lambda state: state.health.failures)
+        return usable + ejected[: max(0, len(ejected) - bound)]
+
+    def _score(self, state: EndpointState, estimate: Estimate) -> float:
+        away = 0.0 if state.endpoint.zone == self._zone else self._settings.other_zone_s
+        return estimate.whole_s + self._settings.work_weight * estimate.work_s + away
+
+    def _pick(self, scored: list[tuple[float, Choice]]) -> Choice | None:
+        if not scored:
+            return None
+        best = min(score for score, _ in scored)
+        bound = best * (1 + self._settings.near_share) + self._settings.near_s
+        near = [choice for score, choice in scored if score <= bound]
+        return self._random.choice(near)
+
+    def _note_share(self, demand: Demand) -> None:
+        """Learn which part of the prompt tokens goes before a request of each priority."""
+        own = priority_of(demand)
+        gain = SHARE_GAIN * min(1.0, demand.prompt_tokens / 1000)
+        for priority in range(len(self._shares)):
+            before = 1.0 if own <= priority else 0.0
+            self._shares[priority] += gain * (before - self._shares[priority])
--- /dev/null
+++ b/mulberrycleat/endpoint/fairness.py
@@ -0,0 +1,114 @@
+"""A queue that shares a saturated pool among client accounts by weight."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any, NamedTuple
+
+__all__ = ["FairQueue", "Waiting"]
+
+
+class Waiting(NamedTuple):
+    """One waiting item; short ones of an account sort before its others."""
+
+    late: bool
+    order: int
+    account: str
+    weight: float
+    work: float
+    item: Any
+
+
+@dataclass(slots=True)
+class _Account:
+    served: float = 0.0
+    waiting: list[Waiting] = field(default_factory=list)
+
+    @property
+    def work(self) -> float:
+        return sum(entry.work for entry in self.waiting)
+
+
+class FairQueue:
+    """Waiting items of accounts; the account that was served least for its weight goes next.
+
+    Within an account short items go first, otherwise in order of arrival. An account that comes
+    back after a pause starts level with the others: unused shares aren't saved up.
+
+    Examples
+    --------
+    >>> queue = FairQueue()
+    >>> for item in ("a1", "a2", "a3"):
+    ...     _ = queue.push("a", 1.0, 100, item)
+    >>> _ = queue.push("b", 1.0, 100, "b1")
+    >>> [queue.pop().item for _ in range(4)]
+    ['a1', 'b1', 'a2', 'a3']
+    """
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, _Account] = {}
+        self._order = count()
+        self._level = 0.0
+
+    def __len__(self) -> int:
+        return sum(len(account.waiting) for account in self._accounts.values())
+
+    def push(
+        self, account: str, weight: float, work: float, item: Any, short: bool = False
+    ) -> Waiting:
+        """Add an item of `work`; the returned entry can be given to :meth:`remove`."""
+        found = self._account(account)
+        entry = Waiting(not short, next(self._order), account, weight, work, item)
+        heapq.heappush(found.waiting, entry)
+        return entry
+
+    def charge(self, account: str, weight: float, work: float) -> None:
+        """Count work that passed the queue by."""
+        self._account(account).served += work / weight
+
+    def lead(self, account: str) -> float:
+        """Return how far an account is ahead of the one served least, in work for a weight of 1."""
+        return self._account(account).served - self._level
+
+    def work_before(self, account: str, weight: float, short: bool = False) -> float:
+        """Return the work that would be served before a new item of an account, roughly.
+
+        That is the account's own waiting work, and for the same share that of the others.
+        """
+        found = self._account(account)
+        own = sum(entry.work for entry in found.waiting if not (short and entry.late))
+        others = [a for a in self._accounts.values() if a is not found and a.waiting]
+        return own + sum(min(own * a.waiting[0].weight / weight, a.work) for a in others)
+
+    def peek(self) -> Waiting | None:
+        """Return the next entry without taking it."""
+        account = self._next()
+        return account.waiting[0] if account else None
+
+    def pop(self) -> Waiting | None:
+        """Take the next entry, or return None when nothing waits."""
+        account = self._next()
+        if account is None:
+            return None
+        entry = heapq.heappop(account.waiting)
+        self._level = max(self._level, account.served)
+        account.served += entry.work / entry.weight
+        return entry
+
+    def remove(self, entry: Waiting) -> None:
+        """Take an entry out, wherever it stands."""
+        found = self._account(entry.account)
+        found.waiting = [other for other in found.waiting if other.order != entry.order]
+        heapq.heapify(found.waiting)
+
+    def _account(self, name: str) -> _Account:
+        found = self._accounts.setdefault(name, _Account())
+        if not found.waiting:
+            found.served = max(found.served, self._level)
+        return found
+
+    def _next(self) -> _Account | None:
+        waiting = [account for account in self._accounts.values() if account.waiting]
+        return min(waiting, key=lambda account: account.served, default=None)
--- /dev/null
+++ b/mulberrycleat/endpoint/index.py
@@ -0,0 +1,85 @@
+"""Which endpoints are believed to hold which prompt prefixes."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from mulberrycleat.endpoint.prefix import BLOCK_BYTES
+
+__all__ = ["PrefixIndex"]
+
+BYTES_PER_TOKEN = 4
+BLOCK_TOKENS = BLOCK_BYTES // BYTES_PER_TOKEN
+MAX_KEYS = 32_768
+
+
+class PrefixIndex:
+    """A bounded map from prefix keys to sets of endpoints.
+
+    It holds beliefs: keys are added at dispatch and by cache events, and dropped by cache events.
+    Events are late and some never come, so that the caller discounts what is found here.
+
+    Parameters
+    ----------
+    max_keys : int
+        Bound on the keys kept; the least recently used go first.
+
+    Examples
+    --------
+    >>> index = PrefixIndex()
+    >>> index.add("a", (1, 2, 3))
+    >>> index.add("b", (1,))
+    >>> index.cached_tokens((1, 2, 9))
+    {'a': 128, 'b': 64}
+    """
+
+    def __init__(self, max_keys: int = MAX_KEYS) -> None:
+        self._max_keys = max_keys
+        self._holders: OrderedDict[int, int] = OrderedDict()
+        self._bits: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def add(self, endpoint: str, keys: tuple[int, ...]) -> None:
+        """Believe that an endpoint holds these keys."""
+        bit = self._bit(endpoint)
+        for key in keys:
+            self._holders[key] = self._holders.get(key, 0) | bit
+            self._holders.move_to_end(key)
+        while len(self._holders) > self._max_keys:
+            self._holders.popitem(last=False)
+
+    def remove(self, endpoint: str, keys: tuple[int, ...]) -> None:
+        """Believe no longer that an endpoint holds these keys."""
+        bit = self._bit(endpoint)
+        for key in keys:
+            left = self._holders.get(key, 0) & ~bit
+            if left:
+                self._holders[key] = left
+            else:
+                self._holders.pop(key, None)
+
+    def forget(self, endpoint: str) -> None:
+        """Drop everything believed of an endpoint."""
+        self.remove(endpoint, tuple(self._holders))
+
+    def cached_tokens(self, keys: tuple[int, ...]) -> dict[str, int]:
+        """Return the tokens of the longest believed prefix at each endpoint that has any."""
+        found: dict[int, int] = {}
+        holders = -1
+        for depth, key in enumerate(keys, 1):
+            holders &= self._holders.get(key, 0)
+            if not holders:
+                break
+            found[holders] = depth
+        return {
+            name: max(depth for mask, depth in found.items() if mask & bit) * BLOCK_TOKENS
+            for name, bit in self._bits.items()
+            if any(mask & bit for mask in found)
+        }
+
+    def _bit(self, endpoint: str) -> int:
+        if endpoint not in self._bits:
+            self._bits[endpoint] = 1 << len(self._bits)
+        return self._bits[endpoint]
--- /dev/null
+++ b/mulberrycleat/endpoint/state.py
@@ -0,0 +1,238 @@
+"""What one router knows of one endpoint."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from mulberrycleat.endpoint.demand import LOWEST_PRIORITY, Demand, priority_of
+from mulberrycleat.endpoint.health import Health
+from mulberrycleat.endpoint.speed import Speed
+from mulberrycleat.manifest.model import Endpoint
+
+__all__ = ["EndpointState", "Estimate", "Flight", "LoadReport"]
+
+HISTORY_S = 5.0
+FIRST_BATCH_LIMIT = 32.0
+FIRST_ANSWER_S = 1.0
+ANSWER_GAIN = 0.1
+TRUST_GAIN = 0.1
+STALE_REPORT_S = 10.0
+
+
+class LoadReport(NamedTuple):
+    """An endpoint's load at time `at` (seconds of the router's clock).
+
+    Attributes
+    ----------
+    requests, waiting : int
+        Requests there, and those of them that wait for a place in the batch.
+    prefill_tokens, decode_tokens : int
+        Prompt tokens still to be read, and the most tokens still to be generated.
+    """
+
+    at: float
+    requests: int
+    waiting: int
+    prefill_tokens: int
+    decode_tokens: int
+
+
+class Estimate(NamedTuple):
+    """Expected times of one request at one endpoint, in seconds.
+
+    Attributes
+    ----------
+    queue_s : float
+        Until the endpoint begins with it.
+    first_s : float
+        Until the first token.
+    whole_s : float
+        Until the whole answer.
+    work_s : float
+        Time of the endpoint that it takes up.
+    """
+
+    queue_s: float
+    first_s: float
+    whole_s: float
+    work_s: float
+
+
+@dataclass(slots=True)
+class Flight:
+    """One request of this router at an endpoint; `ahead_tokens` counts its own uncached prompt."""
+
+    demand: Demand
+    priority: int
+    believed_tokens: int
+    uncached_tokens: int
+    ahead_tokens: int
+    sent_at: float
+    first_at: float | None = None
+
+
+class _Own(NamedTuple):
+    at: float
+    requests: int
+    prefill_tokens: int
+
+
+class EndpointState:
+    """Own work in flight, the last load report, speed and health of one endpoint.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        As the manifest has it.
+    """
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.speed = Speed()
+        self.health = Health()
+        self._flights: dict[str, Flight] = {}
+        self._prefill = [0] * (LOWEST_PRIORITY + 1)
+        self._history: deque[_Own] = deque()
+        self._report: LoadReport | None = None
+        self._others = _Own(0.0, 0, 0)
+        self._batch_limit = FIRST_BATCH_LIMIT
+        self._answer_s = FIRST_ANSWER_S
+        self._trust = 1.0
+
+    @property
+    def requests(self) -> int:
+        """Own requests in flight."""
+        return len(self._flights)
+
+    @property
+    def trust(self) -> float:
+        """Part of the believed cached tokens that proved to be cached."""
+        return self._trust
+
+    @property
+    def flights(self) -> dict[str, Flight]:
+        """Own requests in flight by id."""
+        return self._flights
+
+    def take_report(self, report: LoadReport) -> None:
+        """Take a load report; own work that it counts is subtracted."""
+        if self._report is not None and report.at <= self._report.at:
+            return
+        self._report = report
+        own = self._own_at(report.at)
+        others = max(0, report.requests - own.requests)
+        prefill = max(0, report.prefill_tokens - own.prefill_tokens)
+        self._others = _Own(report.at, others, prefill)
+        running = report.requests - report.waiting
+        if report.waiting:
+            self._batch_limit = float(running)
+        else:
+            self._batch_limit = max(self._batch_limit, float(running))
+
+    def estimate(
+        self, demand: Demand, believed: int, generated: float, urgent_share: float, now: float
+    ) -> Estimate:
+        """Return the expected times of a request sent now.
+
+        Parameters
+        ----------
+        believed : int
+            Prompt tokens believed to be cached.
+        generated : float
+            Expected generated tokens.
+        urgent_share : float
+            Part of the others' work that goes before this request.
+        """
+        priority = priority_of(demand)
+        rate = self.speed.prefill_tokens_per_s
+        uncached = max(0, demand.prompt_tokens - int(believed * self._trust))
+        running = self.requests + self._others_now(now).requests
+        ahead = self._ahead_tokens(priority, urgent_share, now)
+        queue_s = ahead / rate + self._place_wait_s(running, urgent_share)
+        queue_s = max(queue_s, self._longest_wait_s(priority, now))
+        token_s = self.speed.token_s(min(running, self._batch_limit))
+        first_s = queue_s + uncached / rate + token_s
+        decode_s = generated * token_s
+        work_s = uncached / rate + decode_s / max(1.0, min(running + 1, self._batch_limit))
+        return Estimate(queue_s, first_s, first_s + decode_s, work_s)
+
+    def sent(
+        self, request_id: str, demand: Demand, believed: int, urgent_share: float, now: float
+    ) -> None:
+        """Note that a request was sent, of which `believed` prompt tokens may be cached."""
+        priority = priority_of(demand)
+        uncached = max(0, demand.prompt_tokens - int(believed * self._trust))
+        ahead = int(self._ahead_tokens(priority, urgent_share, now))
+        self._flights[request_id] = Flight(
+            demand, priority, believed, uncached, ahead + uncached, now
+        )
+        self._prefill[priority] += uncached
+        self._remember(now)
+
+    def first_token(self, request_id: str, now: float, cached: int) -> None:
+        """Note that the first event came, with the prompt tokens that were cached."""
+        flight = self._flights.get(request_id)
+        if flight is None or flight.first_at is not None:
+            return
+        flight.first_at = now
+        if flight.believed_tokens:
+            proved = min(1.0, cached / flight.believed_tokens)
+            self._trust += TRUST_GAIN * (proved - self._trust)
+        self._prefill[flight.priority] -= flight.uncached_tokens
+        self.speed.note_first_token(flight.ahead_tokens, now - flight.sent_at)
+        self._remember(now)
+
+    def ended(self, request_id: str, generated: int, now: float, failed: bool | None) -> None:
+        """Note that a request ended; `failed` is None when that says nothing of the endpoint."""
+        flight = self._flights.pop(request_id, None)
+        if flight is None:
+            return
+        if flight.first_at is None:
+            self._prefill[flight.priority] -= flight.uncached_tokens
+        elif failed is False:
+            decode_s = now - flight.first_at
+            self._answer_s += ANSWER_GAIN * (decode_s - self._answer_s)
+            running = self.requests + self._others_now(now).requests
+            self.speed.note_decode(generated, decode_s, min(running, self._batch_limit))
+        if failed is True:
+            self.health.note_failure(now)
+        elif failed is False:
+            self.health.note_success(now)
+        self._remember(now)
+
+    def _ahead_tokens(self, priority: int, urgent_share: float, now: float) -> float:
+        own = sum(self._prefill[: priority + 1])
+        return own + self._others_now(now).prefill_tokens * urgent_share
+
+    def _place_wait_s(self, running: int, urgent_share: float) -> float:
+        excess = running + 1 - self._batch_limit
+        if excess <= 0:
+            return 0.0
+        return (1 + (excess - 1) * urgent_share) * self._answer_s / self._batch_limit
+
+    def _longest_wait_s(self, priority: int, now: float) -> float:
+        """Return how long an own request of no lower priority has been without a first token."""
+        for flight in self._flights.values():
+            if flight.first_at is None and flight.priority <= priority:
+                return now - flight.sent_at
+        return 0.0
+
+    def _others_now(self, now: float) -> _Own:
+        if now - self._others.at > STALE_REPORT_S:
+            return _Own(now, 0, 0)
+        return self._others
+
+    def _remember(self, now: float) -> None:
+        self._history.append(_Own(now, self.requests, sum(self._prefill)))
+        while len(self._history) > 1 and self._history[1].at < now - HISTORY_S:
+            self._history.popleft()
+
+    def _own_at(self, at: float) -> _Own:
+        found = _Own(at, 0, 0)
+        for sample in self._history:
+            if sample.at > at:
+                break
+            found = sample
+        return found
