Script scenarios in a small language, in-process and real

Ruled out: Python functions as the language (no fault named by line, not runnable against real processes without a second copy).

--- /dev/null
+++ b/mulberrycleat/scenario/check.py
@@ -0,0 +1,106 @@
+"""Checks of a scenario's names against the fleet that it asks for."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from collections.abc import Iterator
+
+from result import Err, Ok, Result
+
+from mulberrycleat.scenario import model as m
+from mulberrycleat.settings import Fault
+from mulberrycleat.testing.layout import PLATFORM_ZONE, FleetPlan, Layout
+
+__all__ = ["check_scenario", "plan_of"]
+
+
+def plan_of(scenario: m.Scenario) -> FleetPlan:
+    """Return the plan of a scenario's fleet, the default one when it names none."""
+    counts: dict[str, int] = {}
+    for _, statement in scenario.statements:
+        if isinstance(statement, m.Fleet):
+            counts |= statement.counts
+    return dataclasses.replace(FleetPlan(), **counts)
+
+
+def check_scenario(scenario: m.Scenario) -> Result[m.Scenario, list[Fault]]:
+    """Return the scenario, or every name in it that means nothing."""
+    faults = list(_plan_faults(scenario))
+    if not faults:
+        faults = list(_Names(plan_of(scenario)).faults(scenario.statements))
+    return Err(faults) if faults else Ok(scenario)
+
+
+def _plan_faults(scenario: m.Scenario) -> Iterator[Fault]:
+    known = {f.name for f in dataclasses.fields(FleetPlan) if f.type == "int"}
+    for line, statement in scenario.statements:
+        if isinstance(statement, m.Fleet):
+            for name in sorted(set(statement.counts) - known):
+                yield Fault("", f"no count {name!r}; known: {', '.join(sorted(known))}", line)
+
+
+class _Names:
+    """Names known so far, going down the file."""
+
+    def __init__(self, plan: FleetPlan) -> None:
+        addresses = (f"10.0.0.1:{port}" for port in itertools.count(1))
+        layout = Layout(plan, addresses, "")
+        members = layout.members.values()
+        self._routers = {member.host for member in layout.of_kind("router")}
+        self._zones = {member.zone for member in members} | {PLATFORM_ZONE}
+        self._members = {member.name for member in members}
+        self._places = self._members | self._zones | {member.host for member in members}
+        self._accounts = set(plan.accounts)
+        self._pools = {pool["name"] for pool in layout.manifest()["pools"]}
+        self._models = set(plan.models)
+        self._given: set[str] = set()
+
+    def faults(self, statements: tuple[m.Located, ...]) -> Iterator[Fault]:
+        """Yield the faults of statements in their order."""
+        for line, statement in statements:
+            match statement:
+                case m.Concurrently(inner):
+                    yield from self.faults(inner)
+                case _:
+                    for what, name, known in self._uses(statement):
+                        if name and name not in known:
+                            yield Fault("", f"no {what} named {name!r}", line)
+
+    def _uses(self, statement: m.Statement) -> Iterator[tuple[str, str, set[str]]]:
+        match statement:
+            case m.Meanwhile(inner):
+                yield from self._uses(inner)
+            case m.TopUp() as top_up:
+                yield "budget", top_up.budget, self._accounts
+                yield "zone", top_up.zone, self._zones
+            case m.Publish() as publish:
+                self._given.add(publish.name)
+                yield "zone", publish.zone, self._zones
+                yield from (("endpoint", name, self._members) for name in publish.draining)
+            case m.StepBack(name):
+                self._given.add(name)
+            case m.Send() as send:
+                self._given.add(send.name)
+                yield "account", send.account, self._accounts
+                yield "host", send.host, self._routers
+                yield "pool", send.pool, self._pools
+                yield "model", send.model, self._models
+            case m.Cut(one, other) | m.Heal(one, other) | m.Slow(one, other):
+                yield "place", one, self._places
+                yield "place", other, self._places | {"*"}
+            case m.Change(_, target) | m.WaitReady(target):
+                yield "place", target, self._places
+            case m.WaitInForce(targets):
+                yield from (("place", target, self._places) for target in targets)
+            case m.Lose(_, target) | m.Break(target) | m.Remember(target) | m.Unchanged(target):
+                yield "member", target, self._members
+            case m.Outcomes(name):
+                yield "earlier request or manifest", name, self._given
+            case m.Same(name, other):
+                yield "earlier request or manifest", name, self._given
+                yield "earlier request or manifest", other, self._given
+            case m.Count(_, names):
+                yield from (("earlier request or manifest", name, self._given) for name in names)
+            case m.Budget(budget):
+                yield "budget", budget, self._accounts
--- a/mulberrycleat/testing/fleet.py
+++ b/mulberrycleat/testing/fleet.py
@@ -64,6 +64,20 @@
         """Settings of the operators' command line."""
         return self._operator_file
 
+    @property
+    def layout(self) -> Layout:
+        """Members, keys, manifest."""
+        return self._layout
+
+    @property
+    def fleet_key(self) -> str:
+        """Key that calls between the fleet's processes carry."""
+        return self._key_file.read_text()
+
+    def runs(self, name: str) -> bool:
+        """Return whether a member was started and not stopped since."""
+        return name in self._processes
+
     def of_kind(self, kind: str) -> list[Member]:
         """Return the members of one kind."""
         return self._layout.of_kind(kind)
--- a/mulberrycleat/testing/layout.py
+++ b/mulberrycleat/testing/layout.py
@@ -107,6 +107,16 @@
         """A caller's key for each account."""
         return self._keys
 
+    @property
+    def models(self) -> tuple[str, ...]:
+        """Models that callers can name."""
+        return self._plan.models
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Pools of plain services."""
+        return self._plan.services
+
     def of_kind(self, kind: str) -> list[Member]:
         """Return the members of one kind."""
         return [member for member in self._members.values() if member.kind == kind]
--- a/mulberrycleat/testing/run.py
+++ b/mulberrycleat/testing/run.py
@@ -10,6 +10,7 @@
 
 import click
 
+from mulberrycleat.scenario.cases import scenario_cases
 from mulberrycleat.testing.harness import collect
 
 __all__ = ["main"]
@@ -26,6 +27,7 @@
     """Run the tests whose dotted name contains PATTERN, and end with `N passed, N failed`."""
     logging.getLogger().addHandler(logging.NullHandler())
     suite = collect(pattern)
+    suite.addTests(case for case in scenario_cases() if pattern in case.id())
     started = time.monotonic()
     runner = unittest.TextTestRunner(verbosity=2 if verbose else 1)
     result = runner.run(suite)
