Keep the controller up until its router has settled

Cause: a planned stop of a host signals router and controller at once. The controller flushed and ended while streams were still draining, so that six served requests were never billed (scenario.host-stops, in-process and with real processes). Ruled out: an order of stopping by the platform, which does not give one. Change: after the stop signal the controller serves on until no reservation is left, at most drain_timeout_s (65 s, above the router's 60 s). Left: a router that was killed leaves its reservations; the controller beside it then waits the whole bound when it is stopped.

--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -25,6 +25,7 @@
 log = logging.getLogger(__name__)
 
 STOP_TIMEOUT_S = 5.0
+STOP_POLL_S = 0.1
 
 
 class Controller:
@@ -61,11 +62,18 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_controllers)
             await stop.wait()
+            await self._wait_for_router()
             with trio.move_on_after(STOP_TIMEOUT_S):
                 while not (await self._budgets.flush() and await self._once.flush()):
-                    await trio.sleep(0.1)
+                    await trio.sleep(STOP_POLL_S)
             nursery.cancel_scope.cancel()
 
+    async def _wait_for_router(self) -> None:
+        """Go on serving until no request of the router beside holds a reservation."""
+        with trio.move_on_after(self._settings.drain_timeout_s):
+            while any(part.reserved for part in self._budgets.slices.values()):
+                await trio.sleep(STOP_POLL_S)
+
     async def _run_controllers(self) -> None:
         async with trio.open_nursery() as nursery:
             for controller in (self._manifests, self._budgets, self._once, self._hosts):
--- a/mulberrycleat/scenario/drivers.py
+++ b/mulberrycleat/scenario/drivers.py
@@ -147,8 +147,9 @@
 
     async def change(self, action: str, place: str) -> None:
         """Kill, start, stop, freeze or thaw."""
-        for member in self._members(place):
-            await trio.to_thread.run_sync(self._change, action, member.name)
+        async with trio.open_nursery() as nursery:
+            for member in self._members(place):
+                nursery.start_soon(trio.to_thread.run_sync, self._change, action, member.name)
 
     async def cut(self, one: str, other: str) -> None:
         """Cut a zone from the platform."""
--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -94,6 +94,9 @@
         File with the key that calls between the fleet's processes carry.
     settle_every_s : float
         Time between two settlements to the log, in seconds.
+    drain_timeout_s : float
+        Longest time for reservations to be settled after a stop signal, in seconds; not less than
+        the router's.
     """
 
     host: HostSettings
@@ -102,6 +105,7 @@
     fleet_key_file: str
     peers: tuple[Address, ...] = ()
     settle_every_s: Seconds = 0.5
+    drain_timeout_s: Seconds = 65.0
     log: LogSettings = field(default_factory=LogSettings)
 
 
