Give short requests a lane of their own and count what reading prompts adds to each token

Cause: short requests were refused in overload because they stood behind long ones in the router's queue, and because the estimate left out that prompts being read slow every token of the batch.

--- a/mulberrycleat/endpoint/__init__.py
+++ b/mulberrycleat/endpoint/__init__.py
@@ -5,6 +5,7 @@
     AdmissionSettings,
     Applicant,
     Hold,
+    Lane,
     Refuse,
     Send,
 )
@@ -26,6 +27,7 @@
     "EndpointView",
     "Estimate",
     "Hold",
+    "Lane",
     "LoadReport",
     "Refuse",
     "Send",
--- a/mulberrycleat/endpoint/admission.py
+++ b/mulberrycleat/endpoint/admission.py
@@ -10,7 +10,7 @@
 from mulberrycleat.endpoint.fairness import FairQueue, Waiting
 from mulberrycleat.endpoint.state import Estimate
 
-__all__ = ["Admission", "AdmissionSettings", "Applicant", "Hold", "Refuse", "Send"]
+__all__ = ["Admission", "AdmissionSettings", "Applicant", "Hold", "Lane", "Refuse", "Send"]
 
 MIN_RETRY_S = 1.0
 MAX_RETRY_S = 60.0
@@ -34,8 +34,8 @@
         Part of the time to the deadline that the expected time may fill.
     """
 
-    hold_s: float = 1.0
-    passing_tokens: float = 20_000.0
+    hold_s: float = 3.0
+    passing_tokens: float = 100_000.0
     margin: float = 0.9
 
 
@@ -65,8 +65,54 @@
     retry_after_s: float
 
 
+class Lane:
+    """A fair queue with the rate at which it drains."""
+
+    def __init__(self) -> None:
+        self.queue = FairQueue()
+        self._work = 0.0
+        self._time_s = 0.0
+        self._samples = 0
+        self._last = 0.0
+
+    @property
+    def head(self) -> Applicant | None:
+        """The request to be released next."""
+        entry = self.queue.peek()
+        return entry.item if entry else None
+
+    def push(self, applicant: Applicant, now: float) -> Waiting:
+        """Add a request."""
+        if not self.queue:
+            self._last = now
+        demand = applicant.demand
+        return self.queue.push(
+            applicant.account, applicant.weight, demand.work_tokens, applicant, demand.is_short
+        )
+
+    def release(self, now: float) -> None:
+        """Take out the head and learn the rate."""
+        entry = self.queue.pop()
+        self._work = self._work * RATE_KEPT_SHARE + entry.work
+        self._time_s = self._time_s * RATE_KEPT_SHARE + now - self._last
+        self._samples += 1
+        self._last = now
+
+    def wait_s(self, applicant: Applicant) -> float:
+        """Return the expected wait of a new request, in seconds."""
+        if self._samples < MIN_RATE_SAMPLES:
+            return 0.0
+        demand = applicant.demand
+        before = self.queue.work_before(applicant.account, applicant.weight, demand.is_short)
+        return (before + demand.work_tokens) * self._time_s / self._work
+
+
 class Admission:
-    """The queue of one pool at one router. Free of I/O.
+    """The queues of one pool at one router. Free of I/O.
+
+    Short requests have a lane of their own, so that they never stand behind long ones. Each lane is
+    shared out fairly; a client account that has passed others by more than its allowance has its
+    short requests in the lane of the long ones.
 
     Parameters
     ----------
@@ -79,79 +125,60 @@
     def __init__(self, settings: AdmissionSettings, random: Random) -> None:
         self._settings = settings
         self._random = random
-        self._queue = FairQueue()
-        self._rate_work = 0.0
-        self._rate_time_s = 0.0
-        self._rate_samples = 0
-        self._last_release: float | None = None
+        self._short = Lane()
+        self._long = Lane()
 
     def __len__(self) -> int:
-        return len(self._queue)
+        return len(self._short.queue) + len(self._long.queue)
+
+    @property
+    def lanes(self) -> tuple[Lane, Lane]:
+        """The lane of short requests and that of long ones."""
+        return self._short, self._long
 
     def offer(self, applicant: Applicant, estimate: Estimate, now: float) -> Send | Hold | Refuse:
         """Decide on a new request; `estimate` is that of the best endpoint."""
-        demand = applicant.demand
-        wait_s = 0.0
-        if not self._may_pass(applicant, estimate):
-            before = self._queue.work_before(applicant.account, applicant.weight, demand.is_short)
-            wait_s = self._drain_s(before + demand.work_tokens)
+        lane = self._lane(applicant)
+        work = applicant.demand.work_tokens
+        passes = not lane.queue and estimate.queue_s <= self._settings.hold_s
+        wait_s = 0.0 if passes else lane.wait_s(applicant)
         late_s = now + (wait_s + estimate.whole_s) / self._settings.margin - applicant.deadline
         if late_s > 0:
             return Refuse(self._retry_after_s(late_s))
-        if self._may_pass(applicant, estimate):
-            if self._queue:
-                self._queue.charge(applicant.account, applicant.weight, demand.work_tokens)
+        if passes:
+            self._long.queue.charge(applicant.account, applicant.weight, work)
             return Send()
-        entry = self._queue.push(
-            applicant.account, applicant.weight, demand.work_tokens, applicant, demand.is_short
-        )
-        if len(self._queue) == 1:
-            self._last_release = now
-        return Hold(entry)
+        return Hold(lane.push(applicant, now))
 
-    def head(self) -> Applicant | None:
-        """Return the request to be released next."""
-        entry = self._queue.peek()
-        return entry.item if entry else None
-
-    def try_release(self, estimate: Estimate, now: float) -> Send | Refuse | None:
-        """Decide on the head; None leaves it waiting, any other answer has taken it out."""
-        applicant = self.head()
+    def try_release(self, lane: Lane, estimate: Estimate, now: float) -> Send | Refuse | None:
+        """Decide on a lane's head; None leaves it waiting, any other answer has taken it out."""
+        applicant = lane.head
         if applicant is None:
             return None
         late_s = now + estimate.whole_s - applicant.deadline
         if late_s > 0:
-            self._queue.pop()
+            lane.queue.pop()
             return Refuse(self._retry_after_s(late_s))
         if estimate.queue_s > self._settings.hold_s:
             return None
-        entry = self._queue.pop()
-        self._note_release(entry.work, now)
+        lane.release(now)
+        if lane is self._short:
+            work = applicant.demand.work_tokens
+            self._long.queue.charge(applicant.account, applicant.weight, work)
         return Send()
 
     def withdraw(self, entry: Waiting) -> None:
         """Take out a request whose caller has gone."""
-        self._queue.remove(entry)
-
-    def _may_pass(self, applicant: Applicant, estimate: Estimate) -> bool:
-        if estimate.queue_s > self._settings.hold_s:
-            return False
-        if not self._queue:
-            return True
-        lead = self._queue.lead(applicant.account) * applicant.weight
-        return applicant.demand.is_short and lead <= self._settings.passing_tokens
-
-    def _drain_s(self, work: float) -> float:
-        if self._rate_samples < MIN_RATE_SAMPLES or not self._rate_work:
-            return 0.0
-        return work * self._rate_time_s / self._rate_work
-
-    def _note_release(self, work: float, now: float) -> None:
-        if self._last_release is not None:
-            self._rate_work = self._rate_work * RATE_KEPT_SHARE + work
-            self._rate_time_s = self._rate_time_s * RATE_KEPT_SHARE + now - self._last_release
-            self._rate_samples += 1
-        self._last_release = now
+        for lane in self.lanes:
+            lane.queue.remove(entry)
+
+    def _lane(self, applicant: Applicant) -> Lane:
+        if not applicant.demand.is_short:
+            return self._long
+        if not self._long.queue:
+            return self._short
+        lead = self._long.queue.lead(applicant.account) * applicant.weight
+        return self._short if lead <= self._settings.passing_tokens else self._long
 
     def _retry_after_s(self, late_s: float) -> float:
         spread = 1 + JITTER * (2 * self._random.random() - 1)
--- a/mulberrycleat/endpoint/chooser.py
+++ b/mulberrycleat/endpoint/chooser.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import NamedTuple
 
-from mulberrycleat.endpoint.demand import Demand, priority_of
+from mulberrycleat.endpoint.demand import LOWEST_PRIORITY, Demand, priority_of
 from mulberrycleat.endpoint.health import Standing
 from mulberrycleat.endpoint.index import PrefixIndex
 from mulberrycleat.endpoint.state import EndpointState, Estimate, LoadReport
@@ -17,7 +17,8 @@
 
 FIRST_GENERATED_SHARE = 0.5
 GENERATED_GAIN = 0.02
-SHARE_GAIN = 0.01
+SHARE_KEPT = 0.98
+SHARE_PRIOR_TOKENS = 500.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +34,8 @@
     near_share, near_s : float
         Endpoints within this share and time (seconds) of the best are chosen among at random, so
         that routers with the same old report don't all choose the same one.
+    reserve_share : float
+        Part of an endpoint's places that longer requests leave to short ones.
     max_ejected_share : float
         Largest share of a pool that may be ejected at once.
     """
@@ -41,6 +44,7 @@
     work_weight: float = 1.0
     near_share: float = 0.1
     near_s: float = 0.01
+    reserve_share: float = 0.2
     max_ejected_share: float = 0.34
 
 
@@ -74,7 +78,7 @@
         self._states: dict[str, EndpointState] = {}
         self._index = PrefixIndex()
         self._generated_share = FIRST_GENERATED_SHARE
-        self._shares = [1.0] * 10
+        self._sent_tokens = [SHARE_PRIOR_TOKENS] + [0.0] * LOWEST_PRIORITY
 
     def state(self, endpoint: Endpoint) -> EndpointState:
         """Return what is known of an endpoint; a new address makes it a new one."""
@@ -99,13 +103,15 @@
         states = self._usable([self.state(endpoint) for endpoint in endpoints], now)
         cached = self._index.cached_tokens(demand.keys)
         generated = demand.max_tokens * self._generated_share
-        share = self._shares[priority_of(demand)]
+        share = self._share_before(demand)
         scored = []
         for state in states:
             if state.endpoint.name in tried:
                 continue
             tokens = min(cached.get(state.endpoint.name, 0), demand.prompt_tokens)
-            estimate = state.estimate(demand, tokens, generated, share, now)
+            estimate = state.estimate(
+                demand, tokens, generated, share, now, self._settings.reserve_share
+            )
             scored.append((self._score(state, estimate), Choice(state.endpoint, estimate, tokens)))
         return self._pick(scored)
 
@@ -113,7 +119,7 @@
         """Note that a request was sent."""
         name = endpoint.name
         cached = self._index.cached_tokens(demand.keys).get(name, 0)
-        share = self._shares[priority_of(demand)]
+        share = self._share_before(demand)
         self.state(endpoint).sent(request_id, demand, cached, share, now)
         self._index.add(name, demand.keys)
         self._note_share(demand)
@@ -172,9 +178,9 @@
         return self._random.choice(near)
 
     def _note_share(self, demand: Demand) -> None:
-        """Learn which part of the prompt tokens goes before a request of each priority."""
-        own = priority_of(demand)
-        gain = SHARE_GAIN * min(1.0, demand.prompt_tokens / 1000)
-        for priority in range(len(self._shares)):
-            before = 1.0 if own <= priority else 0.0
-            self._shares[priority] += gain * (before - self._shares[priority])
+        self._sent_tokens = [tokens * SHARE_KEPT for tokens in self._sent_tokens]
+        self._sent_tokens[priority_of(demand)] += demand.prompt_tokens
+
+    def _share_before(self, demand: Demand) -> float:
+        """Return the part of the prompt tokens lately sent that goes before a request."""
+        return sum(self._sent_tokens[: priority_of(demand) + 1]) / sum(self._sent_tokens)
--- a/mulberrycleat/endpoint/state.py
+++ b/mulberrycleat/endpoint/state.py
@@ -132,7 +132,13 @@
             self._batch_limit = max(self._batch_limit, float(running))
 
     def estimate(
-        self, demand: Demand, believed: int, generated: float, urgent_share: float, now: float
+        self,
+        demand: Demand,
+        believed: int,
+        generated: float,
+        urgent_share: float,
+        now: float,
+        reserve_share: float = 0.0,
     ) -> Estimate:
         """Return the expected times of a request sent now.
 
@@ -144,18 +150,21 @@
             Expected generated tokens.
         urgent_share : float
             Part of the others' work that goes before this request.
+        reserve_share : float
+            Part of the places in the batch that are left to short requests.
         """
         priority = priority_of(demand)
         rate = self.speed.prefill_tokens_per_s
         uncached = max(0, demand.prompt_tokens - int(believed * self._trust))
         running = self.requests + self._others_now(now).requests
         ahead = self._ahead_tokens(priority, urgent_share, now)
-        queue_s = ahead / rate + self._place_wait_s(running, urgent_share)
+        queue_s = ahead / rate + self._place_wait_s(demand, running, urgent_share, reserve_share)
         queue_s = max(queue_s, self._longest_wait_s(priority, now))
-        token_s = self.speed.token_s(min(running, self._batch_limit))
-        first_s = queue_s + uncached / rate + token_s
-        decode_s = generated * token_s
-        work_s = uncached / rate + decode_s / max(1.0, min(running + 1, self._batch_limit))
+        running = min(running, self._batch_limit)
+        first_s = queue_s + uncached / rate + self.speed.token_s(running)
+        behind_s = self._ahead_tokens(LOWEST_PRIORITY, 1.0, now) / rate - queue_s
+        decode_s = self.speed.decode_s(generated, running, max(0.0, behind_s))
+        work_s = uncached / rate + generated * self.speed.token_s(running) / (running + 1)
         return Estimate(queue_s, first_s, first_s + decode_s, work_s)
 
     def sent(
@@ -206,8 +215,11 @@
         own = sum(self._prefill[: priority + 1])
         return own + self._others_now(now).prefill_tokens * urgent_share
 
-    def _place_wait_s(self, running: int, urgent_share: float) -> float:
-        excess = running + 1 - self._batch_limit
+    def _place_wait_s(
+        self, demand: Demand, running: int, urgent_share: float, reserve_share: float
+    ) -> float:
+        limit = self._batch_limit * (1.0 if demand.is_short else 1 - reserve_share)
+        excess = running + 1 - limit
         if excess <= 0:
             return 0.0
         return (1 + (excess - 1) * urgent_share) * self._answer_s / self._batch_limit
