--- a/mulberrycleat/standin/engine.py
+++ b/mulberrycleat/standin/engine.py
@@ -18,6 +18,7 @@
 from mulberrycleat.standin.engine_cache import PrefixCache
 from mulberrycleat.standin.engine_gate import PriorityGate
 from mulberrycleat.standin.engine_load import LoadHistory
+from mulberrycleat.standin.engine_orders import EngineOrders
 from mulberrycleat.standin.engine_work import Work, WorkTable
 from mulberrycleat.standin.faults import Faults
 from mulberrycleat.standin.settings import StandinSettings
@@ -61,6 +62,7 @@
         self._served = 0
         self._cut = 0
         self._generated = 0
+        self._orders = EngineOrders(settings, lambda: len(self._works.open))
 
     @property
     def works(self) -> WorkTable:
@@ -76,10 +78,11 @@
             Route("GET", "/cache-events", self._cache_events),
             Route("GET", "/stats", self._stats),
             *self._faults.routes(),
+            *self._orders.routes(),
         )
 
     async def _complete(self, request: Request, responder: Responder) -> Reply | None:
-        if held := await self._faults.hold():
+        if held := await self._faults.hold() or self._orders.refusal():
             return held
         if self._faults.on.leaving:
             retry = ("retry-after", LEAVING_RETRY_S)
