Number the ledger's records by holder; add transfers, fences, checkpoints

Claims and transfers had ids that the fold kept for ever, and nothing freed the slice of a holder that had gone. Holders now join, write one numbered settlement at a time (bills, claims, returns, transfers, acks), and end with a final one. A fenced holder is closed once its endpoints have confirmed and every peer that it could have sent tokens to has stopped accepting them. A new host folds from the newest checkpoint. The decisions are free of I/O (budget/keeper.py, dealing.py), so that measurements and tests drive the code that the controller runs.

--- a/mulberrycleat/budget/__init__.py
+++ b/mulberrycleat/budget/__init__.py
@@ -1,16 +1,29 @@
-"""Prepaid budgets: cost, ledger, slices."""
+"""Prepaid budgets: cost, ledger, slices, dealing."""
 
+from mulberrycleat.budget.accounts import (
+    BudgetState,
+    HolderState,
+    PendingTransfer,
+    Share,
+    ZoneTotals,
+)
 from mulberrycleat.budget.cost import cost_of, largest_cost
-from mulberrycleat.budget.ledger import (
+from mulberrycleat.budget.dealing import Deal, DealSettings, deal, tokens_to_send, zone_targets
+from mulberrycleat.budget.demand import DemandTracker
+from mulberrycleat.budget.keeper import Reservation, SliceKeeper
+from mulberrycleat.budget.ledger import Ledger
+from mulberrycleat.budget.records import (
     STREAM,
     Bill,
-    BudgetState,
-    Claim,
-    Ledger,
+    Checkpoint,
+    Confirm,
+    Fence,
+    Join,
     LedgerRecord,
+    Release,
     Settle,
-    Share,
     TopUp,
+    Transfer,
 )
 from mulberrycleat.budget.slices import Slice
 
@@ -18,13 +31,29 @@
     "STREAM",
     "Bill",
     "BudgetState",
-    "Claim",
+    "Checkpoint",
+    "Confirm",
+    "Deal",
+    "DealSettings",
+    "DemandTracker",
+    "Fence",
+    "HolderState",
+    "Join",
     "Ledger",
     "LedgerRecord",
+    "PendingTransfer",
+    "Release",
+    "Reservation",
     "Settle",
     "Share",
     "Slice",
+    "SliceKeeper",
     "TopUp",
+    "Transfer",
+    "ZoneTotals",
     "cost_of",
+    "deal",
     "largest_cost",
+    "tokens_to_send",
+    "zone_targets",
 ]
--- /dev/null
+++ b/mulberrycleat/budget/draft.py
@@ -0,0 +1,52 @@
+"""What a holder has to tell in its next settlement."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from mulberrycleat.budget.records import Bill, Settle, Transfer
+
+__all__ = ["SettleDraft"]
+
+
+@dataclass(slots=True)
+class SettleDraft:
+    """Collects the fields of a settlement; see :class:`~mulberrycleat.budget.Settle`."""
+
+    bills: list[Bill] = field(default_factory=list)
+    returned: Counter[str] = field(default_factory=Counter)
+    claims: dict[str, int] = field(default_factory=dict)
+    asked: Counter[str] = field(default_factory=Counter)
+    refused: defaultdict[str, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+    transfers: list[Transfer] = field(default_factory=list)
+    acks: list[str] = field(default_factory=list)
+
+    @property
+    def empty(self) -> bool:
+        """Whether there is nothing to tell."""
+        return not (
+            self.bills
+            or self.returned
+            or self.claims
+            or self.asked
+            or self.refused
+            or self.transfers
+            or self.acks
+        )
+
+    def record(self, holder: str, seq: int, floor: int, final: bool) -> Settle:
+        """Return the settlement."""
+        return Settle(
+            holder,
+            seq,
+            tuple(self.bills),
+            dict(self.returned),
+            dict(self.claims),
+            dict(self.asked),
+            {budget: dict(codes) for budget, codes in self.refused.items()},
+            tuple(self.transfers),
+            tuple(self.acks),
+            floor,
+            final,
+        )
--- a/mulberrycleat/budget/ledger.py
+++ b/mulberrycleat/budget/ledger.py
@@ -1,116 +1,38 @@
-"""Fold of the ledger stream: prepaid tokens, who holds them, and what was spent.
-
-Every record can be repeated without effect, because a writer whose answer was lost writes again.
-"""
+"""Fold of the ledger stream: prepaid tokens, who holds them, and what was spent."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterable
 
 import msgspec
-
-__all__ = [
-    "STREAM",
-    "Bill",
-    "BudgetState",
-    "Claim",
-    "Ledger",
-    "LedgerRecord",
-    "Settle",
-    "Share",
-    "TopUp",
-]
-
-STREAM = "ledger"
-
-
-class TopUp(msgspec.Struct, frozen=True, tag="top_up"):
-    """Tokens prepaid into a budget."""
-
-    id: str
-    budget: str
-    tokens: int
-    by: str = ""
-
-
-class Claim(msgspec.Struct, frozen=True, tag="claim"):
-    """A holder asks for a slice of a budget; the fold grants what is available, up to `tokens`."""
-
-    id: str
-    budget: str
-    holder: str
-    tokens: int
-
-
-class Bill(msgspec.Struct, frozen=True):
-    """What one request is billed, in tokens."""
-
-    request: str
-    budget: str
-    tokens: int
-
-
-class Settle(msgspec.Struct, frozen=True, tag="settle"):
-    """A holder's bills and returned tokens since its last settlement.
-
-    Attributes
-    ----------
-    seq : int
-        Counts the holder's settlements from 1; any other than the next one is a repeat.
-    returned : mapping
-        Tokens given back, by budget.
-    """
-
-    holder: str
-    seq: int
-    bills: tuple[Bill, ...] = ()
-    returned: dict[str, int] = {}
-
-
-LedgerRecord = TopUp | Claim | Settle
-
-
-@dataclass(frozen=True, slots=True)
-class Share:
-    """One holder's part of a budget: tokens granted to it, and of those spent."""
-
-    granted: int = 0
-    spent: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class BudgetState:
-    """One budget.
-
-    Attributes
-    ----------
-    prepaid : int
-        Tokens topped up.
-    shares : mapping
-        Share of each holder, by its name.
-    """
-
-    prepaid: int = 0
-    shares: dict[str, Share] = field(default_factory=dict)
-
-    @property
-    def granted(self) -> int:
-        """Tokens granted to all holders."""
-        return sum(share.granted for share in self.shares.values())
-
-    @property
-    def spent(self) -> int:
-        """Tokens spent by all holders."""
-        return sum(share.spent for share in self.shares.values())
-
-    @property
-    def available(self) -> int:
-        """Tokens that can still be granted."""
-        return self.prepaid - self.granted
-
-    def with_share(self, holder: str, share: Share) -> BudgetState:
-        """Return the budget with another share for `holder`."""
-        return replace(self, shares={**self.shares, holder: share})
+from msgspec.structs import replace
+
+from mulberrycleat.budget.accounts import (
+    BudgetState,
+    HolderState,
+    LedgerState,
+    PendingTransfer,
+    Share,
+    ZoneTotals,
+)
+from mulberrycleat.budget.closing import closable
+from mulberrycleat.budget.records import (
+    Bill,
+    Checkpoint,
+    Confirm,
+    Fence,
+    Join,
+    LedgerRecord,
+    Release,
+    Settle,
+    TopUp,
+    Transfer,
+)
+
+__all__ = ["Ledger"]
+
+TOP_UP_MEMORY_S = 90 * 86400.0
+CLOSED_REMEMBERED = 1000
 
 
 class Ledger:
@@ -119,71 +41,254 @@
     Examples
     --------
     >>> ledger = Ledger()
-    >>> ledger.apply(TopUp("t1", "huts", 100))
-    >>> ledger.apply(Claim("c1", "huts", "a1/7f", 60))
-    >>> ledger.apply(Claim("c1", "huts", "a1/7f", 60))
-    >>> ledger.granted("c1"), ledger.budgets["huts"].available
+    >>> for record in (TopUp("t1", "huts", 100), Join("a1/7f", "east")):
+    ...     ledger.apply(record)
+    >>> for _ in range(2):
+    ...     ledger.apply(Settle("a1/7f", 1, claims={"huts": 60}))
+    >>> ledger.share("a1/7f", "huts").held, ledger.budgets["huts"].available
     (60, 40)
     """
 
-    def __init__(self) -> None:
-        self._budgets: dict[str, BudgetState] = {}
-        self._top_ups: set[str] = set()
-        self._claims: dict[str, int] = {}
-        self._settled: dict[str, int] = {}
+    def __init__(self, state: LedgerState | None = None) -> None:
+        self._state = state or LedgerState()
 
     @property
     def budgets(self) -> dict[str, BudgetState]:
         """Budgets by name."""
-        return self._budgets
+        return self._state.budgets
+
+    @property
+    def holders(self) -> dict[str, HolderState]:
+        """Holders that are not closed, by name."""
+        return self._state.holders
+
+    @property
+    def pending(self) -> list[PendingTransfer]:
+        """Transfers that one side has yet to record."""
+        return self._state.pending
+
+    @classmethod
+    def from_checkpoint(cls, record: Checkpoint) -> Ledger:
+        """Return the fold that a checkpoint holds."""
+        return cls(msgspec.msgpack.decode(record.state, type=LedgerState))
 
-    def granted(self, claim_id: str) -> int | None:
-        """Return the tokens granted to a claim, or None when it has not been seen."""
-        return self._claims.get(claim_id)
+    def checkpoint(self, as_of: int) -> Checkpoint:
+        """Return a record of this state; `as_of` is the next offset to be applied."""
+        return Checkpoint(as_of, msgspec.msgpack.encode(self._state))
+
+    def is_open(self, holder: str) -> bool:
+        """Return whether a holder has joined and is neither fenced nor closed."""
+        state = self.holders.get(holder)
+        return state is not None and not state.fenced
+
+    def was_closed(self, holder: str) -> bool:
+        """Return whether a holder was closed lately."""
+        return holder in self._state.closed
+
+    def share(self, holder: str, budget: str) -> Share:
+        """Return a holder's share of a budget."""
+        return self._budget(budget).shares.get(holder) or Share()
 
     def settled(self, holder: str) -> int:
         """Return the sequence number of a holder's last settlement."""
-        return self._settled.get(holder, 0)
+        state = self.holders.get(holder)
+        return state.seq if state else 0
 
     def has_top_up(self, top_up_id: str) -> bool:
         """Return whether a top-up has taken effect."""
-        return top_up_id in self._top_ups
+        return top_up_id in self._state.top_ups
 
-    def apply(self, record: LedgerRecord) -> None:
-        """Take in the next record of the stream."""
-        match record:
-            case TopUp() if record.id not in self._top_ups and record.tokens > 0:
-                self._top_ups.add(record.id)
-                budget = self._budget(record.budget)
-                self._budgets[record.budget] = replace(
-                    budget, prepaid=budget.prepaid + record.tokens
-                )
-            case Claim() if record.id not in self._claims:
-                self._grant(record)
-            case Settle() if record.seq == self.settled(record.holder) + 1:
-                self._settle(record)
-
-    def _budget(self, name: str) -> BudgetState:
-        return self._budgets.get(name) or BudgetState()
+    def stranded(self, budget: str, zone: str | None = None) -> int:
+        """Return the tokens held by fenced holders, of one zone or of all."""
+        shares = self._budget(budget).shares
+        gone = [name for name in shares if self._is_gone(name, zone)]
+        return sum(shares[name].held for name in gone)
 
-    def _grant(self, claim: Claim) -> None:
-        budget = self._budget(claim.budget)
-        tokens = max(0, min(claim.tokens, budget.available))
-        self._claims[claim.id] = tokens
-        if tokens:
-            share = budget.shares.get(claim.holder, Share())
-            after = replace(share, granted=share.granted + tokens)
-            self._budgets[claim.budget] = budget.with_share(claim.holder, after)
+    def apply(self, record: LedgerRecord, at: float = 0.0) -> None:
+        """Take in the next record of the stream, recorded at `at` (Unix seconds)."""
+        match record:
+            case TopUp():
+                self._top_up(record, at)
+            case Join() if not self._is_known(record.holder):
+                self.holders[record.holder] = HolderState(record.zone)
+            case Settle() if self.is_open(record.holder):
+                if record.seq == self.settled(record.holder) + 1:
+                    self._settle(record)
+            case Fence() if self.is_open(record.holder):
+                endpoints = frozenset(record.endpoints)
+                self._update(record.holder, fenced=True, unconfirmed=endpoints)
+            case Confirm() if record.holder in self.holders:
+                self._confirm(record)
+            case Release() if record.holder in self.holders:
+                self._update(record.holder, fenced=True, lost=dict(record.spent))
+        self._close_proved()
+
+    def _is_known(self, holder: str) -> bool:
+        return holder in self.holders or self.was_closed(holder)
+
+    def _is_gone(self, holder: str, zone: str | None) -> bool:
+        state = self.holders.get(holder)
+        return state is not None and state.fenced and zone in (None, state.zone)
+
+    def _top_up(self, record: TopUp, at: float) -> None:
+        known = self._state.top_ups
+        if record.id in known or record.tokens <= 0:
+            return
+        for top_up_id in _older(known, at - TOP_UP_MEMORY_S):
+            del known[top_up_id]
+        known[record.id] = at
+        budget = self._budget(record.budget)
+        self.budgets[record.budget] = replace(budget, prepaid=budget.prepaid + record.tokens)
 
     def _settle(self, record: Settle) -> None:
-        self._settled[record.holder] = record.seq
-        for bill in record.bills:
-            self._change(record.holder, bill.budget, spent=bill.tokens)
+        self._take_bills(record)
         for name, tokens in record.returned.items():
-            self._change(record.holder, name, granted=-tokens)
+            self._change(record.holder, name, held=-tokens)
+        for transfer in record.transfers:
+            self._transfer(transfer, record.holder)
+        for name, tokens in record.asked.items():
+            self._count(record.holder, name, asked=tokens)
+        for name, codes in record.refused.items():
+            self._count(record.holder, name, refused=codes)
+        for fenced in record.acks:
+            if fenced in self.holders:
+                acked = self.holders[fenced].acked | {record.holder}
+                self._update(fenced, acked=acked)
+        for name, tokens in record.claims.items():
+            self._grant(record.holder, name, tokens)
+        if record.final:
+            self._close((record.holder,))
+
+    def _take_bills(self, record: Settle) -> None:
+        holder = self.holders[record.holder]
+        floor = max(holder.floor, record.floor)
+        numbers = holder.settled | {bill.number for bill in record.bills}
+        settled = frozenset(number for number in numbers if number >= floor)
+        self._update(record.holder, seq=record.seq, floor=floor, settled=settled)
+        for bill in record.bills:
+            self._bill(record.holder, bill)
+
+    def _bill(self, holder: str, bill: Bill) -> None:
+        self._change(holder, bill.budget, held=-bill.tokens, spent=bill.tokens)
+        self._count(holder, bill.budget, spent=bill.tokens)
+
+    def _grant(self, holder: str, name: str, wanted: int) -> None:
+        tokens = max(0, min(wanted, self._budget(name).available))
+        self._change(holder, name, held=tokens, claimed=tokens, short=wanted - tokens)
+
+    def _transfer(self, transfer: Transfer, by: str) -> None:
+        for pending in self.pending:
+            if pending.transfer == transfer and pending.by != by:
+                self.pending.remove(pending)
+                return
+        for holder, tokens in ((transfer.sender, -transfer.tokens), (transfer.receiver, 0)):
+            if holder in self.holders and tokens:
+                self._change(holder, transfer.budget, held=tokens)
+        if transfer.receiver in self.holders:
+            self._change(transfer.receiver, transfer.budget, held=transfer.tokens)
+        other = transfer.sender if by == transfer.receiver else transfer.receiver
+        if other in self.holders:
+            self.pending.append(PendingTransfer(transfer, by))
+
+    def _confirm(self, record: Confirm) -> None:
+        holder = self.holders[record.holder]
+        if record.complete_from > holder.floor or record.endpoint not in holder.unconfirmed:
+            return
+        found = dict(holder.found)
+        for bill in record.bills:
+            if bill.number >= holder.floor and bill.number not in holder.settled:
+                before = found.get(bill.number)
+                if before is None or before.tokens < bill.tokens:
+                    found[bill.number] = bill
+        unconfirmed = holder.unconfirmed - {record.endpoint}
+        self._update(record.holder, unconfirmed=unconfirmed, found=found)
+
+    def _close_proved(self) -> None:
+        if any(holder.fenced for holder in self.holders.values()):
+            self._close(tuple(sorted(closable(self.holders))))
+
+    def _close(self, names: Iterable[str]) -> None:
+        for name in names:
+            holder = self.holders[name]
+            for bill in holder.found.values():
+                self._bill(name, bill)
+            if holder.unconfirmed:
+                self._write_off(name, holder)
+        for name in names:
+            self._forget(name)
+
+    def _write_off(self, name: str, holder: HolderState) -> None:
+        """Count as spent what an operator stated, and all of a budget that was not named."""
+        for budget, state in list(self.budgets.items()):
+            share = state.shares.get(name)
+            if share is None or share.held <= 0:
+                continue
+            tokens = min(share.held, (holder.lost or {}).get(budget, share.held))
+            self._bill(name, Bill("", budget, tokens))
+
+    def _forget(self, name: str) -> None:
+        for budget, state in list(self.budgets.items()):
+            if name in state.shares:
+                shares = {key: share for key, share in state.shares.items() if key != name}
+                self.budgets[budget] = replace(state, shares=shares)
+        kept = [p for p in self.pending if _waits_for(p) != name]
+        self._state.pending = kept
+        del self.holders[name]
+        self._state.closed = [*self._state.closed, name][-CLOSED_REMEMBERED:]
 
-    def _change(self, holder: str, name: str, granted: int = 0, spent: int = 0) -> None:
+    def _budget(self, name: str) -> BudgetState:
+        return self.budgets.get(name) or BudgetState()
+
+    def _update(self, name: str, **changes: object) -> None:
+        self.holders[name] = replace(self.holders[name], **changes)
+
+    def _change(
+        self,
+        holder: str,
+        name: str,
+        held: int = 0,
+        claimed: int = 0,
+        spent: int = 0,
+        short: int | None = None,
+    ) -> None:
+        budget = self._budget(name)
+        old = budget.shares.get(holder) or Share()
+        new = Share(
+            old.held + held,
+            old.claimed + claimed,
+            old.spent + spent,
+            old.short if short is None else short,
+        )
+        self.budgets[name] = replace(budget, shares={**budget.shares, holder: new})
+
+    def _count(
+        self,
+        holder: str,
+        name: str,
+        spent: int = 0,
+        asked: int = 0,
+        refused: dict[str, int] | None = None,
+    ) -> None:
         budget = self._budget(name)
-        share = budget.shares.get(holder, Share())
-        after = Share(share.granted + granted, share.spent + spent)
-        self._budgets[name] = budget.with_share(holder, after)
+        zone = self.holders[holder].zone
+        old = budget.zones.get(zone) or ZoneTotals()
+        counts = dict(old.refused)
+        for code, number in (refused or {}).items():
+            counts[code] = counts.get(code, 0) + number
+        new = ZoneTotals(old.spent + spent, old.asked + asked, counts)
+        self.budgets[name] = replace(budget, zones={**budget.zones, zone: new})
+
+
+def _older(times: dict[str, float], oldest: float) -> list[str]:
+    found = []
+    for name, at in times.items():
+        if at >= oldest:
+            break
+        found.append(name)
+    return found
+
+
+def _waits_for(pending: PendingTransfer) -> str:
+    """Return the side that has not recorded a transfer yet."""
+    transfer = pending.transfer
+    return transfer.sender if pending.by == transfer.receiver else transfer.receiver
--- a/mulberrycleat/budget/slices.py
+++ b/mulberrycleat/budget/slices.py
@@ -1,4 +1,4 @@
-"""A holder's slice of one budget."""
+"""A holder's slice of one budget, as the holder itself counts it."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Slice:
-    """Tokens of one budget that a holder may spend.
+    """What a holder did with the tokens of one budget, apart from claiming them.
 
     Attributes
     ----------
-    granted : int
-        Tokens granted by the ledger and not returned.
+    moved : int
+        Tokens received from peers, less those sent to peers and returned to the ledger.
     spent : int
         Tokens billed, in the ledger or on the way to it.
     reserved : int
@@ -22,27 +22,24 @@
 
     Examples
     --------
-    >>> Slice(granted=100).reserve(40).settle(reserved=40, cost=25).free
-    75
+    >>> Slice().set_aside(40).settle(reserved=40, cost=25).move(-5).free(claimed=100)
+    70
     """
 
-    granted: int = 0
+    moved: int = 0
     spent: int = 0
     reserved: int = 0
 
-    @property
-    def free(self) -> int:
-        """Tokens that can be reserved."""
-        return self.granted - self.spent - self.reserved
+    def free(self, claimed: int) -> int:
+        """Return the tokens that can be reserved, of `claimed` ones that the ledger granted."""
+        return claimed + self.moved - self.spent - self.reserved
 
-    def grant(self, tokens: int) -> Slice:
+    def move(self, tokens: int) -> Slice:
         """Return the slice with `tokens` more (or less, when negative)."""
-        return replace(self, granted=self.granted + tokens)
+        return replace(self, moved=self.moved + tokens)
 
-    def reserve(self, tokens: int) -> Slice:
-        """Return the slice with `tokens` set aside; raises ValueError when they are not free."""
-        if tokens > self.free:
-            raise ValueError(f"{tokens} tokens asked for, {self.free} free")
+    def set_aside(self, tokens: int) -> Slice:
+        """Return the slice with `tokens` reserved, which have to be free."""
         return replace(self, reserved=self.reserved + tokens)
 
     def settle(self, reserved: int, cost: int) -> Slice:
--- a/mulberrycleat/budget/tests/test_ledger.py
+++ b/mulberrycleat/budget/tests/test_ledger.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from mulberrycleat.budget import Bill, Claim, Ledger, Settle, TopUp
+from mulberrycleat.budget import Bill, Join, Ledger, Settle, TopUp
 from mulberrycleat.testing import fixture
 
 
 @fixture
 def ledger() -> Ledger:
-    """Return a ledger with 100 tokens in one budget."""
+    """Return a ledger with 100 tokens in one budget and five holders."""
     found = Ledger()
     found.apply(TopUp("t1", "huts", 100))
+    for number in range(5):
+        found.apply(Join(f"h{number}/1", "east"))
     return found
 
 
@@ -21,15 +23,31 @@
 
 def test_claims_never_pass_what_is_prepaid(ledger):
     for number in range(5):
-        ledger.apply(Claim(f"c{number}", "huts", f"h{number}/1", 30))
-    assert ledger.budgets["huts"].granted == 100
-    assert ledger.granted("c4") == 0
+        ledger.apply(Settle(f"h{number}/1", 1, claims={"huts": 30}))
+    assert ledger.budgets["huts"].held == 100
+    assert ledger.share("h4/1", "huts").held == 0
+    assert ledger.share("h4/1", "huts").short == 30
 
 
 def test_repeated_settlement_bills_once(ledger):
-    ledger.apply(Claim("c1", "huts", "h/1", 50))
-    record = Settle("h/1", 1, (Bill("r1", "huts", 20),), {"huts": 5})
+    ledger.apply(Settle("h0/1", 1, claims={"huts": 50}))
+    record = Settle("h0/1", 2, (Bill("r1", "huts", 20, 1),), {"huts": 5})
     ledger.apply(record)
     ledger.apply(record)
     budget = ledger.budgets["huts"]
-    assert (budget.spent, budget.granted, budget.available) == (20, 45, 55)
+    assert (budget.spent, budget.held, budget.available) == (20, 25, 55)
+
+
+def test_holder_that_has_not_joined_gets_nothing(ledger):
+    ledger.apply(Settle("x/1", 1, claims={"huts": 50}))
+    assert ledger.budgets["huts"].available == 100
+
+
+def test_checkpoint_gives_the_same_state(ledger):
+    ledger.apply(Settle("h0/1", 1, claims={"huts": 50}))
+    restored = Ledger.from_checkpoint(ledger.checkpoint(7))
+    late = Settle("h0/1", 2, (Bill("r1", "huts", 20, 1),))
+    for one in (ledger, restored):
+        one.apply(late)
+        one.apply(TopUp("t1", "huts", 100))
+    assert restored.checkpoint(9) == ledger.checkpoint(9)
--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -9,6 +9,9 @@
 import trio
 
 from mulberrycleat.controller import messages as m
+from mulberrycleat.controller.budget_closing import FenceRunner
+from mulberrycleat.controller.budget_peers import PeerTransfers
+from mulberrycleat.controller.budget_status import describe_budgets
 from mulberrycleat.controller.budgets import BudgetController
 from mulberrycleat.controller.changes import Changes
 from mulberrycleat.controller.hosts import HostController
@@ -16,7 +19,7 @@
 from mulberrycleat.controller.once import OnceController
 from mulberrycleat.core import Holder, new_id
 from mulberrycleat.eventlog import HttpEventLog
-from mulberrycleat.rpc import Method, RpcHandler, serve_rpc
+from mulberrycleat.rpc import Method, RpcClient, RpcHandler, serve_rpc
 from mulberrycleat.settings import ControllerSettings
 from mulberrycleat.web import HttpClient
 
@@ -46,7 +49,11 @@
         self._changes = Changes()
         event_log = HttpEventLog(settings.platform, self._client)
         self._manifests = ManifestController(event_log, self._changes)
-        self._budgets = BudgetController(settings, self._holder, event_log)
+        peers = [RpcClient(address, fleet_key) for address in settings.peers]
+        fences = FenceRunner(self._holder, self._manifests, self._client)
+        self._budgets = BudgetController(
+            settings, self._holder, event_log, PeerTransfers(peers), fences
+        )
         self._once = OnceController(self._holder, event_log)
         self._hosts = HostController(
             settings, self._holder, self._manifests, self._client, fleet_key, self._changes
@@ -74,6 +81,7 @@
             m.SYNC: self._sync,
             m.RESERVE: self._budgets.reserve,
             m.SETTLE: self._budgets.settle,
+            m.PULL: self._budgets.pull,
             m.RECALL: self._once.recall,
             m.BEGIN: self._once.begin,
             m.FINISH: self._once.finish,
@@ -99,19 +107,6 @@
 
     async def _status(self, request: m.StatusRequest) -> m.StatusReply:
         state = self._manifests.state
-        budgets = {
-            name: {
-                "prepaid": budget.prepaid,
-                "spent": budget.spent,
-                "held": budget.granted - budget.spent,
-                "available": budget.available,
-                "shares": {
-                    holder: {"granted": share.granted, "spent": share.spent}
-                    for holder, share in budget.shares.items()
-                },
-            }
-            for name, budget in self._budgets.ledger.budgets.items()
-        }
         body = {
             "host": self._holder.host,
             "zone": self._holder.zone,
@@ -120,7 +115,7 @@
             "published_by": state.by,
             "leaving": sorted(self._leaving()),
             "peers": {address: reply.holder for address, reply in self._hosts.alive.items()},
-            "budgets": budgets,
-            "reserved": {name: part.reserved for name, part in self._budgets.slices.items()},
+            "holder": self._budgets.keeper.holder,
+            "budgets": describe_budgets(self._budgets.ledger, self._budgets.keeper),
         }
         return m.StatusReply(msgspec.json.encode(body))
--- /dev/null
+++ b/mulberrycleat/controller/budget_closing.py
@@ -0,0 +1,132 @@
+"""Fencing of holders that were replaced, with the proof that frees their tokens."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import msgspec
+import trio
+from result import Err, Ok
+
+from mulberrycleat.budget import Bill, Confirm, Fence, Ledger, cost_of
+from mulberrycleat.budget.restore import LedgerReader
+from mulberrycleat.controller.budget_writer import LedgerWriter
+from mulberrycleat.controller.manifests import ManifestController
+from mulberrycleat.core import Holder
+from mulberrycleat.manifest import Endpoint, Price
+from mulberrycleat.web import HttpClient
+
+__all__ = ["FenceRunner"]
+
+log = logging.getLogger(__name__)
+
+CHECK_EVERY_S = 1.0
+FENCE_TIMEOUT_S = 2.0
+
+
+class FencedRequest(msgspec.Struct, frozen=True):
+    """What an endpoint did for one request of a fenced holder, in tokens."""
+
+    request_id: str
+    prompt_tokens: int
+    cached_tokens: int
+    generated_tokens: int
+    number: int = 0
+    budget: str = ""
+
+
+class FenceAnswer(msgspec.Struct, frozen=True):
+    """An endpoint's answer to a fence: it refuses the holder from now on."""
+
+    requests: tuple[FencedRequest, ...]
+    complete_from: int = 0
+
+
+class FenceRunner:
+    """Fence earlier incarnations of this host and have every endpoint confirm.
+
+    Parameters
+    ----------
+    holder : Holder
+        This incarnation of the host.
+    manifests : ManifestController
+        Endpoints and prices.
+    client : HttpClient
+        Connections to endpoints.
+    """
+
+    def __init__(self, holder: Holder, manifests: ManifestController, client: HttpClient) -> None:
+        self._holder = holder
+        self._manifests = manifests
+        self._client = client
+
+    async def run(self, reader: LedgerReader, writer: LedgerWriter) -> None:
+        """Look for holders to close, for ever."""
+        while True:
+            await trio.sleep(CHECK_EVERY_S)
+            if reader.complete:
+                await self._fence_earlier(reader.ledger, writer)
+                await self._confirm_fenced(reader.ledger, writer)
+
+    async def _fence_earlier(self, ledger: Ledger, writer: LedgerWriter) -> None:
+        names = tuple(endpoint.name for endpoint in self._endpoints())
+        for holder in earlier_holders(ledger, self._holder.host):
+            await writer.append(Fence(holder, names))
+
+    async def _confirm_fenced(self, ledger: Ledger, writer: LedgerWriter) -> None:
+        for name, state in list(ledger.holders.items()):
+            if not state.fenced or state.zone != self._holder.zone:
+                continue
+            for endpoint in self._endpoints():
+                if endpoint.checks_fencing and endpoint.name in state.unconfirmed:
+                    await self._confirm(name, endpoint, writer)
+
+    async def _confirm(self, holder: str, endpoint: Endpoint, writer: LedgerWriter) -> None:
+        url = f"http://{endpoint.address}/v1/fence"
+        body = {"holder": holder, "number": 1}
+        match await self._client.send_json("POST", url, body, timeout_s=FENCE_TIMEOUT_S):
+            case Ok(answer):
+                await self._take_answer(holder, endpoint, answer, writer)
+            case Err(error):
+                log.warning("fence failed", extra={"peer": endpoint.name, "why": error.reason})
+
+    async def _take_answer(
+        self, holder: str, endpoint: Endpoint, answer: Any, writer: LedgerWriter
+    ) -> None:
+        try:
+            found = msgspec.convert(answer, FenceAnswer)
+        except msgspec.ValidationError as error:
+            log.warning("odd fence answer", extra={"peer": endpoint.name, "why": str(error)})
+            return
+        price = self._price(endpoint)
+        bills = tuple(_bill(request, price) for request in found.requests)
+        await writer.append(Confirm(holder, endpoint.name, bills, found.complete_from))
+
+    def _endpoints(self) -> tuple[Endpoint, ...]:
+        return self._manifests.state.manifest.endpoints
+
+    def _price(self, endpoint: Endpoint) -> Price:
+        pools = self._manifests.state.manifest.pools
+        return next((pool.price for pool in pools if pool.name == endpoint.pool), Price())
+
+
+def earlier_holders(ledger: Ledger, host: str) -> list[str]:
+    """Return the open holders of a host but for the one that joined last.
+
+    Examples
+    --------
+    >>> from mulberrycleat.budget import Join
+    >>> ledger = Ledger()
+    >>> for name in ("a1/7f", "b1/3c", "a1/90"):
+    ...     ledger.apply(Join(name, "east"))
+    >>> earlier_holders(ledger, "a1")
+    ['a1/7f']
+    """
+    names = [name for name in ledger.holders if name.rpartition("/")[0] == host]
+    return [name for name in names[:-1] if ledger.is_open(name)]
+
+
+def _bill(request: FencedRequest, price: Price) -> Bill:
+    cost = cost_of(price, request.prompt_tokens, request.cached_tokens, request.generated_tokens)
+    return Bill(request.request_id, request.budget, cost, request.number)
--- /dev/null
+++ b/mulberrycleat/controller/budget_peers.py
@@ -0,0 +1,57 @@
+"""Sending of tokens between the hosts of a zone, which needs nothing of the platform."""
+
+from __future__ import annotations
+
+import logging
+
+from result import Err, Ok
+
+from mulberrycleat.budget import SliceKeeper, tokens_to_send
+from mulberrycleat.controller.messages import PULL, PullReply, PullRequest
+from mulberrycleat.rpc import RpcClient
+
+__all__ = ["PeerTransfers"]
+
+log = logging.getLogger(__name__)
+
+PULL_TIMEOUT_S = 0.5
+
+
+class PeerTransfers:
+    """Pull tokens from peers, and send them tokens.
+
+    Parameters
+    ----------
+    peers : list of RpcClient
+        Controllers of the other hosts in the zone.
+
+    Notes
+    -----
+    A reply that is lost has left the sender: it stands in the sender's next settlement, and the
+    receiver takes it in from the ledger.
+    """
+
+    def __init__(self, peers: list[RpcClient]) -> None:
+        self._peers = peers
+        self._first = 0
+
+    async def pull(self, keeper: SliceKeeper, budget: str, tokens: int) -> None:
+        """Ask the peers in turn until `tokens` are free."""
+        for index in range(len(self._peers)):
+            missing = tokens - keeper.free(budget)
+            if missing <= 0:
+                return
+            peer = self._peers[(self._first + index) % len(self._peers)]
+            request = PullRequest(keeper.holder, budget, missing)
+            match await peer.call(PULL, request, PULL_TIMEOUT_S):
+                case Ok(PullReply(transfer=transfer)) if transfer is not None:
+                    keeper.receive(transfer)
+                case Err(error):
+                    log.warning("pull failed", extra={"step": "call", "peer": error.peer})
+                    self._first += 1
+
+    def send(self, keeper: SliceKeeper, request: PullRequest) -> PullReply:
+        """Answer a peer's pull."""
+        free = keeper.free(request.budget)
+        tokens = tokens_to_send(free, request.tokens)
+        return PullReply(keeper.send(request.receiver, request.budget, tokens))
--- /dev/null
+++ b/mulberrycleat/controller/budget_status.py
@@ -0,0 +1,62 @@
+"""What operators see of budgets."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from mulberrycleat.budget import BudgetState, Ledger, SliceKeeper
+
+__all__ = ["describe_budgets"]
+
+
+def describe_budgets(ledger: Ledger, keeper: SliceKeeper) -> dict[str, Any]:
+    """Return each budget as of this host's fold, in tokens, with a part for each zone.
+
+    Examples
+    --------
+    >>> from mulberrycleat.budget import Join, Settle, TopUp
+    >>> ledger = Ledger()
+    >>> claim = Settle("a/1", 1, claims={"huts": 4})
+    >>> for record in (TopUp("t1", "huts", 9), Join("a/1", "east"), claim):
+    ...     ledger.apply(record)
+    >>> huts = describe_budgets(ledger, SliceKeeper("a/1", "east", ledger))["huts"]
+    >>> huts["available"], huts["zones"]["east"]["held"], huts["free_here"]
+    (5, 4, 4)
+    """
+    return {
+        name: _describe(name, budget, ledger, keeper) for name, budget in ledger.budgets.items()
+    }
+
+
+def _describe(
+    name: str, budget: BudgetState, ledger: Ledger, keeper: SliceKeeper
+) -> dict[str, Any]:
+    stranded = ledger.stranded(name)
+    zones = set(budget.zones) | {ledger.holders[holder].zone for holder in budget.shares}
+    return {
+        "prepaid": budget.prepaid,
+        "spent": budget.spent,
+        "held": budget.held - stranded,
+        "stranded": stranded,
+        "available": budget.available,
+        "reserved_here": keeper.reserved(name),
+        "free_here": keeper.free(name),
+        "zones": {zone: _zone(name, zone, budget, ledger) for zone in sorted(zones)},
+        "shares": {
+            holder: {"held": share.held, "spent": share.spent}
+            for holder, share in budget.shares.items()
+        },
+    }
+
+
+def _zone(name: str, zone: str, budget: BudgetState, ledger: Ledger) -> dict[str, Any]:
+    shares = budget.shares.items()
+    held = sum(share.held for holder, share in shares if ledger.holders[holder].zone == zone)
+    stranded = ledger.stranded(name, zone)
+    totals = budget.zones.get(zone)
+    return {
+        "spent": totals.spent if totals else 0,
+        "held": held - stranded,
+        "stranded": stranded,
+        "refused": dict(totals.refused) if totals else {},
+    }
--- /dev/null
+++ b/mulberrycleat/controller/budget_writer.py
@@ -0,0 +1,95 @@
+"""Writing of a holder's records to the ledger stream, one settlement in flight."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+
+import msgspec
+import trio
+from result import Err
+
+from mulberrycleat.budget import STREAM, Join, LedgerRecord, SliceKeeper
+from mulberrycleat.budget.restore import LedgerReader
+from mulberrycleat.controller.changes import Changes
+from mulberrycleat.core import Holder
+from mulberrycleat.eventlog import EventLog
+from mulberrycleat.settings import ControllerSettings
+
+__all__ = ["LedgerWriter"]
+
+log = logging.getLogger(__name__)
+
+CONFIRM_TIMEOUT_S = 3.0
+RETRY_EVERY_S = 0.2
+CHECKPOINT_JITTER = 0.5
+
+
+class LedgerWriter:
+    """Write what a holder has to tell.
+
+    Parameters
+    ----------
+    settings : ControllerSettings
+        Timing.
+    event_log : EventLog
+        The platform's log.
+    changes : Changes
+        Notified by the reader of the stream.
+    """
+
+    def __init__(self, settings: ControllerSettings, event_log: EventLog, changes: Changes) -> None:
+        self._settings = settings
+        self._event_log = event_log
+        self._changes = changes
+        self._urgent = trio.Event()
+        self._writing = trio.Lock()
+
+    def hurry(self) -> None:
+        """Write without waiting for the next regular time."""
+        self._urgent.set()
+
+    async def wait_for_next(self) -> None:
+        """Wait until it is time to write."""
+        with trio.move_on_after(self._settings.settle_every_s):
+            await self._urgent.wait()
+        self._urgent = trio.Event()
+
+    async def append(self, *records: LedgerRecord) -> bool:
+        """Append records; return whether the log confirmed it."""
+        match await self._event_log.append(STREAM, tuple(map(msgspec.to_builtins, records))):
+            case Err(error):
+                log.warning("append failed", extra={"step": "append", "peer": error.peer})
+                return False
+        return True
+
+    async def join(self, keeper: SliceKeeper, holder: Holder) -> None:
+        """Open the holder's account."""
+        while keeper.holder not in keeper.ledger.holders:
+            if await self.append(Join(keeper.holder, holder.zone)):
+                await self._wait(lambda: keeper.holder in keeper.ledger.holders)
+            else:
+                await trio.sleep(RETRY_EVERY_S)
+
+    async def settle(self, keeper: SliceKeeper) -> bool:
+        """Write the holder's next settlement; return whether the fold shows it."""
+        async with self._writing:
+            record = keeper.next_record()
+            if record is None:
+                return True
+            if not await self.append(record):
+                await trio.sleep(RETRY_EVERY_S)
+            return await self._wait(lambda: keeper.is_confirmed(record))
+
+    async def write_checkpoints(self, reader: LedgerReader) -> None:
+        """Write a checkpoint whenever no host has written one for some time, for ever."""
+        while True:
+            seen = reader.checkpoints
+            jitter = random.uniform(1.0, 1.0 + CHECKPOINT_JITTER)
+            await trio.sleep(self._settings.checkpoint_every_s * jitter)
+            if reader.complete and reader.checkpoints == seen:
+                await self.append(reader.ledger.checkpoint(reader.next))
+
+    async def _wait(self, condition: Callable[[], bool]) -> bool:
+        return await self._changes.wait_until(condition, CONFIRM_TIMEOUT_S)
--- a/mulberrycleat/controller/budgets.py
+++ b/mulberrycleat/controller/budgets.py
@@ -3,15 +3,31 @@
 from __future__ import annotations
 
 import logging
-from typing import NamedTuple
 
-import msgspec
 import trio
-from result import Err, Ok
 
-from mulberrycleat.budget import STREAM, Bill, Claim, Ledger, LedgerRecord, Settle, Slice
+from mulberrycleat.budget import (
+    STREAM,
+    DealSettings,
+    DemandTracker,
+    Ledger,
+    Reservation,
+    SliceKeeper,
+    deal,
+)
+from mulberrycleat.budget.restore import LedgerReader
+from mulberrycleat.controller.budget_closing import FenceRunner
+from mulberrycleat.controller.budget_peers import PeerTransfers
+from mulberrycleat.controller.budget_writer import LedgerWriter
 from mulberrycleat.controller.changes import Changes
-from mulberrycleat.controller.messages import Ack, ReserveReply, ReserveRequest, SettleRequest
+from mulberrycleat.controller.messages import (
+    Ack,
+    PullReply,
+    PullRequest,
+    ReserveReply,
+    ReserveRequest,
+    SettleRequest,
+)
 from mulberrycleat.core import Holder, new_id
 from mulberrycleat.eventlog import EventLog, Page, follow
 from mulberrycleat.settings import ControllerSettings
@@ -20,18 +36,11 @@
 
 log = logging.getLogger(__name__)
 
-CLAIM_TIMEOUT_S = 3.0
+RESERVE_TIMEOUT_S = 3.0
 RETRY_EVERY_S = 0.2
 RETRY_AFTER_S = 2.0
-CLAIM_PART = 6
-
-
-class Reservation(NamedTuple):
-    """Tokens set aside for one request."""
-
-    budget: str
-    tokens: int
-    router: str
+DEAL_EVERY_S = 1.0
+FRESH_S = 8.0
 
 
 class BudgetController:
@@ -45,142 +54,179 @@
         This incarnation of the host.
     event_log : EventLog
         The platform's log.
+    transfers : PeerTransfers
+        Way to the peers of the zone.
+    fences : FenceRunner
+        Closes the accounts of holders that are gone.
     """
 
-    def __init__(self, settings: ControllerSettings, holder: Holder, event_log: EventLog) -> None:
+    def __init__(
+        self,
+        settings: ControllerSettings,
+        holder: Holder,
+        event_log: EventLog,
+        transfers: PeerTransfers,
+        fences: FenceRunner,
+    ) -> None:
         self._settings = settings
-        self._holder = str(holder)
+        self._holder = holder
         self._event_log = event_log
-        self._ledger = Ledger()
-        self._slices: dict[str, Slice] = {}
-        self._reservations: dict[str, Reservation] = {}
-        self._bills: list[Bill] = []
-        self._unconfirmed: Settle | None = None
-        self._claiming: dict[str, trio.Lock] = {}
+        self._transfers = transfers
+        self._fences = fences
+        self._reader = LedgerReader()
+        self._keeper = self._new_keeper()
+        self._demand = DemandTracker()
+        self._rule = DealSettings()
         self._changes = Changes()
+        self._writer = LedgerWriter(settings, event_log, self._changes)
+        self._read_at = float("-inf")
 
     @property
     def ledger(self) -> Ledger:
         """The fold of the ledger stream."""
-        return self._ledger
+        return self._reader.ledger
 
     @property
-    def slices(self) -> dict[str, Slice]:
-        """Slices by budget."""
-        return self._slices
+    def keeper(self) -> SliceKeeper:
+        """The slices of this host."""
+        return self._keeper
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
-        """Follow the ledger and settle for ever."""
+        """Follow the ledger, deal and settle for ever."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self._follow)
             task_status.started()
-            nursery.start_soon(self._settle_regularly)
+            nursery.start_soon(self._hold)
+            nursery.start_soon(self._deal_regularly)
+            nursery.start_soon(self._writer.write_checkpoints, self._reader)
+            nursery.start_soon(self._fences.run, self._reader, self._writer)
 
     async def reserve(self, request: ReserveRequest) -> ReserveReply:
-        """Set tokens aside for a request, claiming more of the budget if need be."""
-        if request.request in self._reservations:
-            return ReserveReply(True)
-        if self._free(request.budget) < request.tokens:
-            await self._claim(request.budget, request.tokens)
-        if self._free(request.budget) < request.tokens:
+        """Set tokens aside for a request, getting more of the budget if need be."""
+        keeper = self._keeper
+        known = request.request in keeper.reservations
+        if not known:
+            keeper.note_asked(request.budget, request.tokens)
+        found = _reserve(keeper, request)
+        if found is None:
+            await self._transfers.pull(keeper, request.budget, request.tokens)
+            found = _reserve(keeper, request)
+        if found is None:
+            found = await self._reserve_by_claim(keeper, request)
+        if found is None:
             return self._refusal(request)
-        self._slices[request.budget] = self._slice(request.budget).reserve(request.tokens)
-        self._reservations[request.request] = Reservation(
-            request.budget, request.tokens, request.router
-        )
-        return ReserveReply(True)
+        return ReserveReply(True, holder=keeper.holder, number=found.number)
 
     async def settle(self, request: SettleRequest) -> Ack:
         """Turn reservations into bills; one that is gone was settled before."""
         for settlement in request.settlements:
-            reservation = self._reservations.pop(settlement.request, None)
+            reservation = self._keeper.reservations.get(settlement.request)
             if reservation is None:
                 continue
             cost = min(settlement.tokens, reservation.tokens)
             if cost < settlement.tokens:
                 log.error("cost above the reservation", extra={"request": settlement.request})
-            budget = reservation.budget
-            self._slices[budget] = self._slice(budget).settle(reservation.tokens, cost)
-            if cost:
-                self._bills.append(Bill(settlement.request, budget, cost))
+            self._keeper.settle(settlement.request, cost)
         return Ack()
 
+    async def pull(self, request: PullRequest) -> PullReply:
+        """Send tokens to a peer of the zone."""
+        return self._transfers.send(self._keeper, request)
+
     async def flush(self) -> bool:
-        """Write what is unsettled to the ledger; return whether all of it is confirmed."""
-        record = self._next_settlement()
-        if record is None:
-            return True
-        await self._event_log.append(STREAM, (msgspec.to_builtins(record),))
-        return await self._changes.wait_until(
-            lambda: self._ledger.settled(self._holder) >= record.seq, CLAIM_TIMEOUT_S
-        )
+        """Return what is free and write what is unsettled; return whether all is confirmed."""
+        self._keeper.finish()
+        await self._writer.settle(self._keeper)
+        return self._keeper.ended
 
     async def _follow(self, task_status: trio.TaskStatus) -> None:
         await follow(self._event_log, STREAM, self._on_page, task_status=task_status)
 
     async def _on_page(self, page: Page) -> None:
-        for entry in page.entries:
-            try:
-                self._apply(msgspec.convert(entry.data, LedgerRecord))
-            except msgspec.ValidationError as error:
-                log.warning("record passed over", extra={"offset": entry.offset, "why": str(error)})
+        self._reader.take(page)
+        self._read_at = trio.current_time()
         if page.entries:
+            self._keeper.use(self._reader.ledger)
             self._changes.notify()
 
-    def _apply(self, record: LedgerRecord) -> None:
-        fresh_claim = isinstance(record, Claim) and self._ledger.granted(record.id) is None
-        self._ledger.apply(record)
-        if fresh_claim and record.holder == self._holder:
-            granted = self._ledger.granted(record.id) or 0
-            self._slices[record.budget] = self._slice(record.budget).grant(granted)
-        if self._unconfirmed and self._ledger.settled(self._holder) >= self._unconfirmed.seq:
-            self._unconfirmed = None
-
-    async def _claim(self, budget: str, needed: int) -> None:
-        lock = self._claiming.setdefault(budget, trio.Lock())
-        async with lock:
-            missing = needed - self._free(budget)
-            state = self._ledger.budgets.get(budget)
-            if missing <= 0 or state is None or state.available <= 0:
-                return
-            tokens = max(missing, state.available // CLAIM_PART)
-            await self._append_claim(Claim(new_id(), budget, self._holder, tokens))
-
-    async def _append_claim(self, claim: Claim) -> None:
-        with trio.move_on_after(CLAIM_TIMEOUT_S):
-            while self._ledger.granted(claim.id) is None:
-                match await self._event_log.append(STREAM, (msgspec.to_builtins(claim),)):
-                    case Ok(_):
-                        await self._changes.wait_until(
-                            lambda: self._ledger.granted(claim.id) is not None, CLAIM_TIMEOUT_S
-                        )
-                    case Err(error):
-                        log.warning("claim failed", extra={"step": "append", "peer": error.peer})
-                        await trio.sleep(RETRY_EVERY_S)
-
-    async def _settle_regularly(self) -> None:
+    async def _hold(self) -> None:
+        """Join and settle; join anew as another holder after a fence."""
         while True:
-            await trio.sleep(self._settings.settle_every_s)
-            await self.flush()
-
-    def _next_settlement(self) -> Settle | None:
-        if self._unconfirmed is None and self._bills:
-            seq = self._ledger.settled(self._holder) + 1
-            self._unconfirmed = Settle(self._holder, seq, tuple(self._bills))
-            self._bills.clear()
-        return self._unconfirmed
-
-    def _slice(self, budget: str) -> Slice:
-        return self._slices.get(budget) or Slice()
-
-    def _free(self, budget: str) -> int:
-        return self._slice(budget).free
+            while not self._reader.complete:
+                log.error("the ledger's records expired and no checkpoint tells their state")
+                await trio.sleep(DEAL_EVERY_S)
+            await self._writer.join(self._keeper, self._holder)
+            await self._settle_while_open()
+            log.error("this holder was fenced", extra={"holder": self._keeper.holder})
+            self._keeper = self._new_keeper()
+
+    async def _settle_while_open(self) -> None:
+        while self.ledger.is_open(self._keeper.holder) or self._keeper.ended:
+            await self._writer.wait_for_next()
+            await self._writer.settle(self._keeper)
+
+    def _new_keeper(self) -> SliceKeeper:
+        holder = self._holder._replace(incarnation=new_id())
+        return SliceKeeper(str(holder), holder.zone, self._reader.ledger)
+
+    async def _deal_regularly(self) -> None:
+        while True:
+            await trio.sleep(DEAL_EVERY_S)
+            now = trio.current_time()
+            self._demand.observe(now, self.ledger.budgets)
+            if now - self._read_at < FRESH_S and self._keeper.settled:
+                self._deal()
+
+    def _deal(self) -> None:
+        keeper = self._keeper
+        for name, budget in self.ledger.budgets.items():
+            decision = deal(
+                keeper.holder,
+                keeper.free(name),
+                budget,
+                self.ledger.holders,
+                self._demand.of(name),
+                self._rule,
+            )
+            if decision.claim:
+                keeper.claim(name, decision.claim)
+            if decision.give_back:
+                keeper.give_back(name, decision.give_back)
+
+    async def _reserve_by_claim(
+        self, keeper: SliceKeeper, request: ReserveRequest
+    ) -> Reservation | None:
+        with trio.move_on_after(RESERVE_TIMEOUT_S):
+            while self._may_hold(request):
+                missing = request.tokens - keeper.free(request.budget)
+                if missing > 0 and not keeper.is_claiming(request.budget):
+                    keeper.claim(request.budget, missing)
+                    self._writer.hurry()
+                if found := _reserve(keeper, request):
+                    return found
+                await self._changes.wait_until(
+                    lambda: keeper.free(request.budget) >= request.tokens, RETRY_EVERY_S
+                )
+        return _reserve(keeper, request)
+
+    def _may_hold(self, request: ReserveRequest) -> bool:
+        """Return whether the tokens may be somewhere within reach."""
+        budget = self.ledger.budgets.get(request.budget)
+        left = budget.prepaid - budget.spent - self.ledger.stranded(request.budget) if budget else 0
+        return left >= request.tokens
 
     def _refusal(self, request: ReserveRequest) -> ReserveReply:
-        state = self._ledger.budgets.get(request.budget)
-        left = state.prepaid - state.spent if state else 0
+        budget = self.ledger.budgets.get(request.budget)
+        left = budget.prepaid - budget.spent if budget else 0
         if left >= request.tokens:
+            code, retry_after_s = "budget_held_elsewhere", RETRY_AFTER_S
             reason = f"the free tokens of budget {request.budget!r} are held elsewhere"
-            return ReserveReply(False, "budget_held_elsewhere", reason, RETRY_AFTER_S)
-        reason = f"budget {request.budget!r} has {left} tokens left, {request.tokens} needed"
-        return ReserveReply(False, "budget_exhausted", reason, None)
+        else:
+            code, retry_after_s = "budget_exhausted", None
+            reason = f"budget {request.budget!r} has {left} tokens left, {request.tokens} needed"
+        self._keeper.note_refused(request.budget, code)
+        return ReserveReply(False, code, reason, retry_after_s)
+
+
+def _reserve(keeper: SliceKeeper, request: ReserveRequest) -> Reservation | None:
+    return keeper.reserve(request.request, request.budget, request.tokens, request.router)
--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mulberrycleat.budget import Transfer
 from mulberrycleat.rpc import Method
 
 __all__ = [
@@ -11,6 +12,7 @@
     "BEGIN",
     "FINISH",
     "HEARTBEAT",
+    "PULL",
     "RECALL",
     "RESERVE",
     "SETTLE",
@@ -23,6 +25,8 @@
     "FinishRequest",
     "Heartbeat",
     "HeartbeatReply",
+    "PullReply",
+    "PullRequest",
     "RecallRequest",
     "ReserveReply",
     "ReserveRequest",
@@ -78,12 +82,22 @@
 
 
 class ReserveReply(msgspec.Struct, frozen=True):
-    """Whether the tokens were set aside, and if not, why and when to come back (seconds)."""
+    """Whether the tokens were set aside, and if not, why and when to come back (seconds).
+
+    Attributes
+    ----------
+    holder : str
+        Holder of the tokens; dispatches carry it, so that an endpoint can refuse a fenced one.
+    number : int
+        Number of the reservation, counted by the holder.
+    """
 
     granted: bool
     code: str = ""
     reason: str = ""
     retry_after_s: float | None = None
+    holder: str = ""
+    number: int = 0
 
 
 class Settlement(msgspec.Struct, frozen=True):
@@ -100,6 +114,20 @@
     settlements: tuple[Settlement, ...]
 
 
+class PullRequest(msgspec.Struct, frozen=True):
+    """A holder asks a peer of its zone to send it tokens of a budget."""
+
+    receiver: str
+    budget: str
+    tokens: int
+
+
+class PullReply(msgspec.Struct, frozen=True):
+    """Tokens sent; once the peer has made this, they have left it. None where it has none."""
+
+    transfer: Transfer | None = None
+
+
 class RecallRequest(msgspec.Struct, frozen=True):
     """Ask what is known of an idempotency key."""
 
@@ -183,4 +211,5 @@
 FINISH = Method("Finish", FinishRequest, Ack)
 ABANDON = Method("Abandon", AbandonRequest, Ack)
 HEARTBEAT = Method("Heartbeat", Heartbeat, HeartbeatReply)
+PULL = Method("Pull", PullRequest, PullReply)
 STATUS = Method("Status", StatusRequest, StatusReply)
--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -94,6 +94,9 @@
         File with the key that calls between the fleet's processes carry.
     settle_every_s : float
         Time between two settlements to the log, in seconds.
+    checkpoint_every_s : float
+        Time between two checkpoints of the ledger, in seconds; a fifth of the log's retention or
+        less.
     """
 
     host: HostSettings
@@ -102,6 +105,7 @@
     fleet_key_file: str
     peers: tuple[Address, ...] = ()
     settle_every_s: Seconds = 0.5
+    checkpoint_every_s: Seconds = 60.0
     log: LogSettings = field(default_factory=LogSettings)
 
 
