--- a/mulberrycleat/budget/ledger.py
+++ b/mulberrycleat/budget/ledger.py
@@ -198,8 +198,8 @@
         for bill in record.bills:
             if bill.number >= holder.floor and bill.number not in holder.settled:
                 before = found.get(bill.number)
-                if before is None or before.tokens < bill.tokens:
-                    found[bill.number] = bill
+                tokens = bill.tokens + (before.tokens if before else 0)
+                found[bill.number] = replace(bill, tokens=tokens)
         unconfirmed = holder.unconfirmed - {record.endpoint}
         self._update(record.holder, unconfirmed=unconfirmed, found=found)
 
--- a/mulberrycleat/controller/budget_closing.py
+++ b/mulberrycleat/controller/budget_closing.py
@@ -15,7 +15,7 @@
 from mulberrycleat.controller.manifests import ManifestController
 from mulberrycleat.core import Holder
 from mulberrycleat.manifest import Endpoint, Price
-from mulberrycleat.web import HttpClient
+from mulberrycleat.web import BaseHttpClient
 
 __all__ = ["FenceRunner"]
 
@@ -52,11 +52,13 @@
         This incarnation of the host.
     manifests : ManifestController
         Endpoints and prices.
-    client : HttpClient
+    client : BaseHttpClient
         Connections to endpoints.
     """
 
-    def __init__(self, holder: Holder, manifests: ManifestController, client: HttpClient) -> None:
+    def __init__(
+        self, holder: Holder, manifests: ManifestController, client: BaseHttpClient
+    ) -> None:
         self._holder = holder
         self._manifests = manifests
         self._client = client
