--- /dev/null
+++ b/mulberrycleat/bench/budgets.py
@@ -0,0 +1,113 @@
+"""``bin/bench budgets``: false refusals of several dealing rules on the same traces."""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import click
+
+from mulberrycleat.bench.budget_baselines import BASELINES, replay_baseline
+from mulberrycleat.bench.budget_faults import SCENARIOS, make_faults
+from mulberrycleat.bench.budget_replay import FleetReplay
+from mulberrycleat.bench.budget_score import Score
+from mulberrycleat.bench.budget_traces import Trace, TraceSettings, make_trace
+from mulberrycleat.budget import DealSettings
+
+__all__ = ["command"]
+
+TIGHTNESSES = (0.7, 0.9, 1.0, 1.2)
+FLEET_RULES = {
+    "demand": DealSettings(even_part=0.0),
+    "chosen": DealSettings(),
+}
+OTHER_RULES = {
+    "demand_no_recall": DealSettings(even_part=0.0, recall=False),
+    "even": DealSettings(even_part=1.0),
+    "quarter_even": DealSettings(even_part=0.25),
+    "three_quarters": DealSettings(even_part=0.75),
+    "no_recall": DealSettings(recall=False),
+    "slack_10": DealSettings(slack_part=0.1),
+}
+
+
+class Cell(NamedTuple):
+    """One replay."""
+
+    scenario: str
+    tightness: float
+    rule: str
+    score: Score
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--requests", default=5000, show_default=True, help="Requests in a trace.")
+@click.option("--scenario", "scenarios", multiple=True, type=click.Choice(SCENARIOS))
+@click.option("--all-rules", is_flag=True, help="Measure the rules that lost, too.")
+def command(seed: int, requests: int, scenarios: tuple[str, ...], all_rules: bool) -> None:
+    """Replay seeded traces with each dealing rule."""
+    rules = {**FLEET_RULES, **(OTHER_RULES if all_rules else {})}
+    trace = make_trace(TraceSettings(requests=requests), seed)
+    cells = []
+    for scenario in scenarios or SCENARIOS:
+        found = list(_cells(scenario, trace, rules, seed))
+        cells.extend(found)
+        _print_table(scenario, found)
+    _print_table("all", cells)
+    click.echo(json.dumps(_summary(cells)))
+
+
+def _cells(
+    scenario: str, trace: Trace, rules: dict[str, DealSettings], seed: int
+) -> Iterable[Cell]:
+    faults = make_faults(scenario, seed)
+    for tightness in TIGHTNESSES:
+        prepaid = {name: int(tokens * tightness) for name, tokens in trace.demand.items()}
+        for rule in BASELINES:
+            yield Cell(scenario, tightness, rule, replay_baseline(rule, trace, prepaid, faults))
+        for rule, settings in rules.items():
+            score = FleetReplay(trace, prepaid, faults, settings, seed).run()
+            yield Cell(scenario, tightness, rule, score)
+
+
+def _rates(cells: Iterable[Cell]) -> dict[str, dict[float, float]]:
+    """Return false refusals as a part of requests, by rule and tightness."""
+    counts: dict[tuple[str, float], list[int]] = defaultdict(lambda: [0, 0])
+    for cell in cells:
+        sums = counts[cell.rule, cell.tightness]
+        sums[0] += cell.score.false_refusals
+        sums[1] += cell.score.requests
+    rates: dict[str, dict[float, float]] = defaultdict(dict)
+    for (rule, tightness), (false, requests) in counts.items():
+        rates[rule][tightness] = false / max(1, requests)
+    return rates
+
+
+def _print_table(title: str, cells: list[Cell]) -> None:
+    click.echo(f"\n{title}: false refusals, % of requests, at each part of the demand prepaid")
+    click.echo(f"{'rule':<20}" + "".join(f"{tightness:>9}" for tightness in TIGHTNESSES))
+    for rule, by_tightness in _rates(cells).items():
+        numbers = "".join(f"{100 * by_tightness[key]:>9.3f}" for key in TIGHTNESSES)
+        click.echo(f"{rule:<20}{numbers}")
+
+
+def _summary(cells: list[Cell]) -> dict[str, object]:
+    fleet = [cell for cell in cells if cell.rule in FLEET_RULES or cell.rule in OTHER_RULES]
+    chosen = [cell.score for cell in cells if cell.rule == "chosen"]
+    length_s = TraceSettings().length_s
+    rates = _rates(cells)
+    return {
+        "overspend_tokens": sum(cell.score.overspend for cell in cells),
+        "billing_errors": sum(cell.score.billing_errors for cell in fleet),
+        "false_refusal_rate": {
+            rule: round(sum(found.values()) / len(found), 6) for rule, found in rates.items()
+        },
+        "by_tightness": {
+            rule: {str(key): round(rate, 6) for key, rate in found.items()}
+            for rule, found in rates.items()
+        },
+        "appends_per_s": round(max(score.appends for score in chosen) / length_s, 2),
+    }
