--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -9,6 +9,9 @@
 import trio
 
 from mulberrycleat.controller import messages as m
+from mulberrycleat.controller.budget_closing import FenceRunner
+from mulberrycleat.controller.budget_peers import PeerTransfers
+from mulberrycleat.controller.budget_status import describe_budgets
 from mulberrycleat.controller.budgets import BudgetController
 from mulberrycleat.controller.changes import Changes
 from mulberrycleat.controller.engines import HttpEngines
@@ -72,7 +75,11 @@
             lambda task: self._hosts.rank(task) == 0,
             self._changes,
         )
-        self._budgets = BudgetController(settings, self._holder, event_log)
+        peers = [self._ports.connect_rpc(address, fleet_key) for address in settings.peers]
+        fences = FenceRunner(self._holder, self._manifests, self._ports.http)
+        self._budgets = BudgetController(
+            settings, self._holder, event_log, PeerTransfers(peers), fences
+        )
         self._once = OnceController(self._holder, event_log)
 
     async def run(self, stop: trio.Event) -> None:
@@ -89,7 +96,7 @@
     async def _wait_for_router(self) -> None:
         """Go on serving until no request of the router beside holds a reservation."""
         with trio.move_on_after(self._settings.drain_timeout_s):
-            while any(part.reserved for part in self._budgets.slices.values()):
+            while self._budgets.keeper.reservations:
                 await trio.sleep(STOP_POLL_S)
 
     async def _run_controllers(self) -> None:
@@ -112,6 +119,7 @@
             m.SYNC: self._sync,
             m.RESERVE: self._budgets.reserve,
             m.SETTLE: self._budgets.settle,
+            m.PULL: self._budgets.pull,
             m.RECALL: self._once.recall,
             m.BEGIN: self._once.begin,
             m.FINISH: self._once.finish,
@@ -145,19 +153,6 @@
 
     async def _status(self, request: m.StatusRequest) -> m.StatusReply:
         state = self._manifests.state
-        budgets = {
-            name: {
-                "prepaid": budget.prepaid,
-                "spent": budget.spent,
-                "held": budget.granted - budget.spent,
-                "available": budget.available,
-                "shares": {
-                    holder: {"granted": share.granted, "spent": share.spent}
-                    for holder, share in budget.shares.items()
-                },
-            }
-            for name, budget in self._budgets.ledger.budgets.items()
-        }
         body = {
             "host": self._holder.host,
             "zone": self._holder.zone,
@@ -174,7 +169,7 @@
                 for peer in self._hosts.versions()
             },
             "log_reads": self._relay.log_reads,
-            "budgets": budgets,
-            "reserved": {name: part.reserved for name, part in self._budgets.slices.items()},
+            "holder": self._budgets.keeper.holder,
+            "budgets": describe_budgets(self._budgets.ledger, self._budgets.keeper),
         }
         return m.StatusReply(msgspec.json.encode(body))
--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -100,6 +100,9 @@
     drain_timeout_s : float
         Longest time for reservations to be settled after a stop signal, in seconds; not less than
         the router's.
+    checkpoint_every_s : float
+        Time between two checkpoints of the ledger, in seconds; a fifth of the log's retention or
+        less.
     """
 
     host: HostSettings
@@ -109,6 +112,7 @@
     peers: tuple[Address, ...] = ()
     settle_every_s: Seconds = 0.5
     drain_timeout_s: Seconds = 65.0
+    checkpoint_every_s: Seconds = 60.0
     log: LogSettings = field(default_factory=LogSettings)
 
 
