--- a/mulberrycleat/demo/main.py
+++ b/mulberrycleat/demo/main.py
@@ -16,7 +16,7 @@
 from mulberrycleat.demo.callers import book, chat, chat_stream
 from mulberrycleat.testing.fleet import FleetPlan, LocalFleet, local_fleet, write_manifest
 
-__all__ = ["main"]
+__all__ = ["main", "operate", "set_up"]
 
 PREPAID_TOKENS = 200_000
 SURVEY_NOTE = "Day 3, east track: two washouts, one fallen myrtle, hut door hinge broken. " * 20
@@ -38,7 +38,7 @@
         where = directory or Path(scratch)
         where.mkdir(parents=True, exist_ok=True)
         with local_fleet(plan, where) as fleet:
-            _set_up(fleet, where)
+            set_up(fleet, where)
             if serve:
                 _serve(fleet)
             else:
@@ -55,7 +55,7 @@
     return json.loads(done.stdout)
 
 
-def _set_up(fleet: LocalFleet, where: Path) -> None:
+def set_up(fleet: LocalFleet, where: Path) -> None:
     for account in fleet.keys:
         operate(fleet, "top-up", account, str(PREPAID_TOKENS), "--id", f"first-{account}")
     path = write_manifest(fleet, where / "manifest-1.json")
