--- a/mulberrycleat/core/logs.py
+++ b/mulberrycleat/core/logs.py
@@ -4,14 +4,52 @@
 
 import logging
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
 
 from pythonjsonlogger.json import JsonFormatter
 
 from mulberrycleat.settings.model import LogSettings
 
-__all__ = ["configure_logging"]
+__all__ = ["add_log_fields", "configure_logging", "log_fields"]
 
 _TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+_fields: ContextVar[dict[str, str] | None] = ContextVar("log_fields", default=None)
+
+
+@contextmanager
+def log_fields(**fields: str) -> Iterator[None]:
+    """Give every record of this task and its children, inside the block, these fields."""
+    token = _fields.set(dict(fields))
+    try:
+        yield
+    finally:
+        _fields.reset(token)
+
+
+def add_log_fields(**fields: str) -> None:
+    """Add fields to the innermost :func:`log_fields` block; without one nothing happens.
+
+    >>> with log_fields(request="r1"):
+    ...     add_log_fields(account="huts")
+    ...     sorted(_fields.get())
+    ['account', 'request']
+    """
+    current = _fields.get()
+    if current is not None:
+        current.update(fields)
+
+
+class ContextFilter(logging.Filter):
+    """Adds the fields of :func:`log_fields` to records that do not have them."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Add the fields; every record passes."""
+        for name, value in (_fields.get() or {}).items():
+            if not hasattr(record, name):
+                setattr(record, name, value)
+        return True
 
 
 def configure_logging(settings: LogSettings, **fixed: str) -> None:
@@ -36,6 +74,7 @@
         )
     else:
         handler.setFormatter(logging.Formatter(_TEXT_FORMAT))
+    handler.addFilter(ContextFilter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(settings.level.upper())
--- a/mulberrycleat/demo/main.py
+++ b/mulberrycleat/demo/main.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 import tempfile
-import threading
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -37,11 +37,11 @@
     with tempfile.TemporaryDirectory(prefix="mulberrycleat-") as scratch:
         where = directory or Path(scratch)
         where.mkdir(parents=True, exist_ok=True)
-        with local_fleet(plan, where) as fleet:
-            set_up(fleet, where)
-            if serve:
-                _serve(fleet)
-            else:
+        if serve:
+            _serve(plan, where)
+        else:
+            with local_fleet(plan, where) as fleet:
+                set_up(fleet, where)
                 _show(fleet, where)
 
 
@@ -56,6 +56,7 @@
 
 
 def set_up(fleet: LocalFleet, where: Path) -> None:
+    """Prepay every budget, publish a manifest and wait until every router is ready."""
     for account in fleet.keys:
         operate(fleet, "top-up", account, str(PREPAID_TOKENS), "--id", f"first-{account}")
     path = write_manifest(fleet, where / "manifest-1.json")
@@ -63,12 +64,13 @@
     fleet.wait_until_ready()
 
 
-def _serve(fleet: LocalFleet) -> None:
-    print(json.dumps(fleet.description()), flush=True)
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    stop.wait()
+def _serve(plan: FleetPlan, where: Path) -> None:
+    """Stay up until a stop signal, which may come while the fleet still starts."""
+    signals = (signal.SIGTERM, signal.SIGINT)
+    with suppress(InterruptedError), local_fleet(plan, where, signals) as fleet:
+        set_up(fleet, where)
+        print(json.dumps(fleet.description()), flush=True)
+        fleet.interrupted.wait()
 
 
 def _show(fleet: LocalFleet, where: Path) -> None:
--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -8,7 +8,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from result import Err, Ok, Result
 
-from mulberrycleat.core import Refusal, Served, new_id
+from mulberrycleat.core import Refusal, Served, Step, new_id
+from mulberrycleat.core.logs import log_fields
 from mulberrycleat.core.ports import Ports
 from mulberrycleat.router.answers import BufferedSink, http_problem, problem_event, problem_reply
 from mulberrycleat.router.call import Call
@@ -110,29 +111,32 @@
 
     async def _serve(self, request: Request, responder: Responder) -> Reply | None:
         call = Call(new_id(), request, self._link.view, BufferedSink(responder))
+        with log_fields(request=call.id, path=request.path):
+            return await self._run_chain(call, responder)
+
+    async def _run_chain(self, call: Call, responder: Responder) -> Reply | None:
         outcome: Result[Served, Refusal] | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_when_gone, responder, nursery.cancel_scope)
             outcome = await self._chain.run(call)
             nursery.cancel_scope.cancel()
-        self._note(call, outcome)
+        self._note(outcome)
         if isinstance(outcome, Err):
             return await _refuse(call, responder, outcome.err_value)
         return None
 
-    def _note(self, call: Call, outcome: Result[Served, Refusal] | None) -> None:
-        fields = {"request": call.id, "path": call.request.path}
+    def _note(self, outcome: Result[Served, Refusal] | None) -> None:
         match outcome:
             case Ok(served):
                 self._requests.labels("served", "").inc()
-                log.info("served", extra={**fields, "peer": served.endpoint})
+                log.info("served", extra={"step": Step.STREAM.value, "peer": served.endpoint})
             case Err(refusal):
                 self._requests.labels(refusal.outcome, refusal.code).inc()
                 where = {"step": refusal.step.value, "peer": refusal.peer, "why": refusal.reason}
-                log.info("refused", extra={**fields, **where, "code": refusal.code})
+                log.info("refused", extra={**where, "code": refusal.code})
             case None:
                 self._requests.labels("cancelled", "").inc()
-                log.info("caller gone", extra=fields)
+                log.info("caller gone", extra={"step": Step.STREAM.value, "peer": "caller"})
 
     async def _health(self, request: Request, responder: Responder) -> Reply:
         return json_reply({"status": "ok"})
--- a/mulberrycleat/router/filters/authenticate.py
+++ b/mulberrycleat/router/filters/authenticate.py
@@ -8,6 +8,7 @@
 from result import Err, Result
 
 from mulberrycleat.core import NotRun, Refusal, Served, Step
+from mulberrycleat.core.logs import add_log_fields
 from mulberrycleat.manifest import Manifest
 from mulberrycleat.router.call import Call, Proceed
 
@@ -33,6 +34,7 @@
         if found is None:
             return Err(_unauthorized("the key is not known"))
         account, budget = found
+        add_log_fields(account=account)
         return await proceed(replace(call, account=account, budget=budget))
 
     def _index(self, manifest: Manifest) -> dict[str, tuple[str, str]]:
--- a/mulberrycleat/settings/check.py
+++ b/mulberrycleat/settings/check.py
@@ -21,6 +21,8 @@
 
 T = TypeVar("T")
 
+_SHOWN_CHARS = 60
+
 
 class Fault(NamedTuple):
     """One fault in a file.
@@ -122,7 +124,10 @@
 
 def _faults(data: Any, kind: Any, path: str) -> Iterator[Fault]:
     origin = typing.get_origin(kind)
-    if dataclasses.is_dataclass(kind):
+    if origin is typing.Annotated and typing.get_origin(kind.__origin__) in (tuple, dict):
+        inner = list(_faults(data, kind.__origin__, path))
+        yield from inner or _converted_faults(data, kind, path)
+    elif dataclasses.is_dataclass(kind):
         yield from _dataclass_faults(data, kind, path)
     elif origin is tuple and isinstance(data, list):
         for index, item in enumerate(data):
@@ -134,10 +139,25 @@
         plain = [arg for arg in typing.get_args(kind) if arg is not type(None)]
         yield from _faults(data, plain[0] if len(plain) == 1 else typing.Any, path)
     else:
-        try:
-            msgspec.convert(data, kind, strict=True)
-        except msgspec.ValidationError as error:
-            yield _from_msgspec(error, path)
+        yield from _converted_faults(data, kind, path)
+
+
+def _converted_faults(data: Any, kind: Any, path: str) -> Iterator[Fault]:
+    try:
+        msgspec.convert(data, kind, strict=True)
+    except msgspec.ValidationError as error:
+        fault = _from_msgspec(error, path)
+        description = _description(kind)
+        shown = f"expected {description}, got {data!r:.{_SHOWN_CHARS}}"
+        yield fault._replace(reason=shown) if description else fault
+
+
+def _description(kind: Any) -> str:
+    """Return how a type describes its values; empty when it does not."""
+    if typing.get_origin(kind) is typing.Literal:
+        return " or ".join(map(repr, typing.get_args(kind)))
+    found = [meta.description for meta in getattr(kind, "__metadata__", ())]
+    return next((description for description in found if description), "")
 
 
 def _dataclass_faults(data: Any, kind: Any, path: str) -> Iterator[Fault]:
--- a/mulberrycleat/settings/load.py
+++ b/mulberrycleat/settings/load.py
@@ -38,7 +38,7 @@
     try:
         data: dict[str, Any] = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        return Err([Fault("", str(error))])
+        return Err([syntax_fault(text, error)])
     match convert_all(data, kind):
         case Err(faults):
             return Err([fault._replace(line=line_of(text, fault.path)) for fault in faults])
@@ -46,11 +46,18 @@
             return Ok(settings)
 
 
+def syntax_fault(text: str, error: tomllib.TOMLDecodeError) -> Fault:
+    """Return the fault of TOML syntax in `text`, with its line."""
+    reason, _, where = str(error).partition(" (at ")
+    line = where.removeprefix("line ").partition(",")[0]
+    return Fault("", reason, int(line) if line.isdigit() else len(text.splitlines()))
+
+
 def read_fleet_key(path: str) -> Result[str, list[Fault]]:
     """Return the key shared by the fleet's processes, without its line end."""
     try:
         key = Path(path).read_text(encoding="utf-8").strip()
-    except OSError as error:
+    except (OSError, UnicodeDecodeError, ValueError) as error:
         return Err([Fault("fleet_key_file", str(error))])
     if not key:
         return Err([Fault("fleet_key_file", "the file is empty")])
--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -17,9 +17,25 @@
     "RouterSettings",
 ]
 
-Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
-Seconds = Annotated[float, Meta(gt=0)]
-Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+_OCTET = r"(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
+_PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]\d{4}|[1-9]\d{0,3})"
+_ADDRESS = rf"{_OCTET}(\.{_OCTET}){{3}}:{_PORT}"
+_LONGEST_S = 1e9
+
+Address = Annotated[str, Meta(pattern=rf"^{_ADDRESS}\Z", description="an ip:port")]
+OptionalAddress = Annotated[
+    str, Meta(pattern=rf"^({_ADDRESS})?\Z", description="an ip:port or nothing")
+]
+Seconds = Annotated[
+    float, Meta(gt=0, le=_LONGEST_S, description=f"seconds above 0 and up to {_LONGEST_S:g}")
+]
+Name = Annotated[
+    str,
+    Meta(
+        pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*\Z",
+        description="a name of letters, digits, '.', '_' and '-'",
+    ),
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,8 +87,8 @@
     """
 
     log: Address
-    hosts: str = ""
-    weights: str = ""
+    hosts: OptionalAddress = ""
+    weights: OptionalAddress = ""
     timeout_s: Seconds = 2.0
 
 
@@ -133,7 +149,7 @@
 
     host: HostSettings
     listen: Address
-    controllers: tuple[Address, ...]
+    controllers: Annotated[tuple[Address, ...], Meta(min_length=1)]
     fleet_key_file: str
     max_body_bytes: Annotated[int, Meta(gt=0)] = 1_048_576
     receive_timeout_s: Seconds = 10.0
--- a/mulberrycleat/testing/fleet.py
+++ b/mulberrycleat/testing/fleet.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack, closing, contextmanager
@@ -46,6 +47,7 @@
         with closing(_free_addresses()) as addresses:
             self._layout = Layout(plan, addresses, str(self._key_file))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._interrupted = threading.Event()
         self._operator_file = directory / "operator.toml"
         self._write()
 
@@ -78,6 +80,11 @@
         """Return whether a member was started and not stopped since."""
         return name in self._processes
 
+    @property
+    def interrupted(self) -> threading.Event:
+        """Once set, every wait for the fleet raises :class:`InterruptedError`."""
+        return self._interrupted
+
     def of_kind(self, kind: str) -> list[Member]:
         """Return the members of one kind."""
         return self._layout.of_kind(kind)
@@ -168,6 +175,8 @@
     def _wait_for(self, url: str, name: str) -> None:
         deadline = time.monotonic() + START_TIMEOUT_S
         while True:
+            if self._interrupted.is_set():
+                raise InterruptedError(f"while waiting for {name}")
             try:
                 with urlopen(url, timeout=2) as answer:
                     if answer.status == 200:
@@ -198,9 +207,13 @@
 
 
 @contextmanager
-def local_fleet(plan: FleetPlan, directory: Path) -> Iterator[LocalFleet]:
-    """Start a fleet and stop it at the end."""
+def local_fleet(
+    plan: FleetPlan, directory: Path, stop_signals: tuple[signal.Signals, ...] = ()
+) -> Iterator[LocalFleet]:
+    """Start a fleet and stop it at the end; `stop_signals` interrupt it."""
     fleet = LocalFleet(plan, directory)
+    for number in stop_signals:
+        signal.signal(number, lambda *_: fleet.interrupted.set())
     try:
         fleet.start_all()
         fleet.wait_for_platform()
