--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -11,12 +11,15 @@
 from mulberrycleat.controller import messages as m
 from mulberrycleat.controller.budgets import BudgetController
 from mulberrycleat.controller.changes import Changes
+from mulberrycleat.controller.engines import HttpEngines
 from mulberrycleat.controller.hosts import HostController
 from mulberrycleat.controller.manifests import ManifestController
 from mulberrycleat.controller.once import OnceController
+from mulberrycleat.controller.orders import OrderController
+from mulberrycleat.controller.plans import kept_from_work, moved, plan_progress, planned_leaving
 from mulberrycleat.core import Holder, new_id
 from mulberrycleat.core.ports import Ports
-from mulberrycleat.eventlog import HttpEventLog
+from mulberrycleat.eventlog import HttpEventLog, RelayedLog
 from mulberrycleat.rpc import Method, RpcHandler
 from mulberrycleat.settings import ControllerSettings
 
@@ -49,13 +52,28 @@
         self._holder = Holder(settings.host.name, settings.host.zone, new_id())
         self._ports = ports or Ports()
         self._changes = Changes()
-        event_log = HttpEventLog(settings.platform, self._ports.http)
-        self._manifests = ManifestController(event_log, self._changes)
+        self._hosts = HostController(settings, self._holder, self._ports, fleet_key, self._changes)
+        event_log = RelayedLog(
+            HttpEventLog(settings.platform, self._ports.http),
+            self._hosts.choose_reader,
+            self._hosts.ask_reader,
+        )
+        self._relay = event_log
+        self._manifests = ManifestController(
+            settings, self._holder, event_log, self._hosts, self._changes
+        )
+        self._engines = HttpEngines(self._ports.http)
+        self._orders = OrderController(
+            self._holder,
+            event_log,
+            self._engines,
+            lambda: self._manifests.state.manifest,
+            self._leaving_anyway,
+            lambda task: self._hosts.rank(task) == 0,
+            self._changes,
+        )
         self._budgets = BudgetController(settings, self._holder, event_log)
         self._once = OnceController(self._holder, event_log)
-        self._hosts = HostController(
-            settings, self._holder, self._manifests, self._ports, fleet_key, self._changes
-        )
 
     async def run(self, stop: trio.Event) -> None:
         """Run until `stop` is set, then settle and end. Needs an open trio-asyncio loop."""
@@ -76,7 +94,13 @@
 
     async def _run_controllers(self) -> None:
         async with trio.open_nursery() as nursery:
-            for controller in (self._manifests, self._budgets, self._once, self._hosts):
+            for controller in (
+                self._hosts,
+                self._manifests,
+                self._orders,
+                self._budgets,
+                self._once,
+            ):
                 await nursery.start(controller.run)
             await nursery.start(
                 self._ports.serve_rpc, self._handlers(), self._settings.listen, self._fleet_key
@@ -93,23 +117,31 @@
             m.FINISH: self._once.finish,
             m.ABANDON: self._once.abandon,
             m.HEARTBEAT: self._hosts.heartbeat,
+            m.READ_STREAM: self._read_stream,
+            m.CATCH_UP: self._manifests.catch_up,
+            m.CONFIRM: self._manifests.confirm,
             m.STATUS: self._status,
         }
 
     async def _sync(self, request: m.SyncRequest) -> m.SyncReply:
+        self._manifests.note_router(request)
         await self._changes.wait_until(
             lambda: self._changes.version != request.seen, request.wait_s
         )
-        return m.SyncReply(
-            version=self._changes.version,
-            manifest_version=self._manifests.state.version,
-            manifest=self._manifests.encoded,
-            leaving=tuple(sorted(self._leaving())),
-        )
+        moves = moved(self._orders.state.out())
+        return self._manifests.sync(request, tuple(sorted(self._leaving())), moves)
+
+    async def _read_stream(self, request: m.ReadStreamRequest) -> m.ReadStreamReply:
+        answer = await self._relay.serve(request.stream, request.offset, request.wait_s)
+        if answer.page is None:
+            return m.ReadStreamReply(answer.state.value)
+        return m.ReadStreamReply(answer.state.value, *answer.page)
+
+    def _leaving(self) -> frozenset[str]:
+        return self._leaving_anyway() | kept_from_work(self._orders.state.out())
 
-    def _leaving(self) -> set[str]:
-        planned = {plan.endpoint for plan in self._manifests.state.manifest.plans}
-        return planned | self._hosts.leaving
+    def _leaving_anyway(self) -> frozenset[str]:
+        return planned_leaving(self._manifests.state.manifest) | self._hosts.leaving
 
     async def _status(self, request: m.StatusRequest) -> m.StatusReply:
         state = self._manifests.state
@@ -133,7 +165,15 @@
             "manifest_version": state.version,
             "published_by": state.by,
             "leaving": sorted(self._leaving()),
-            "peers": {address: reply.holder for address, reply in self._hosts.alive.items()},
+            "plans": await plan_progress(
+                state.manifest, self._orders.state, self._engines, self._holder.zone
+            ),
+            "routers": self._manifests.routers,
+            "peers": {
+                peer.address: {"host": peer.host, "state": peer.contact, "version": peer.version}
+                for peer in self._hosts.versions()
+            },
+            "log_reads": self._relay.log_reads,
             "budgets": budgets,
             "reserved": {name: part.reserved for name, part in self._budgets.slices.items()},
         }
--- a/mulberrycleat/testing/operator.py
+++ b/mulberrycleat/testing/operator.py
@@ -10,11 +10,13 @@
 
 from mulberrycleat.budget import TopUp
 from mulberrycleat.cli import operations
+from mulberrycleat.cli.changes import current_state, publish_difference
 from mulberrycleat.controller.messages import STATUS, StatusRequest
 from mulberrycleat.core import PeerError, new_id
 from mulberrycleat.core.ports import Ports
 from mulberrycleat.eventlog import HttpEventLog
-from mulberrycleat.manifest import Accepted, Publish, Verdict
+from mulberrycleat.manifest import Accepted, Verdict, check_manifest, difference, split, state_at
+from mulberrycleat.manifest.sections import Sections
 from mulberrycleat.settings import OperatorSettings
 
 __all__ = ["Operator"]
@@ -51,15 +53,26 @@
         self, content: dict[str, Any], base: int | None = None, by: str = ""
     ) -> Result[Verdict, PeerError]:
         """Publish a manifest, built on the version in force unless `base` is given."""
-        if base is None:
-            base = (await operations.read_history(self._event_log)).unwrap().state.version
-        record = Publish(new_id(), base, by or self._settings.operator, content)
-        return await operations.publish(self._event_log, record)
+        wanted = split(check_manifest(content).unwrap())
+        return await self._publish_sections(wanted, base, by)
 
     async def step_back(self) -> Result[Verdict, PeerError]:
         """Publish the version before the one in force again."""
-        history = (await operations.read_history(self._event_log)).unwrap()
-        return await self.publish(history.contents[history.state.version - 1])
+        current = (await current_state(self._event_log)).unwrap()
+        earlier = (await state_at(self._event_log, current.version - 1)).unwrap()
+        return await self._publish_sections(earlier.sections)
+
+    async def _publish_sections(
+        self, wanted: Sections, base: int | None = None, by: str = ""
+    ) -> Result[Verdict, PeerError]:
+        outcome = await publish_difference(
+            self._event_log,
+            lambda state: difference(state.sections, wanted),
+            by or self._settings.operator,
+            new_id(),
+            base,
+        )
+        return outcome.map(lambda published: published.verdict)
 
     async def top_up(
         self, budget: str, tokens: int, record_id: str = ""
