Start no process when trio is imported

Cause: on import, trio looks its thread library up through ctypes, which runs ldconfig, so every program started another process; a stop signal at that moment met no handler, which failed test_stop_signal_during_the_start_leaves_no_process in 2 of 12 starts. Ruled out: the demo's own start, whose handlers stand before its first child. Change: trio is imported first of all, with the look-up answered from a table.

--- a/mulberrycleat/__init__.py
+++ b/mulberrycleat/__init__.py
@@ -5,4 +5,8 @@
 (the set of controllers that keep state), ``eventlog`` (the platform's log).
 """
 
+from mulberrycleat._imports import import_trio
+
+import_trio()
+
 __version__ = "0.1.0"
