Let a router wait quietly for the first manifest

Cause: until the first manifest was in force a router asked its controller without waiting, call after call; with nine hosts on one machine this loaded every core during the start. One of six starts with nine hosts then failed: router-zone-c-3 was not ready within 40 s. Change: only the first call goes without waiting.

--- a/mulberrycleat/router/link.py
+++ b/mulberrycleat/router/link.py
@@ -109,7 +109,7 @@
 
     async def _sync_regularly(self) -> None:
         while True:
-            wait_s = SYNC_WAIT_S if self._fresh.is_set() else 0.0
+            wait_s = SYNC_WAIT_S if self._view.version >= 0 else 0.0
             message = SyncRequest(self._router, self._view.version, wait_s, self._state.version)
             match await self.call(SYNC, message, SYNC_TIMEOUT_S):
                 case Ok(reply):
