--- a/mulberrycleat/bench/slopes.py
+++ b/mulberrycleat/bench/slopes.py
@@ -15,7 +15,7 @@
 import trio_asyncio
 
 from mulberrycleat.bench.loopback import free_address, run_standin_process
-from mulberrycleat.budget import Bill, Claim, Ledger, Settle, TopUp
+from mulberrycleat.budget import Bill, Join, Ledger, Settle, TopUp
 from mulberrycleat.controller import messages as m
 from mulberrycleat.eventlog import HttpEventLog
 from mulberrycleat.manifest import check_manifest
@@ -144,12 +144,13 @@
 
 
 def _ledger_records() -> list[Any]:
-    records: list[Any] = []
+    holders = [f"host-{holder}/7f" for holder in range(HOLDERS_PER_BUDGET)]
+    records: list[Any] = [Join(holder, "zone-a") for holder in holders]
     for number in range(BUDGETS):
         name = f"budget-{number}"
         records.append(TopUp(f"t{number}", name, 1_000_000))
-        for holder in range(HOLDERS_PER_BUDGET):
-            records.append(Claim(f"c{number}-{holder}", name, f"host-{holder}/7f", 10_000))
+        for holder in holders:
+            records.append(Settle(holder, number + 1, claims={name: 10_000}))
     return records
 
 
@@ -162,6 +163,7 @@
     count = 2_000
     bills = _settlement().bills
     ledger = Ledger()
+    ledger.apply(Join("host-1/7f", "zone-a"))
     records = [Settle("host-1/7f", seq, bills) for seq in range(1, count + 1)]
     return _processor_time(lambda: _fold(ledger, records)) / (count * BILLS_PER_SETTLEMENT)
 
