Stop a router in stages, so that no stream is cut and no request goes unanswered

Cause: at SIGTERM the server closed its listener and every idle connection at once. A caller whose next request crossed that on a connection kept open, or on one still in the listener's queue, got a reset; streams longer than drain_timeout_s were cut although their pool allowed them more time.

Ruled out: closing at once and relying on callers to try again (a reset does not say whether the request ran); keeping idle connections open past the close (hypercorn ends them with the listener).

Change: unready at once; for unready_wait_s and until no request has come for half a second requests are still served, each answer closing its connection; then the listener closes and the drain lasts as long as the longest pool timeout.

--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 
 import trio
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
@@ -23,6 +24,7 @@
     RecallFilter,
 )
 from mulberrycleat.router.link import ControllerLink
+from mulberrycleat.router.stops import Drain
 from mulberrycleat.settings import RouterSettings
 from mulberrycleat.web import (
     App,
@@ -60,7 +62,7 @@
         self._settings = settings
         self._ports = ports or Ports()
         self._link = ControllerLink(settings, fleet_key, self._ports)
-        self._stopping = False
+        self._drain = Drain(settings)
         self._chain = FilterChain(
             (
                 AuthenticateFilter(),
@@ -95,19 +97,16 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._link.run)
-            nursery.start_soon(self._note_stop, stop)
-            await self._ports.serve_http(
-                app, self._settings.listen, stop, self._settings.drain_timeout_s
-            )
+            nursery.start_soon(self._drain.run, stop, lambda: self._link.view.manifest)
+            with self._drain.scope:
+                await self._ports.serve_http(
+                    self._drain.wrap(app), self._settings.listen, self._drain.closed, math.inf
+                )
             with trio.move_on_after(SETTLE_ON_STOP_S):
                 while not await self._link.flush():
                     await trio.sleep(0.1)
             nursery.cancel_scope.cancel()
 
-    async def _note_stop(self, stop: trio.Event) -> None:
-        await stop.wait()
-        self._stopping = True
-
     async def _serve(self, request: Request, responder: Responder) -> Reply | None:
         call = Call(new_id(), request, self._link.view, BufferedSink(responder))
         outcome: Result[Served, Refusal] | None = None
@@ -138,7 +137,7 @@
         return json_reply({"status": "ok"})
 
     async def _ready(self, request: Request, responder: Responder) -> Reply:
-        ready = self._link.fresh.is_set() and not self._stopping
+        ready = self._link.fresh.is_set() and not self._drain.stopping
         return json_reply({"ready": ready}, 200 if ready else 503)
 
     async def _metrics(self, request: Request, responder: Responder) -> Reply:
--- /dev/null
+++ b/mulberrycleat/router/tests/test_stops.py
@@ -0,0 +1,106 @@
+"""A planned stop of a router as a real process: no stream is cut, no request goes unanswered."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import threading
+import time
+from collections.abc import Iterator
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+
+from mulberrycleat.demo.main import operate
+from mulberrycleat.testing import fixture
+from mulberrycleat.testing.fleet import FleetPlan, LocalFleet, local_fleet, write_manifest
+
+CALLERS = 6
+ROUTER = "router-zone-a-1"
+SECONDS_UNDER_LOAD = 1.5
+POLL_S = 0.2
+
+
+@fixture
+def fleet() -> Iterator[LocalFleet]:
+    plan = FleetPlan(zones=("zone-a",), services=(), accounts=("dolerite",))
+    with tempfile.TemporaryDirectory() as scratch, local_fleet(plan, Path(scratch)) as running:
+        operate(running, "top-up", "dolerite", "200000", "--id", "first")
+        manifest = write_manifest(running, Path(scratch) / "manifest.json")
+        operate(running, "publish", str(manifest), "--wait")
+        running.wait_until_ready()
+        yield running
+
+
+class Balancer(threading.Thread):
+    """Asks a router now and then whether it is ready, until it is not."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(daemon=True)
+        self._address = address
+        self.ready = True
+
+    def run(self) -> None:
+        while self.ready:
+            time.sleep(POLL_S)
+            connection = HTTPConnection(self._address, timeout=5)
+            try:
+                connection.request("GET", "/readyz")
+                self.ready = connection.getresponse().status == 200
+            except OSError:
+                self.ready = False
+            connection.close()
+
+
+class KeepAliveCaller(threading.Thread):
+    """Asks over one connection again and again while the balancer gives it a connection."""
+
+    def __init__(self, balancer: Balancer, address: str, key: str, max_tokens: int) -> None:
+        super().__init__(daemon=True)
+        self._balancer = balancer
+        self._address = address
+        self._headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        messages = [{"role": "user", "content": "Is the east track open?"}]
+        body = {"model": "survey-large", "messages": messages, "stream": True}
+        self._body = json.dumps({**body, "max_tokens": max_tokens})
+        self.whole = 0
+        self.faults: list[str] = []
+
+    def run(self) -> None:
+        connection = HTTPConnection(self._address, timeout=30)
+        while self._balancer.ready and not self.faults:
+            try:
+                connection.connect()
+                while self._ask(connection):
+                    pass
+            except (OSError, HTTPException) as error:
+                self.faults.append(repr(error))
+            connection.close()
+
+    def _ask(self, connection: HTTPConnection) -> bool:
+        """Ask once and return whether the connection may be used again."""
+        connection.request("POST", "/v1/chat/completions", self._body, self._headers)
+        answer = connection.getresponse()
+        text = answer.read()
+        if answer.status != 200 or not text.endswith(b"data: [DONE]\n\n"):
+            self.faults.append(f"{answer.status}: {text[-200:]!r}")
+        self.whole += 1
+        return answer.getheader("connection", "") != "close"
+
+
+def test_stop_under_load_cuts_no_stream_and_leaves_no_request_unanswered(fleet):
+    address = fleet.members[ROUTER].address
+    balancer = Balancer(address)
+    lengths = [5] * CALLERS + [200]
+    callers = [KeepAliveCaller(balancer, address, fleet.keys["dolerite"], n) for n in lengths]
+    for thread in (balancer, *callers):
+        thread.start()
+    time.sleep(SECONDS_UNDER_LOAD)
+    process = fleet.terminate(ROUTER)
+    for caller in callers:
+        caller.join(60)
+    assert process.wait(30) == 0
+    faults = [fault for caller in callers for fault in caller.faults]
+    assert faults == [], faults
+    assert all(caller.whole for caller in callers)
+    (state,) = operate(fleet, "status")["hosts"].values()
+    assert state["reserved"].get("dolerite", 0) == 0
--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -123,8 +123,12 @@
         Largest request body that is read, in bytes.
     receive_timeout_s : float
         Longest time for a caller to send its request, in seconds.
+    unready_wait_s : float
+        Time from the stop signal until no new connection is accepted, in seconds: the balancer
+        must have noticed by then that the router is not ready.
     drain_timeout_s : float
-        Longest time for streams in flight to end after a stop signal, in seconds.
+        Longest time for streams in flight to end after that, in seconds; no less than the longest
+        `timeout_s` of a pool is granted.
     """
 
     host: HostSettings
@@ -133,6 +137,7 @@
     fleet_key_file: str
     max_body_bytes: Annotated[int, Meta(gt=0)] = 1_048_576
     receive_timeout_s: Seconds = 10.0
+    unready_wait_s: Annotated[float, Meta(ge=0)] = 2.0
     drain_timeout_s: Seconds = 60.0
     log: LogSettings = field(default_factory=LogSettings)
 
