--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -68,12 +68,15 @@
         The weight store; empty where there is none.
     timeout_s : float
         Longest wait for one answer of the log, in seconds.
+    checkpoint_every_s : float
+        Time between two checkpoints of the manifest, in seconds; well below the log's retention.
     """
 
     log: Address
     hosts: str = ""
     weights: str = ""
     timeout_s: Seconds = 2.0
+    checkpoint_every_s: Seconds = 3600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +97,12 @@
         File with the key that calls between the fleet's processes carry.
     settle_every_s : float
         Time between two settlements to the log, in seconds.
+    drain_timeout_s : float
+        Longest time for reservations to be settled after a stop signal, in seconds; not less than
+        the router's.
+    checkpoint_every_s : float
+        Time between two checkpoints of the ledger, in seconds; a fifth of the log's retention or
+        less.
     """
 
     host: HostSettings
@@ -102,6 +111,8 @@
     fleet_key_file: str
     peers: tuple[Address, ...] = ()
     settle_every_s: Seconds = 0.5
+    drain_timeout_s: Seconds = 65.0
+    checkpoint_every_s: Seconds = 60.0
     log: LogSettings = field(default_factory=LogSettings)
 
 
