Deal only budgets that changed; let only waiting requests recall tokens

Change: wants and claims are separate, small differences stay where they are, unchanged budgets are skipped.

--- a/mulberrycleat/bench/budget_replay.py
+++ b/mulberrycleat/bench/budget_replay.py
@@ -14,6 +14,7 @@
 from mulberrycleat.budget import (
     Bill,
     Confirm,
+    Dealer,
     DealSettings,
     DemandTracker,
     Fence,
@@ -23,7 +24,6 @@
     Settle,
     SliceKeeper,
     TopUp,
-    deal,
     tokens_to_send,
 )
 
@@ -31,6 +31,7 @@
 
 TICK_S = 1.0
 DEAL_EVERY_TICKS = 5
+TICKS_BEFORE_START = 15
 WAIT_S = 3.0
 TICKS_AFTER_END = 200
 LOST_ANSWERS = 0.02
@@ -87,6 +88,7 @@
         self._demand = [DemandTracker() for _ in range(ZONES)]
         self._up: dict[Place, SliceKeeper] = {}
         self._dead: set[str] = set()
+        self._dealers: dict[str, Dealer] = {}
         self._lives = 0
         self._flying: list[_InFlight] = []
         self._waiting: list[_Waiting] = []
@@ -107,7 +109,7 @@
         for zone in range(ZONES):
             for host in range(HOSTS_PER_ZONE):
                 self._start(zone, host)
-        for _ in range(3 * DEAL_EVERY_TICKS):
+        for _ in range(TICKS_BEFORE_START):
             self._tick()
         self._now = 0.0
         self._replay()
@@ -148,6 +150,7 @@
         name = f"zone-{zone}-{host}"
         keeper = SliceKeeper(f"{name}/{self._lives}", str(zone), self._views[zone])
         self._up[zone, host] = keeper
+        self._dealers[keeper.holder] = Dealer(self._rule)
         self._later.append((self._now, Join(keeper.holder, keeper.zone)))
         for dead in [dead for dead in self._dead if dead.startswith(f"{name}/")]:
             self._later.append((self._now + 2 * TICK_S, Fence(dead, (ENGINES,))))
@@ -156,6 +159,9 @@
                 self._later.append((self._now + 4 * TICK_S, confirm))
 
     def _tick(self) -> None:
+        regular = int(self._now / TICK_S) % DEAL_EVERY_TICKS == 0
+        if not (regular or self._waiting or self._later):
+            return
         self._set_views()
         for keeper in list(self._up.values()):
             if not self._is_apart(keeper) and (record := keeper.next_record()):
@@ -170,8 +176,7 @@
             if not self._is_apart(keeper):
                 keeper.refresh()
         self._try_waiting()
-        if int(self._now / TICK_S) % DEAL_EVERY_TICKS == 0:
-            self._deal()
+        self._deal()
 
     def _set_views(self) -> None:
         for zone in range(ZONES):
@@ -200,16 +205,9 @@
             if not self._faults.is_apart(self._now, zone):
                 self._demand[zone].observe(self._now, self._main.budgets)
         for keeper in self._up.values():
-            if self._is_apart(keeper) or not keeper.settled or not keeper.open:
-                continue
-            for name, budget in self._main.budgets.items():
-                demand = self._demand[int(keeper.zone)].of(name)
-                free = keeper.free(name)
-                found = deal(keeper.holder, free, budget, self._main.holders, demand, self._rule)
-                if found.claim:
-                    keeper.claim(name, found.claim)
-                if found.give_back:
-                    keeper.give_back(name, found.give_back)
+            if not self._is_apart(keeper):
+                demand = self._demand[int(keeper.zone)]
+                self._dealers[keeper.holder].deal(keeper, demand)
 
     def _arrive(self, request: TraceRequest, order: int) -> None:
         keeper = self._keeper_for(request)
@@ -269,8 +267,8 @@
                 self._score.turned_away(one.request)
                 continue
             budget = one.request.budget
-            if not one.keeper.is_claiming(budget):
-                one.keeper.claim(budget, one.request.bound - one.keeper.free(budget))
+            if not one.keeper.is_wanting(budget):
+                one.keeper.want(budget, one.request.bound - one.keeper.free(budget))
             still.append(one)
         self._waiting = still
 
--- a/mulberrycleat/budget/__init__.py
+++ b/mulberrycleat/budget/__init__.py
@@ -8,6 +8,7 @@
     ZoneTotals,
 )
 from mulberrycleat.budget.cost import cost_of, largest_cost
+from mulberrycleat.budget.dealer import Dealer
 from mulberrycleat.budget.dealing import Deal, DealSettings, deal, tokens_to_send, zone_targets
 from mulberrycleat.budget.demand import DemandTracker
 from mulberrycleat.budget.keeper import Reservation, SliceKeeper
@@ -35,6 +36,7 @@
     "Confirm",
     "Deal",
     "DealSettings",
+    "Dealer",
     "DemandTracker",
     "Fence",
     "HolderState",
--- a/mulberrycleat/budget/dealing.py
+++ b/mulberrycleat/budget/dealing.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from mulberrycleat.budget.accounts import BudgetState, HolderState
+from mulberrycleat.budget.accounts import BudgetState, HolderState, Share
 
 __all__ = ["Deal", "DealSettings", "deal", "tokens_to_send", "zone_targets"]
 
@@ -37,22 +38,35 @@
 
 
 class Deal(NamedTuple):
-    """What a holder does now: tokens to claim and tokens to return."""
+    """What a holder does now: tokens to claim, to claim for waiting requests, and to return."""
 
     claim: int = 0
+    want: int = 0
     give_back: int = 0
 
 
-class _View(NamedTuple):
-    """Open holders of one budget."""
+@dataclass(slots=True)
+class _View:
+    """Open holders of one budget, seen from one of them; tokens.
 
-    holders: dict[str, str]
-    held: dict[str, int]
-    short: dict[str, int]
-    available: int
+    Attributes
+    ----------
+    zones : mapping
+        Number of open holders by zone.
+    held, zone_held : int
+        Held by all open holders, and by those of the own zone.
+    own_short, others_short : int
+        Claimed in vain by the holder itself, and by holders of other zones.
+    giving : int
+        Held by holders that claimed nothing in vain.
+    """
 
-    def zone_sum(self, values: Mapping[str, int], zone: str) -> int:
-        return sum(values[name] for name, there in self.holders.items() if there == zone)
+    zones: dict[str, int]
+    held: int = 0
+    zone_held: int = 0
+    own_short: int = 0
+    others_short: int = 0
+    giving: int = 0
 
 
 def zone_targets(
@@ -94,26 +108,23 @@
     demand : mapping
         Tokens asked for lately, by zone.
     """
-    view = _view(budget, holders)
-    if holder not in view.holders:
+    if holder not in holders or holders[holder].fenced:
         return Deal()
-    zone = view.holders[holder]
-    zones = frozenset(view.holders.values())
-    unspent = max(0, view.available) + sum(view.held.values())
-    target = zone_targets(unspent, zones, demand, settings)[zone]
-    held = view.zone_sum(view.held, zone)
-    peers = sum(1 for there in view.holders.values() if there == zone)
-    wanted_by_others = sum(
-        short for name, short in view.short.items() if view.holders[name] != zone
-    )
-    claim = _claim(holder, view, target - held, peers, wanted_by_others)
-    if claim:
-        return Deal(claim=claim)
-    excess = held - target if held - target > settings.slack_part * unspent else 0
-    part = excess / held if excess > 0 and held > 0 else 0.0
+    zone = holders[holder].zone
+    view = _view(holder, zone, budget, holders)
+    available = budget.available
+    unspent = max(0, available) + view.held
+    target = zone_targets(unspent, frozenset(view.zones), demand, settings)[zone]
+    if available > 0 and view.own_short:
+        return Deal(want=view.own_short)
+    missing = min(target - view.zone_held, available - view.others_short)
+    if missing > 0 and missing >= settings.slack_part * unspent:
+        return Deal(claim=-(-missing // view.zones[zone]))
+    excess = view.zone_held - target
+    part = excess / view.zone_held if excess > settings.slack_part * unspent else 0.0
     if settings.recall:
-        part = max(part, _recalled_part(view, zone, wanted_by_others))
-    return Deal(give_back=min(free, int(free * part)))
+        part = max(part, _recalled_part(view, available))
+    return Deal(give_back=min(free, math.ceil(free * part)))
 
 
 def tokens_to_send(free: int, needed: int) -> int:
@@ -127,32 +138,32 @@
     return needed + (free - needed) // 2
 
 
-def _view(budget: BudgetState, holders: Mapping[str, HolderState]) -> _View:
-    alive = {name: state.zone for name, state in holders.items() if not state.fenced}
-    shares = {name: budget.shares.get(name) for name in alive}
-    return _View(
-        alive,
-        {name: share.held if share else 0 for name, share in shares.items()},
-        {name: share.short if share else 0 for name, share in shares.items()},
-        budget.available,
-    )
-
-
-def _claim(holder: str, view: _View, missing: int, peers: int, wanted_by_others: int) -> int:
-    """Claim what was asked for in vain before, else this holder's part of the zone's target."""
-    if view.available <= 0:
-        return 0
-    if view.short[holder]:
-        return view.short[holder]
-    left = view.available - wanted_by_others
-    return max(0, min(-(-missing // peers), left))
-
-
-def _recalled_part(view: _View, zone: str, wanted: int) -> float:
-    """Return the part of its free tokens that each holder of `zone` returns to those short."""
-    wanted -= max(0, view.available)
+def _view(holder: str, zone: str, budget: BudgetState, holders: Mapping[str, HolderState]) -> _View:
+    view = _View({})
+    for name, state in holders.items():
+        if state.fenced:
+            continue
+        view.zones[state.zone] = view.zones.get(state.zone, 0) + 1
+        if share := budget.shares.get(name):
+            _add_share(view, share, name == holder, state.zone == zone)
+    return view
+
+
+def _add_share(view: _View, share: Share, own: bool, same_zone: bool) -> None:
+    view.held += share.held
+    if same_zone:
+        view.zone_held += share.held
+    if own:
+        view.own_short = share.short
+    elif not same_zone:
+        view.others_short += share.short
+    if not share.short:
+        view.giving += max(0, share.held)
+
+
+def _recalled_part(view: _View, available: int) -> float:
+    """Return the part of its free tokens that each holder returns for other zones' claims."""
+    wanted = view.others_short - max(0, available)
     if wanted <= 0:
         return 0.0
-    elsewhere = [name for name in view.holders if not view.short[name]]
-    held = sum(max(0, view.held[name]) for name in elsewhere)
-    return min(1.0, wanted / held) if held else 1.0
+    return min(1.0, wanted / view.giving) if view.giving else 1.0
--- a/mulberrycleat/budget/draft.py
+++ b/mulberrycleat/budget/draft.py
@@ -17,6 +17,7 @@
     bills: list[Bill] = field(default_factory=list)
     returned: Counter[str] = field(default_factory=Counter)
     claims: dict[str, int] = field(default_factory=dict)
+    wants: dict[str, int] = field(default_factory=dict)
     asked: Counter[str] = field(default_factory=Counter)
     refused: defaultdict[str, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
     transfers: list[Transfer] = field(default_factory=list)
@@ -29,6 +30,7 @@
             self.bills
             or self.returned
             or self.claims
+            or self.wants
             or self.asked
             or self.refused
             or self.transfers
@@ -43,6 +45,7 @@
             tuple(self.bills),
             dict(self.returned),
             dict(self.claims),
+            dict(self.wants),
             dict(self.asked),
             {budget: dict(codes) for budget, codes in self.refused.items()},
             tuple(self.transfers),
--- a/mulberrycleat/budget/keeper.py
+++ b/mulberrycleat/budget/keeper.py
@@ -128,10 +128,10 @@
         """Return the tokens set aside for requests in flight."""
         return self._slice(budget).reserved
 
-    def is_claiming(self, budget: str) -> bool:
-        """Return whether a claim is on its way."""
-        unconfirmed = self._unconfirmed.claims if self._unconfirmed else {}
-        return budget in self._draft.claims or budget in unconfirmed
+    def is_wanting(self, budget: str) -> bool:
+        """Return whether a claim for waiting requests is on its way."""
+        unconfirmed = self._unconfirmed.wants if self._unconfirmed else {}
+        return budget in self._draft.wants or budget in unconfirmed
 
     def reserve(
         self, request: str, budget: str, tokens: int, router: str = ""
@@ -175,9 +175,13 @@
         self._draft.refused[budget][code] += 1
 
     def claim(self, budget: str, tokens: int) -> None:
-        """Ask the ledger for more with the next settlement."""
+        """Ask the ledger for a part of what is available, with the next settlement."""
         self._draft.claims[budget] = max(tokens, self._draft.claims.get(budget, 0))
 
+    def want(self, budget: str, tokens: int) -> None:
+        """Ask for what waiting requests lack; other zones return tokens for it if need be."""
+        self._draft.wants[budget] = max(tokens, self._draft.wants.get(budget, 0))
+
     def give_back(self, budget: str, tokens: int) -> None:
         """Return free tokens to the ledger with the next settlement."""
         tokens = min(tokens, self.free(budget))
--- a/mulberrycleat/budget/ledger.py
+++ b/mulberrycleat/budget/ledger.py
@@ -154,6 +154,9 @@
             if fenced in self.holders:
                 acked = self.holders[fenced].acked | {record.holder}
                 self._update(fenced, acked=acked)
+        for name, tokens in record.wants.items():
+            granted = self._grant(record.holder, name, tokens)
+            self._change(record.holder, name, short=tokens - granted)
         for name, tokens in record.claims.items():
             self._grant(record.holder, name, tokens)
         if record.final:
@@ -172,9 +175,11 @@
         self._change(holder, bill.budget, held=-bill.tokens, spent=bill.tokens)
         self._count(holder, bill.budget, spent=bill.tokens)
 
-    def _grant(self, holder: str, name: str, wanted: int) -> None:
+    def _grant(self, holder: str, name: str, wanted: int) -> int:
         tokens = max(0, min(wanted, self._budget(name).available))
-        self._change(holder, name, held=tokens, claimed=tokens, short=wanted - tokens)
+        if tokens:
+            self._change(holder, name, held=tokens, claimed=tokens)
+        return tokens
 
     def _transfer(self, transfer: Transfer, by: str) -> None:
         for pending in self.pending:
--- a/mulberrycleat/budget/records.py
+++ b/mulberrycleat/budget/records.py
@@ -85,7 +85,10 @@
     returned : mapping
         Tokens given back, by budget.
     claims : mapping
-        Tokens asked for, by budget; the fold grants what is available, up to these.
+        Tokens to be dealt to the holder, by budget; the fold grants what is available, up to these.
+    wants : mapping
+        Tokens that waiting requests lack, by budget; granted likewise, and what is not available
+        stands as short until the next such claim, so that others return tokens.
     asked : mapping
         Tokens that requests asked for, served or refused, by budget.
     refused : mapping
@@ -106,6 +109,7 @@
     bills: tuple[Bill, ...] = ()
     returned: dict[str, int] = {}
     claims: dict[str, int] = {}
+    wants: dict[str, int] = {}
     asked: dict[str, int] = {}
     refused: dict[str, dict[str, int]] = {}
     transfers: tuple[Transfer, ...] = ()
--- a/mulberrycleat/budget/tests/test_ledger.py
+++ b/mulberrycleat/budget/tests/test_ledger.py
@@ -23,7 +23,7 @@
 
 def test_claims_never_pass_what_is_prepaid(ledger):
     for number in range(5):
-        ledger.apply(Settle(f"h{number}/1", 1, claims={"huts": 30}))
+        ledger.apply(Settle(f"h{number}/1", 1, wants={"huts": 30}))
     assert ledger.budgets["huts"].held == 100
     assert ledger.share("h4/1", "huts").held == 0
     assert ledger.share("h4/1", "huts").short == 30
--- a/mulberrycleat/controller/budgets.py
+++ b/mulberrycleat/controller/budgets.py
@@ -8,12 +8,12 @@
 
 from mulberrycleat.budget import (
     STREAM,
+    Dealer,
     DealSettings,
     DemandTracker,
     Ledger,
     Reservation,
     SliceKeeper,
-    deal,
 )
 from mulberrycleat.budget.restore import LedgerReader
 from mulberrycleat.controller.budget_closing import FenceRunner
@@ -76,7 +76,7 @@
         self._reader = LedgerReader()
         self._keeper = self._new_keeper()
         self._demand = DemandTracker()
-        self._rule = DealSettings()
+        self._dealer = Dealer(DealSettings())
         self._changes = Changes()
         self._writer = LedgerWriter(settings, event_log, self._changes)
         self._read_at = float("-inf")
@@ -174,24 +174,8 @@
             await trio.sleep(DEAL_EVERY_S)
             now = trio.current_time()
             self._demand.observe(now, self.ledger.budgets)
-            if now - self._read_at < FRESH_S and self._keeper.settled:
-                self._deal()
-
-    def _deal(self) -> None:
-        keeper = self._keeper
-        for name, budget in self.ledger.budgets.items():
-            decision = deal(
-                keeper.holder,
-                keeper.free(name),
-                budget,
-                self.ledger.holders,
-                self._demand.of(name),
-                self._rule,
-            )
-            if decision.claim:
-                keeper.claim(name, decision.claim)
-            if decision.give_back:
-                keeper.give_back(name, decision.give_back)
+            if now - self._read_at < FRESH_S:
+                self._dealer.deal(self._keeper, self._demand)
 
     async def _reserve_by_claim(
         self, keeper: SliceKeeper, request: ReserveRequest
@@ -199,8 +183,8 @@
         with trio.move_on_after(RESERVE_TIMEOUT_S):
             while self._may_hold(request):
                 missing = request.tokens - keeper.free(request.budget)
-                if missing > 0 and not keeper.is_claiming(request.budget):
-                    keeper.claim(request.budget, missing)
+                if missing > 0 and not keeper.is_wanting(request.budget):
+                    keeper.want(request.budget, missing)
                     self._writer.hurry()
                 if found := _reserve(keeper, request):
                     return found
