--- /dev/null
+++ b/mulberrycleat/budget/tests/world.py
@@ -0,0 +1,178 @@
+"""A small world for tests of the slice protocol: holders, a log, endpoints, an observer."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from mulberrycleat.budget import (
+    Bill,
+    Confirm,
+    Fence,
+    Join,
+    Ledger,
+    LedgerRecord,
+    SliceKeeper,
+    TopUp,
+    Transfer,
+)
+
+__all__ = ["BUDGET", "Host", "World"]
+
+BUDGET = "huts"
+ENDPOINT = "e1"
+
+
+@dataclass
+class Host:
+    """One holder, with its own fold of the log as far as it has read."""
+
+    keeper: SliceKeeper
+    read: int = 0
+    alive: bool = True
+    frozen: bool = False
+    lost: list[Transfer] = field(default_factory=list)
+
+
+class World:
+    """What tests drive. Tokens that the endpoint spent are seen by the observer at once.
+
+    Parameters
+    ----------
+    zones : tuple of str
+        Zone of each host.
+    prepaid : int
+        Tokens of the first top-up.
+    """
+
+    def __init__(self, zones: tuple[str, ...], prepaid: int) -> None:
+        self.log: list[LedgerRecord] = [TopUp("t0", BUDGET, prepaid)]
+        self.fold = Ledger()
+        self.folded = 0
+        self.hosts: list[Host] = []
+        self.spent = 0
+        self.fenced: set[str] = set()
+        self.work: dict[str, dict[int, Bill]] = {}
+        self.requests = 0
+        for zone in zones:
+            self.start(zone)
+
+    @property
+    def prepaid(self) -> int:
+        """Tokens paid, as the log has them."""
+        paid = {one.id: one.tokens for one in self.log if isinstance(one, TopUp)}
+        return sum(paid.values())
+
+    def start(self, zone: str) -> None:
+        """Start a host that reads the whole log and joins."""
+        name = f"h{len(self.hosts)}/1"
+        host = Host(SliceKeeper(name, zone, Ledger()))
+        self.hosts.append(host)
+        self.log.append(Join(name, zone))
+        self.read(host)
+
+    def acts(self, host: Host) -> bool:
+        """Return whether a host does anything now."""
+        return host.alive and not host.frozen
+
+    def read(self, host: Host, records: int = 1_000_000) -> None:
+        """Let a host read some more records."""
+        new = self.log[host.read : host.read + records]
+        for record in new:
+            host.keeper.ledger.apply(record)
+            host.keeper.refresh()
+        host.read += len(new)
+
+    def write(self, host: Host) -> None:
+        """Let a host write its settlement (again)."""
+        if record := host.keeper.next_record():
+            self.log.append(record)
+
+    def run_request(self, host: Host, bound: int, cost: int) -> bool:
+        """Reserve and dispatch; the endpoint spends `cost` unless it refuses the holder."""
+        self.requests += 1
+        request = f"r{self.requests}"
+        found = host.keeper.reserve(request, BUDGET, bound)
+        if found is None:
+            return False
+        holder = host.keeper.holder
+        if holder in self.fenced:
+            host.keeper.settle(request, 0)
+            return False
+        self.work.setdefault(holder, {})[found.number] = Bill(request, BUDGET, cost, found.number)
+        self.spent += cost
+        return True
+
+    def settle(self, host: Host) -> None:
+        """End the oldest request of a host."""
+        open_requests = host.keeper.reservations.values()
+        if found := next(iter(open_requests), None):
+            done = self.work.get(host.keeper.holder, {}).get(found.number)
+            host.keeper.settle(found.request, done.tokens if done else 0)
+
+    def transfer(self, sender: Host, receiver: Host, tokens: int, arrives: bool) -> None:
+        """Send tokens to a peer; the answer may be lost."""
+        sent = sender.keeper.send(receiver.keeper.holder, BUDGET, tokens)
+        if sent and arrives and self.acts(receiver):
+            receiver.keeper.receive(sent)
+        elif sent:
+            receiver.lost.append(sent)
+
+    def deliver_late(self, receiver: Host) -> None:
+        """Deliver a transfer whose sender has given up waiting for the answer."""
+        if receiver.lost:
+            receiver.keeper.receive(receiver.lost.pop(0))
+
+    def fence(self, host: Host) -> None:
+        """Declare a holder gone, whether it is or not."""
+        self.log.append(Fence(host.keeper.holder, (ENDPOINT,)))
+
+    def confirm(self, host: Host) -> None:
+        """Let the endpoint refuse a fenced holder and report its work."""
+        holder = host.keeper.holder
+        if Fence(holder, (ENDPOINT,)) in self.log:
+            self.fenced.add(holder)
+            bills = tuple(self.work.get(holder, {}).values())
+            self.log.append(Confirm(holder, ENDPOINT, bills))
+
+    def settle_down(self) -> None:
+        """End all requests, fence the dead, and let everybody read and write."""
+        for host in self.hosts:
+            host.frozen = False
+            if not host.alive:
+                self.fence(host)
+            self.confirm(host)
+        for _ in range(4):
+            for host in self.hosts:
+                if host.alive:
+                    while host.keeper.reservations:
+                        self.settle(host)
+                    self.read(host)
+                    self.write(host)
+        for host in self.hosts:
+            self.read(host)
+        self.fold_all()
+
+    def fold_all(self) -> Ledger:
+        """Return the fold of the whole log."""
+        for record in self.log[self.folded :]:
+            self.fold.apply(record)
+        self.folded = len(self.log)
+        return self.fold
+
+    def check(self) -> None:
+        """Check what must hold at any moment."""
+        assert self.spent <= self.prepaid, f"{self.spent} spent of {self.prepaid}"
+
+    def check_in_the_end(self) -> None:
+        """Check what must hold after :meth:`settle_down`."""
+        self.check()
+        budget = self.fold.budgets[BUDGET]
+        assert budget.spent == self.spent, f"billed {budget.spent}, spent {self.spent}"
+        assert budget.available >= 0
+        held = Counter()
+        for host in self.hosts:
+            if self.fold.is_open(host.keeper.holder):
+                held[host.keeper.holder] += host.keeper.free(BUDGET)
+        shares = {name: share.held for name, share in budget.shares.items() if share.held}
+        assert shares == {name: tokens for name, tokens in held.items() if tokens}
