--- a/mulberrycleat/budget/keeper.py
+++ b/mulberrycleat/budget/keeper.py
@@ -108,9 +108,11 @@
         return self._finishing and self._holder not in self._ledger.holders
 
     @property
-    def settled(self) -> bool:
-        """Whether the fold shows all that this holder had to tell."""
-        return self._unconfirmed is None and self._draft.empty
+    def is_dealing(self) -> bool:
+        """Whether a claim or a return is on its way, so that the fold does not show it yet."""
+        unconfirmed = self._unconfirmed
+        on_its_way = unconfirmed is not None and bool(unconfirmed.claims or unconfirmed.returned)
+        return on_its_way or bool(self._draft.claims or self._draft.returned)
 
     def use(self, ledger: Ledger) -> None:
         """Go on with another fold of the same stream."""
--- a/mulberrycleat/controller/budgets.py
+++ b/mulberrycleat/controller/budgets.py
@@ -184,6 +184,7 @@
             while self._may_hold(request):
                 missing = request.tokens - keeper.free(request.budget)
                 if missing > 0 and not keeper.is_wanting(request.budget):
+                    self._dealer.deal(keeper, self._demand)
                     keeper.want(request.budget, missing)
                     self._writer.hurry()
                 if found := _reserve(keeper, request):
--- a/mulberrycleat/standin/engine.py
+++ b/mulberrycleat/standin/engine.py
@@ -16,8 +16,10 @@
     word,
 )
 from mulberrycleat.standin.engine_cache import PrefixCache
+from mulberrycleat.standin.engine_fence import EngineFence
 from mulberrycleat.standin.engine_gate import PriorityGate
 from mulberrycleat.standin.engine_load import LoadHistory
+from mulberrycleat.standin.engine_orders import EngineOrders
 from mulberrycleat.standin.engine_work import Work, WorkTable
 from mulberrycleat.standin.faults import Faults
 from mulberrycleat.standin.settings import StandinSettings
@@ -61,6 +63,8 @@
         self._served = 0
         self._cut = 0
         self._generated = 0
+        self._fence = EngineFence(settings, self._works)
+        self._orders = EngineOrders(settings, lambda: len(self._works.open))
 
     @property
     def works(self) -> WorkTable:
@@ -76,10 +80,12 @@
             Route("GET", "/cache-events", self._cache_events),
             Route("GET", "/stats", self._stats),
             *self._faults.routes(),
+            *self._orders.routes(),
+            *self._fence.routes(),
         )
 
     async def _complete(self, request: Request, responder: Responder) -> Reply | None:
-        if held := await self._faults.hold():
+        if held := await self._faults.hold() or self._orders.refusal():
             return held
         if self._faults.on.leaving:
             retry = ("retry-after", LEAVING_RETRY_S)
@@ -199,6 +205,7 @@
     return Work(
         request_id=headers.get("x-request-id", ""),
         holder=headers.get("x-holder", ""),
+        budget=headers.get("x-budget", ""),
         fencing_number=int(headers.get("x-fencing-number", "0")),
         at=trio.current_time(),
         priority=min(max(priority, 0), LOWEST_PRIORITY),
