--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -82,6 +82,11 @@
         )
         self._once = OnceController(self._holder, event_log)
 
+    @property
+    def budgets(self) -> BudgetController:
+        """The controller of budgets."""
+        return self._budgets
+
     async def run(self, stop: trio.Event) -> None:
         """Run until `stop` is set, then settle and end. Needs an open trio-asyncio loop."""
         async with trio.open_nursery() as nursery:
--- a/mulberrycleat/router/exchanges/model.py
+++ b/mulberrycleat/router/exchanges/model.py
@@ -134,7 +134,13 @@
 
 
 def _headers(call: Call) -> dict[str, str]:
-    return {"content-type": "application/json", REQUEST_ID_HEADER: call.id}
+    return {
+        "content-type": "application/json",
+        REQUEST_ID_HEADER: call.id,
+        "x-holder": call.holder,
+        "x-fencing-number": str(call.reservation),
+        "x-budget": call.budget,
+    }
 
 
 def _served(call: Call, endpoint: Endpoint) -> Served:
--- a/mulberrycleat/standin/engine.py
+++ b/mulberrycleat/standin/engine.py
@@ -16,6 +16,7 @@
     word,
 )
 from mulberrycleat.standin.engine_cache import PrefixCache
+from mulberrycleat.standin.engine_fence import EngineFence
 from mulberrycleat.standin.engine_gate import PriorityGate
 from mulberrycleat.standin.engine_load import LoadHistory
 from mulberrycleat.standin.engine_orders import EngineOrders
@@ -62,6 +63,7 @@
         self._served = 0
         self._cut = 0
         self._generated = 0
+        self._fence = EngineFence(settings, self._works)
         self._orders = EngineOrders(settings, lambda: len(self._works.open))
 
     @property
@@ -79,6 +81,7 @@
             Route("GET", "/stats", self._stats),
             *self._faults.routes(),
             *self._orders.routes(),
+            *self._fence.routes(),
         )
 
     async def _complete(self, request: Request, responder: Responder) -> Reply | None:
@@ -202,6 +205,7 @@
     return Work(
         request_id=headers.get("x-request-id", ""),
         holder=headers.get("x-holder", ""),
+        budget=headers.get("x-budget", ""),
         fencing_number=int(headers.get("x-fencing-number", "0")),
         at=trio.current_time(),
         priority=min(max(priority, 0), LOWEST_PRIORITY),
--- a/mulberrycleat/standin/engine_work.py
+++ b/mulberrycleat/standin/engine_work.py
@@ -22,7 +22,9 @@
     request_id : str
         As the header ``x-request-id`` gave it.
     holder, fencing_number : str, int
-        Who sent it; empty and 0 when not given.
+        Who sent it, and the number of its reservation; empty and 0 when not given.
+    budget : str
+        Budget that pays for it; empty when not given.
     scope : trio.CancelScope
         Cancelled when the work is ended from outside.
     """
@@ -31,6 +33,7 @@
     holder: str
     fencing_number: int
     at: float
+    budget: str = ""
     priority: int = 5
     prompt_tokens: int = 0
     cached_tokens: int = 0
