Let routers choose by expected completion, hold and shed, with load reports by zone

Each engine is polled by one controller a zone, by rendezvous hash over the controllers that answer; peers and the router beside take what was polled from it. Requests carry a priority to the engine.

Another zone is used where it saves more than 50 ms; the random choice among near-best endpoints stays in the router's zone when the best is there. The fake endpoints of the whole-answer tests ask for a choice without chance, so that their scripts meet the first endpoint first; no check changed.

--- a/mulberrycleat/bench/routing_sim.py
+++ b/mulberrycleat/bench/routing_sim.py
@@ -24,8 +24,8 @@
 
 __all__ = ["Outcome", "Run", "RunPlan"]
 
-REPORT_EVERY_S = 0.5
-REPORT_LAG_S = 0.7
+REPORT_EVERY_S = 1.0
+REPORT_LAG_S = 1.5
 EVENT_LAG_S = 1.0
 LOST_EVENT_SHARE = 0.1
 CONNECT_FAILURE_S = 0.005
--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -12,6 +12,7 @@
 from mulberrycleat.controller.budgets import BudgetController
 from mulberrycleat.controller.changes import Changes
 from mulberrycleat.controller.hosts import HostController
+from mulberrycleat.controller.loads import LoadController
 from mulberrycleat.controller.manifests import ManifestController
 from mulberrycleat.controller.once import OnceController
 from mulberrycleat.core import Holder, new_id
@@ -56,6 +57,9 @@
         self._hosts = HostController(
             settings, self._holder, self._manifests, self._ports, fleet_key, self._changes
         )
+        self._loads = LoadController(
+            settings, self._holder, self._manifests, self._hosts, self._ports, fleet_key
+        )
 
     async def run(self, stop: trio.Event) -> None:
         """Run until `stop` is set, then settle and end. Needs an open trio-asyncio loop."""
@@ -76,7 +80,8 @@
 
     async def _run_controllers(self) -> None:
         async with trio.open_nursery() as nursery:
-            for controller in (self._manifests, self._budgets, self._once, self._hosts):
+            controllers = (self._manifests, self._budgets, self._once, self._hosts, self._loads)
+            for controller in controllers:
                 await nursery.start(controller.run)
             await nursery.start(
                 self._ports.serve_rpc, self._handlers(), self._settings.listen, self._fleet_key
@@ -93,6 +98,7 @@
             m.FINISH: self._once.finish,
             m.ABANDON: self._once.abandon,
             m.HEARTBEAT: self._hosts.heartbeat,
+            m.LOADS: self._loads.loads,
             m.STATUS: self._status,
         }
 
--- /dev/null
+++ b/mulberrycleat/controller/loads.py
@@ -0,0 +1,211 @@
+"""Controller of load reports: each endpoint is polled by one controller of a zone."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections import deque
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import trio
+from result import Ok
+
+from mulberrycleat.controller.hosts import HostController
+from mulberrycleat.controller.manifests import ManifestController
+from mulberrycleat.controller.messages import (
+    LOADS,
+    CacheNews,
+    LoadNews,
+    LoadsReply,
+    LoadsRequest,
+)
+from mulberrycleat.core import Holder
+from mulberrycleat.core.ports import Ports
+from mulberrycleat.manifest import Endpoint
+from mulberrycleat.settings import ControllerSettings
+
+__all__ = ["LoadController"]
+
+log = logging.getLogger(__name__)
+
+POLL_EVERY_S = 1.0
+POLL_TIMEOUT_S = 1.0
+RELAY_EVERY_S = 1.0
+RELAY_TIMEOUT_S = 1.0
+MAX_AGE_S = 10.0
+KEPT_CACHE_NEWS = 2000
+MAX_KEYS_A_POLL = 2000
+
+
+class _Load(NamedTuple):
+    at: float
+    own: bool
+    news: LoadNews
+
+
+class _Numbered(NamedTuple):
+    number: int
+    own: bool
+    news: CacheNews
+
+
+class LoadController:
+    """Poll this host's share of the endpoints and relay what peers of the zone have polled.
+
+    The share goes by rendezvous hash over the controllers of the zone that answer, so that an
+    endpoint is polled once a zone and another controller takes over when one is gone.
+
+    Parameters
+    ----------
+    settings : ControllerSettings
+        Peers and the own address.
+    holder : Holder
+        Named in requests to peers.
+    manifests : ManifestController
+        Endpoints.
+    hosts : HostController
+        Peers that answer.
+    ports : Ports
+        Ways to endpoints and peers.
+    fleet_key : str
+        Key that calls between the fleet's processes carry.
+    """
+
+    def __init__(
+        self,
+        settings: ControllerSettings,
+        holder: Holder,
+        manifests: ManifestController,
+        hosts: HostController,
+        ports: Ports,
+        fleet_key: str,
+    ) -> None:
+        self._settings = settings
+        self._holder = holder
+        self._manifests = manifests
+        self._hosts = hosts
+        self._http = ports.http
+        self._peers = {a: ports.connect_rpc(a, fleet_key) for a in settings.peers}
+        self._loads: dict[str, _Load] = {}
+        self._cache_news: deque[_Numbered] = deque(maxlen=KEPT_CACHE_NEWS)
+        self._next = 1
+        self._cache_from: dict[str, int] = {}
+        self._peer_seen: dict[str, int] = {}
+
+    async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Poll and relay for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poll_regularly)
+            for address in self._peers:
+                nursery.start_soon(self._relay_regularly, address)
+            task_status.started()
+
+    async def loads(self, request: LoadsRequest) -> LoadsReply:
+        """Answer a router with everything, and a peer with what was polled here."""
+        now = trio.current_time()
+        loads = tuple(
+            _aged(load.news, now - load.at)
+            for load in self._loads.values()
+            if now - load.at < MAX_AGE_S and (load.own or not request.own_only)
+        )
+        news = tuple(
+            one.news
+            for one in self._cache_news
+            if one.number >= request.seen and (one.own or not request.own_only)
+        )
+        return LoadsReply(self._next, loads, news)
+
+    def share(self) -> list[Endpoint]:
+        """Return the engines that this controller polls."""
+        manifest = self._manifests.state.manifest
+        models = {pool.name for pool in manifest.pools if pool.kind == "model"}
+        own = self._settings.listen
+        controllers = [own, *(a for a in self._settings.peers if a in self._hosts.alive)]
+        return [
+            endpoint
+            for endpoint in manifest.endpoints
+            if endpoint.pool in models
+            and max(controllers, key=lambda a: _weight(a, endpoint.name)) == own
+        ]
+
+    async def _poll_regularly(self) -> None:
+        while True:
+            async with trio.open_nursery() as nursery:
+                for endpoint in self.share():
+                    nursery.start_soon(self._poll, endpoint)
+            await trio.sleep(POLL_EVERY_S)
+
+    async def _poll(self, endpoint: Endpoint) -> None:
+        with trio.move_on_after(POLL_TIMEOUT_S):
+            await self._poll_load(endpoint)
+            await self._poll_cache(endpoint)
+
+    async def _poll_load(self, endpoint: Endpoint) -> None:
+        url = f"http://{endpoint.address}/load"
+        match await self._http.send_json("GET", url, timeout_s=POLL_TIMEOUT_S):
+            case Ok({"age_s": age_s, "requests": int(requests)} as load):
+                news = LoadNews(
+                    endpoint.name,
+                    0.0,
+                    requests,
+                    _count(load, "waiting"),
+                    _count(load, "prefill_tokens"),
+                    _count(load, "decode_tokens"),
+                )
+                self._keep(news, trio.current_time() - float(age_s), own=True)
+
+    async def _poll_cache(self, endpoint: Endpoint) -> None:
+        first = self._cache_from.get(endpoint.name, 0)
+        url = f"http://{endpoint.address}/cache-events?from={first}"
+        match await self._http.send_json("GET", url, timeout_s=POLL_TIMEOUT_S):
+            case Ok({"events": list(events), "next": int(following)}):
+                self._cache_from[endpoint.name] = following
+                left = MAX_KEYS_A_POLL
+                for event in events:
+                    keys = tuple(event["keys"])[:left]
+                    left -= len(keys)
+                    self._add_cache_news(CacheNews(endpoint.name, event["kind"], keys), own=True)
+
+    async def _relay_regularly(self, address: str) -> None:
+        while True:
+            seen = self._peer_seen.get(address, 0)
+            request = LoadsRequest(str(self._holder), seen, own_only=True)
+            match await self._peers[address].call(LOADS, request, RELAY_TIMEOUT_S):
+                case Ok(reply):
+                    self._take(address, reply)
+            await trio.sleep(RELAY_EVERY_S)
+
+    def _take(self, address: str, reply: LoadsReply) -> None:
+        if reply.next < self._peer_seen.get(address, 0):
+            self._peer_seen[address] = 0
+            return
+        self._peer_seen[address] = reply.next
+        now = trio.current_time()
+        for news in reply.loads:
+            self._keep(news, now - news.age_s, own=False)
+        for news in reply.cache_news:
+            self._add_cache_news(news, own=False)
+
+    def _keep(self, news: LoadNews, at: float, own: bool) -> None:
+        known = self._loads.get(news.endpoint)
+        if known is None or at > known.at:
+            self._loads[news.endpoint] = _Load(at, own, news)
+
+    def _add_cache_news(self, news: CacheNews, own: bool) -> None:
+        if news.keys:
+            self._cache_news.append(_Numbered(self._next, own, news))
+            self._next += 1
+
+
+def _weight(address: str, endpoint: str) -> bytes:
+    return hashlib.blake2b(f"{address} {endpoint}".encode(), digest_size=8).digest()
+
+
+def _aged(news: LoadNews, age_s: float) -> LoadNews:
+    return LoadNews(news.endpoint, age_s, news.requests, news.waiting, news.prefill, news.decode)
+
+
+def _count(load: Mapping[str, Any], name: str) -> int:
+    value = load.get(name, 0)
+    return value if isinstance(value, int) else 0
--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -11,6 +11,7 @@
     "BEGIN",
     "FINISH",
     "HEARTBEAT",
+    "LOADS",
     "RECALL",
     "RESERVE",
     "SETTLE",
@@ -20,9 +21,13 @@
     "Ack",
     "BeginReply",
     "BeginRequest",
+    "CacheNews",
     "FinishRequest",
     "Heartbeat",
     "HeartbeatReply",
+    "LoadNews",
+    "LoadsReply",
+    "LoadsRequest",
     "RecallRequest",
     "ReserveReply",
     "ReserveRequest",
@@ -165,6 +170,49 @@
     manifest_version: int
 
 
+class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint's load, `age_s` seconds old.
+
+    Attributes
+    ----------
+    requests, waiting : int
+        Requests there, and those of them that wait for a place in the batch.
+    prefill, decode : int
+        Prompt tokens still to be read, and the most tokens still to be generated.
+    """
+
+    endpoint: str
+    age_s: float
+    requests: int
+    waiting: int
+    prefill: int
+    decode: int
+
+
+class CacheNews(msgspec.Struct, frozen=True, array_like=True):
+    """Prefix keys that an endpoint has ``stored`` or ``evicted``."""
+
+    endpoint: str
+    kind: str
+    keys: tuple[int, ...]
+
+
+class LoadsRequest(msgspec.Struct, frozen=True):
+    """Ask for loads, and for cache news from number `seen`; peers ask for those polled there."""
+
+    asker: str
+    seen: int
+    own_only: bool = False
+
+
+class LoadsReply(msgspec.Struct, frozen=True):
+    """Loads and cache news; `next` is to be given as `seen` the next time."""
+
+    next: int
+    loads: tuple[LoadNews, ...] = ()
+    cache_news: tuple[CacheNews, ...] = ()
+
+
 class StatusRequest(msgspec.Struct, frozen=True):
     """Ask for a controller's state."""
 
@@ -183,4 +231,5 @@
 FINISH = Method("Finish", FinishRequest, Ack)
 ABANDON = Method("Abandon", AbandonRequest, Ack)
 HEARTBEAT = Method("Heartbeat", Heartbeat, HeartbeatReply)
+LOADS = Method("Loads", LoadsRequest, LoadsReply)
 STATUS = Method("Status", StatusRequest, StatusReply)
--- a/mulberrycleat/endpoint/__init__.py
+++ b/mulberrycleat/endpoint/__init__.py
@@ -13,7 +13,6 @@
 from mulberrycleat.endpoint.demand import Demand, priority_of
 from mulberrycleat.endpoint.prefix import BLOCK_BYTES, prefix_keys
 from mulberrycleat.endpoint.state import Estimate, LoadReport
-from mulberrycleat.endpoint.view import EndpointView, choose
 
 __all__ = [
     "BLOCK_BYTES",
@@ -24,14 +23,12 @@
     "ChoiceSettings",
     "Chooser",
     "Demand",
-    "EndpointView",
     "Estimate",
     "Hold",
     "Lane",
     "LoadReport",
     "Refuse",
     "Send",
-    "choose",
     "prefix_keys",
     "priority_of",
 ]
--- a/mulberrycleat/endpoint/chooser.py
+++ b/mulberrycleat/endpoint/chooser.py
@@ -33,14 +33,15 @@
         Weight of the endpoint's time that a request takes up, beside the request's own time.
     near_share, near_s : float
         Endpoints within this share and time (seconds) of the best are chosen among at random, so
-        that routers with the same old report don't all choose the same one.
+        that routers with the same old report don't all choose the same one. When the best is in the
+        router's own zone, only those of that zone are.
     reserve_share : float
         Part of an endpoint's places that longer requests leave to short ones.
     max_ejected_share : float
         Largest share of a pool that may be ejected at once.
     """
 
-    other_zone_s: float = 0.02
+    other_zone_s: float = 0.05
     work_weight: float = 1.0
     near_share: float = 0.2
     near_s: float = 0.02
@@ -126,13 +127,16 @@
 
     def first_token(self, name: str, request_id: str, cached_tokens: int, now: float) -> None:
         """Note that the first event came, with the prompt tokens that were cached."""
-        self._states[name].first_token(request_id, now, cached_tokens)
+        if name in self._states:
+            self._states[name].first_token(request_id, now, cached_tokens)
 
     def ended(
         self, name: str, request_id: str, generated: int, now: float, failed: bool | None
     ) -> None:
         """Note that a request ended; `failed` is None when that says nothing of the endpoint."""
-        state = self._states[name]
+        state = self._states.get(name)
+        if state is None:
+            return
         flight = state.flights.get(request_id)
         if flight is not None and failed is False and flight.demand.max_tokens:
             share = generated / flight.demand.max_tokens
@@ -151,6 +155,13 @@
         elif kind == "evicted":
             self._index.remove(name, keys)
 
+    def retain(self, names: Collection[str]) -> None:
+        """Forget idle endpoints that are not among `names`."""
+        gone = [n for n, s in self._states.items() if n not in names and not s.requests]
+        for name in gone:
+            del self._states[name]
+            self._index.forget(name)
+
     def _usable(self, states: list[EndpointState], now: float) -> list[EndpointState]:
         """Leave out ejected endpoints, up to the bound, and busy ones on trial."""
         ejected = []
@@ -172,9 +183,13 @@
     def _pick(self, scored: list[tuple[float, Choice]]) -> Choice | None:
         if not scored:
             return None
-        best = min(score for score, _ in scored)
+        best, first = min(scored, key=lambda pair: pair[0])
+        if not self._settings.near_share and not self._settings.near_s:
+            return first
         bound = best * (1 + self._settings.near_share) + self._settings.near_s
         near = [choice for score, choice in scored if score <= bound]
+        if first.endpoint.zone == self._zone:
+            near = [choice for choice in near if choice.endpoint.zone == self._zone]
         return self._random.choice(near)
 
     def _note_share(self, demand: Demand) -> None:
--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -15,6 +15,7 @@
 from mulberrycleat.router.chain import FilterChain
 from mulberrycleat.router.endpoints import EndpointTable
 from mulberrycleat.router.filters import (
+    AdmissionFilter,
     AdmitFilter,
     AuthenticateFilter,
     BudgetFilter,
@@ -23,6 +24,7 @@
     RecallFilter,
 )
 from mulberrycleat.router.link import ControllerLink
+from mulberrycleat.router.loads import LoadFeed
 from mulberrycleat.settings import RouterSettings
 from mulberrycleat.web import (
     App,
@@ -61,14 +63,18 @@
         self._ports = ports or Ports()
         self._link = ControllerLink(settings, fleet_key, self._ports)
         self._stopping = False
+        table = EndpointTable(settings.host.zone)
+        self._feed = LoadFeed(self._link, table)
+        self._admission = AdmissionFilter(table)
         self._chain = FilterChain(
             (
                 AuthenticateFilter(),
                 AdmitFilter(),
                 RecallFilter(self._link),
+                self._admission,
                 BudgetFilter(self._link),
                 ClaimFilter(self._link),
-                DispatchFilter(EndpointTable(settings.host.zone), self._ports.http),
+                DispatchFilter(table, self._ports.http),
             )
         )
         self._registry = CollectorRegistry()
@@ -95,6 +101,8 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._link.run)
+            nursery.start_soon(self._feed.run)
+            nursery.start_soon(self._admission.run)
             nursery.start_soon(self._note_stop, stop)
             await self._ports.serve_http(
                 app, self._settings.listen, stop, self._settings.drain_timeout_s
--- a/mulberrycleat/router/call.py
+++ b/mulberrycleat/router/call.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from mulberrycleat.core import Refusal, Served
+from mulberrycleat.endpoint import Demand
 from mulberrycleat.manifest import Manifest, Pool
 from mulberrycleat.router.events import TokenCount
 from mulberrycleat.web import Request
@@ -67,11 +68,14 @@
         Whether a byte of the request may have left for an endpoint.
     count : TokenCount
         Text and tokens over all tries.
+    first_at : float or None
+        When the first event of the present try came, in seconds of trio's clock.
     """
 
     def __init__(self) -> None:
         self.dispatched = False
         self.count = TokenCount()
+        self.first_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +110,8 @@
         Whether the caller wants server-sent events.
     deadline : float
         Time of trio's clock after which the caller does not want an answer, in seconds.
+    demand : Demand or None
+        Work of a request for a model; set by the admission filter.
     meter : Meter
         Shared by all copies of the call.
     """
@@ -124,6 +130,7 @@
     digest: str = ""
     stream: bool = False
     deadline: float = math.inf
+    demand: Demand | None = None
     meter: Meter = field(default_factory=Meter)
 
 
--- a/mulberrycleat/router/exchanges/model.py
+++ b/mulberrycleat/router/exchanges/model.py
@@ -11,6 +11,7 @@
 
 from mulberrycleat.budget import cost_of
 from mulberrycleat.core import PeerError, Refusal, Served, Step
+from mulberrycleat.endpoint import priority_of
 from mulberrycleat.manifest import Endpoint
 from mulberrycleat.router.call import Call
 from mulberrycleat.router.events import BrokenAnswerError, Event, read_events
@@ -25,6 +26,7 @@
 
 __all__ = ["run_model"]
 
+PRIORITY_HEADER = "x-priority"
 FIRST_EVENT_TIMEOUT_S = 20.0
 STALL_TIMEOUT_S = 10.0
 CANCEL_TIMEOUT_S = 1.0
@@ -82,7 +84,9 @@
     count = call.meter.count
     timeout_s = FIRST_EVENT_TIMEOUT_S
     while event := await _next(events, timeout_s):
-        timeout_s = STALL_TIMEOUT_S
+        if call.meter.first_at is None:
+            call.meter.first_at = trio.current_time()
+            timeout_s = STALL_TIMEOUT_S
         count.take(event)
         if count.done:
             return
@@ -134,7 +138,10 @@
 
 
 def _headers(call: Call) -> dict[str, str]:
-    return {"content-type": "application/json", REQUEST_ID_HEADER: call.id}
+    headers = {"content-type": "application/json", REQUEST_ID_HEADER: call.id}
+    if call.demand is not None:
+        headers[PRIORITY_HEADER] = str(priority_of(call.demand))
+    return headers
 
 
 def _served(call: Call, endpoint: Endpoint) -> Served:
--- a/mulberrycleat/router/filters/__init__.py
+++ b/mulberrycleat/router/filters/__init__.py
@@ -1,5 +1,6 @@
 """Filters, in the order in which a request meets them."""
 
+from mulberrycleat.router.filters.admission import AdmissionFilter
 from mulberrycleat.router.filters.admit import AdmitFilter
 from mulberrycleat.router.filters.authenticate import AuthenticateFilter
 from mulberrycleat.router.filters.budget import BudgetFilter
@@ -7,6 +8,7 @@
 from mulberrycleat.router.filters.once import ClaimFilter, RecallFilter
 
 __all__ = [
+    "AdmissionFilter",
     "AdmitFilter",
     "AuthenticateFilter",
     "BudgetFilter",
--- a/mulberrycleat/router/filters/dispatch.py
+++ b/mulberrycleat/router/filters/dispatch.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served
-from mulberrycleat.endpoint import EndpointView
+from mulberrycleat.manifest import Endpoint
 from mulberrycleat.router.call import Call, Proceed
 from mulberrycleat.router.endpoints import EndpointTable
 from mulberrycleat.router.exchanges import no_endpoint, past_deadline, run_model, run_service
@@ -52,11 +52,11 @@
         for number in range(MAX_TRIES):
             if number and not await self._may_retry(call, number, refusal):
                 break
-            view = self._table.choose(call, tried)
-            if view is None:
+            choice = self._table.choose(call, tried)
+            if choice is None:
                 break
-            tried.add(view.endpoint.name)
-            outcome = await self._try(call, view)
+            tried.add(choice.endpoint.name)
+            outcome = await self._try(call, choice.endpoint)
             if isinstance(outcome, Ok):
                 return outcome
             refusal = _graver(refusal, outcome.err_value)
@@ -67,20 +67,18 @@
             return False
         return await self._retries.wait(number, call.deadline)
 
-    async def _try(self, call: Call, view: EndpointView) -> Result[Served, Refusal]:
-        name = view.endpoint.name
-        failed = True
+    async def _try(self, call: Call, endpoint: Endpoint) -> Result[Served, Refusal]:
+        outcome: Result[Served, Refusal] | None = None
         dispatched_before = call.meter.dispatched
-        self._table.started(name, call.reserve_tokens)
+        self._table.started(call, endpoint)
         try:
             run = run_model if call.pool.kind == "model" else run_service
-            outcome = await run(self._client, call, view.endpoint)
-            failed = isinstance(outcome, Err)
-            if failed and isinstance(outcome.err_value, NotRun):
+            outcome = await run(self._client, call, endpoint)
+            if isinstance(outcome, Err) and isinstance(outcome.err_value, NotRun):
                 call.meter.dispatched = dispatched_before
             return outcome
         finally:
-            self._table.ended(name, call.reserve_tokens, failed)
+            self._table.ended(call, endpoint, outcome)
 
 
 def _graver(before: Refusal, now: Refusal) -> Refusal:
--- a/mulberrycleat/router/tests/fakes.py
+++ b/mulberrycleat/router/tests/fakes.py
@@ -13,6 +13,7 @@
 from result import Err, Ok
 
 from mulberrycleat.core import PeerError, Step
+from mulberrycleat.endpoint import ChoiceSettings
 from mulberrycleat.manifest import Endpoint, Manifest, Pool
 from mulberrycleat.router.call import Call, View
 from mulberrycleat.router.endpoints import EndpointTable
@@ -21,6 +22,7 @@
 from mulberrycleat.web import HttpAnswer, Request, StreamedAnswer, peer_error
 
 PROMPT_TOKENS = 10
+IN_ORDER = ChoiceSettings(near_share=0.0, near_s=0.0)
 MODEL_POOL = Pool(name="p", kind="model", model="m", timeout_s=60.0)
 SERVICE_POOL = Pool(name="p", kind="service", idempotent=False, timeout_s=60.0)
 
@@ -175,7 +177,7 @@
 
 async def dispatch(call: Call, *endpoints: FakeEngine | FakeService) -> Any:
     by_address = {f"127.0.0.1:{i}": e for i, e in enumerate(endpoints, start=1)}
-    dispatch_filter = DispatchFilter(EndpointTable("z"), FakeClient(by_address))
+    dispatch_filter = DispatchFilter(EndpointTable("z", IN_ORDER), FakeClient(by_address))
 
     async def proceed(call: Call) -> Any:
         raise AssertionError("the last filter has nothing to proceed to")
