--- a/mulberrycleat/endpoint/admission.py
+++ b/mulberrycleat/endpoint/admission.py
@@ -13,7 +13,7 @@
 __all__ = ["Admission", "AdmissionSettings", "Applicant", "Hold", "Lane", "Refuse", "Send"]
 
 MIN_RETRY_S = 1.0
-MAX_RETRY_S = 60.0
+MAX_RETRY_S = 50.0
 JITTER = 0.2
 RATE_KEPT_SHARE = 0.95
 MIN_RATE_SAMPLES = 5
@@ -202,5 +202,5 @@
         return self._short if lead <= self._settings.passing_tokens else self._long
 
     def _retry_after_s(self, late_s: float) -> float:
-        spread = 1 + JITTER * (2 * self._random.random() - 1)
-        return min(max(late_s, MIN_RETRY_S) * spread, MAX_RETRY_S)
+        spread = 1 + JITTER * self._random.random()
+        return min(max(late_s, MIN_RETRY_S), MAX_RETRY_S) * spread
--- /dev/null
+++ b/mulberrycleat/endpoint/tests/test_choice.py
@@ -0,0 +1,173 @@
+"""Choice among endpoints, against simpler rules where they would choose otherwise."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from mulberrycleat.endpoint import ChoiceSettings, Chooser, Demand, LoadReport, priority_of
+from mulberrycleat.manifest.model import Endpoint
+from mulberrycleat.testing import fixture
+
+SHORT = Demand(60, 40)
+LONG = Demand(6000, 300)
+PLAIN = ChoiceSettings(near_share=0.0, near_s=0.0)
+BLOCK_TOKENS = 64
+
+
+@fixture
+def endpoints():
+    return [Endpoint(name, "pool", "zone-a", f"127.0.0.1:{i}") for i, name in enumerate("abc", 1)]
+
+
+def make(settings=PLAIN, seed=1):
+    return Chooser(settings, "zone-a", Random(seed))
+
+
+def serve(chooser, endpoint, number, first_s, whole_s, demand=LONG, at=0.0, failed=False):
+    """Let one request be served in the given times."""
+    chooser.sent(endpoint, f"{endpoint.name}-{number}", demand, at)
+    chooser.first_token(endpoint.name, f"{endpoint.name}-{number}", 0, at + first_s)
+    chooser.ended(endpoint.name, f"{endpoint.name}-{number}", 150, at + whole_s, failed)
+
+
+def least_outstanding(counts, endpoints):
+    return min(endpoints, key=lambda endpoint: counts[endpoint.name])
+
+
+def test_a_faster_endpoint_is_chosen_though_it_has_more_outstanding(endpoints):
+    chooser = make()
+    for number in range(10):
+        serve(chooser, endpoints[0], number, 0.5, 2.0, at=number * 10.0)
+        serve(chooser, endpoints[1], number, 6.0, 18.0, at=number * 10.0)
+    chooser.sent(endpoints[0], "open", LONG, 200.0)
+    chosen = chooser.choose(endpoints[:2], LONG, 200.1)
+    assert chosen.endpoint.name == "a"
+    assert least_outstanding({"a": 1, "b": 0}, endpoints[:2]).name == "b"
+
+
+def test_own_work_that_a_report_counts_is_not_counted_twice(endpoints):
+    chooser = make()
+    chooser.choose(endpoints, LONG, 0.0)
+    for number in range(4):
+        chooser.sent(endpoints[0], f"r{number}", LONG, 1.0)
+    state = chooser.state(endpoints[0])
+    before = state.estimate(LONG, 0, 100, 1.0, 2.0)
+    chooser.take_report("a", LoadReport(1.5, 4, 0, 24_000, 1200))
+    assert state.estimate(LONG, 0, 100, 1.0, 2.0) == before
+    chooser.take_report("a", LoadReport(1.8, 6, 0, 36_000, 1800))
+    assert state.estimate(LONG, 0, 100, 1.0, 2.0).queue_s > before.queue_s
+
+
+def test_a_report_that_claims_no_load_is_outweighed_by_outcomes(endpoints):
+    chooser = make()
+    for number in range(10):
+        at = number * 5.0
+        serve(chooser, endpoints[0], number, 9.0, 20.0, at=at)
+        serve(chooser, endpoints[1], number, 2.0, 5.0, at=at)
+        chooser.take_report("a", LoadReport(at, 0, 0, 0, 0))
+        chooser.take_report("b", LoadReport(at, 3, 0, 6000, 300))
+    assert chooser.choose(endpoints[:2], LONG, 51.0).endpoint.name == "b"
+
+
+def test_a_cached_prefix_attracts_until_its_endpoint_is_busy(endpoints):
+    chooser = make()
+    note = LONG._replace(keys=tuple(range(90)))
+    chooser.sent(endpoints[2], "first", note, 0.0)
+    chooser.first_token("c", "first", 0, 1.0)
+    chooser.ended("c", "first", 150, 3.0, False)
+    chosen = chooser.choose(endpoints, note, 4.0)
+    assert (chosen.endpoint.name, chosen.cached_tokens) == ("c", 90 * BLOCK_TOKENS)
+    for number in range(6):
+        chooser.sent(endpoints[2], f"other-{number}", LONG, 4.0)
+    assert chooser.choose(endpoints, note, 4.1).endpoint.name != "c"
+
+
+def test_lost_evictions_are_discounted_by_what_engines_report(endpoints):
+    chooser = make()
+    chooser.choose(endpoints, LONG, 0.0)
+    for number in range(30):
+        keys = tuple(range(number * 100, number * 100 + 90))
+        chooser.take_cache_event("c", "stored", keys)
+        demand = LONG._replace(keys=keys)
+        chooser.sent(endpoints[2], f"r{number}", demand, number * 10.0)
+        chooser.first_token("c", f"r{number}", 0, number * 10.0 + 1.5)
+        chooser.ended("c", f"r{number}", 150, number * 10.0 + 4.0, False)
+    assert chooser.state(endpoints[2]).trust < 0.1
+    chooser.take_cache_event("c", "stored", (1, 2, 3) * 30)
+    believed = LONG._replace(keys=(1, 2, 3) * 30)
+    expected = [chooser.choose(endpoints[2:], d, 400.0).estimate.first_s for d in (believed, LONG)]
+    assert expected[0] > 0.9 * expected[1]
+
+
+def test_routers_with_one_old_report_do_not_all_choose_the_same_endpoint(endpoints):
+    def spread(settings):
+        chosen = Counter()
+        for router in range(30):
+            chooser = make(settings, seed=router)
+            for endpoint in endpoints:
+                chooser.state(endpoint)
+                chooser.take_report(endpoint.name, LoadReport(0.0, 2, 0, 100, 100))
+            chosen[chooser.choose(endpoints, SHORT, 1.0).endpoint.name] += 1
+        return max(chosen.values())
+
+    assert spread(PLAIN) == 30
+    assert spread(ChoiceSettings()) <= 15
+
+
+def test_another_zone_is_used_only_where_it_pays():
+    near, far = Endpoint("near", "pool", "zone-a", "1"), Endpoint("far", "pool", "zone-b", "2")
+    chooser = make()
+    assert chooser.choose([far, near], SHORT, 0.0).endpoint is near
+    for number in range(5):
+        chooser.sent(near, f"r{number}", LONG, 0.0)
+    assert chooser.choose([far, near], LONG, 0.1).endpoint is far
+
+
+def test_an_endpoint_that_answers_nothing_is_left_before_any_timeout(endpoints):
+    chooser = make()
+    for number in range(5):
+        for endpoint in endpoints:
+            serve(chooser, endpoint, number, 0.05, 0.6, SHORT, at=float(number))
+    chooser.sent(endpoints[0], "stuck", SHORT, 10.0)
+    assert chooser.choose(endpoints, SHORT, 13.0).endpoint.name != "a"
+    assert chooser.state(endpoints[0]).health.failures == 0
+
+
+def test_a_failing_endpoint_is_ejected_and_returns_by_trials(endpoints):
+    chooser = make()
+    for number in range(3):
+        serve(chooser, endpoints[0], number, 0.05, 0.1, SHORT, at=1.0, failed=True)
+    names = {chooser.choose(endpoints[:3], SHORT, 1.2).endpoint.name for _ in range(20)}
+    assert "a" not in names
+    chooser.sent(endpoints[0], "trial", SHORT, 5.0)
+    assert chooser.choose(endpoints[:1] + endpoints[1:], SHORT, 5.0).endpoint.name != "a"
+    chooser.first_token("a", "trial", 0, 5.1)
+    chooser.ended("a", "trial", 20, 5.5, False)
+    for number in range(2):
+        serve(chooser, endpoints[0], f"t{number}", 0.05, 0.6, SHORT, at=6.0 + number)
+    assert chooser.state(endpoints[0]).health.standing(9.0).value == "good"
+
+
+def test_no_more_than_the_bound_is_ejected(endpoints):
+    chooser = make()
+    for endpoint in endpoints:
+        for number in range(3):
+            serve(chooser, endpoint, number, 0.05, 0.1, SHORT, at=1.0, failed=True)
+    assert chooser.choose(endpoints, SHORT, 1.2) is not None
+
+
+def test_short_requests_are_more_urgent_than_long_ones():
+    assert priority_of(SHORT) < priority_of(LONG)
+
+
+def test_a_short_request_waits_for_urgent_prompts_only(endpoints):
+    chooser = make()
+    for number in range(20):
+        serve(chooser, endpoints[0], number, 1.5, 5.0, at=float(number))
+        serve(chooser, endpoints[0], f"s{number}", 0.02, 0.6, SHORT, at=float(number))
+    for number in range(4):
+        chooser.sent(endpoints[0], f"open-{number}", LONG, 40.0)
+    long = chooser.choose(endpoints[:1], LONG, 40.1).estimate
+    short = chooser.choose(endpoints[:1], SHORT, 40.1).estimate
+    assert short.queue_s < 0.1 < 2.0 < long.queue_s
