--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -61,6 +61,11 @@
             settings, self._holder, self._manifests, self._hosts, self._ports, fleet_key
         )
 
+    @property
+    def loads(self) -> LoadController:
+        """Load reports."""
+        return self._loads
+
     async def run(self, stop: trio.Event) -> None:
         """Run until `stop` is set, then settle and end. Needs an open trio-asyncio loop."""
         async with trio.open_nursery() as nursery:
--- a/mulberrycleat/endpoint/admission.py
+++ b/mulberrycleat/endpoint/admission.py
@@ -111,12 +111,15 @@
         self._samples += 1
         self._last = now
 
-    def wait_s(self, applicant: Applicant) -> float:
-        """Return the expected wait of a new request, in seconds."""
-        if self._samples < MIN_RATE_SAMPLES:
-            return 0.0
+    def wait_s(self, applicant: Applicant, estimate: Estimate) -> float:
+        """Return the expected wait of a new request, in seconds.
+
+        Until enough requests have been released, the lane is taken to drain as one endpoint would.
+        """
         demand = applicant.demand
         before = self.queue.work_before(applicant.account, applicant.weight, demand.is_short)
+        if self._samples < MIN_RATE_SAMPLES:
+            return before / demand.work_tokens * estimate.work_s
         return (before + demand.work_tokens) * self._time_s / self._work
 
 
@@ -154,7 +157,7 @@
         lane = self._lane(applicant)
         work = applicant.demand.work_tokens
         passes = not lane.queue and estimate.queue_s <= self._settings.hold_s
-        wait_s = 0.0 if passes else lane.wait_s(applicant)
+        wait_s = 0.0 if passes else lane.wait_s(applicant, estimate)
         margin = self._margin(applicant, lane, now)
         late_s = now + (wait_s + estimate.whole_s) / margin - applicant.deadline
         if late_s > 0:
--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from random import Random
 
 import trio
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
@@ -63,9 +64,10 @@
         self._ports = ports or Ports()
         self._link = ControllerLink(settings, fleet_key, self._ports)
         self._stopping = False
-        table = EndpointTable(settings.host.zone)
+        random = Random(settings.host.name)
+        table = EndpointTable(settings.host.zone, random=random)
         self._feed = LoadFeed(self._link, table)
-        self._admission = AdmissionFilter(table)
+        self._admission = AdmissionFilter(table, random=random)
         self._chain = FilterChain(
             (
                 AuthenticateFilter(),
--- a/mulberrycleat/router/filters/admission.py
+++ b/mulberrycleat/router/filters/admission.py
@@ -25,6 +25,7 @@
 __all__ = ["AdmissionFilter"]
 
 RELEASE_EVERY_S = 0.05
+MIN_RETRY_S = 1.0
 
 
 class _Held:
@@ -103,7 +104,7 @@
             finally:
                 if held.verdict is None:
                     admission.withdraw(entry)
-        return held.verdict or Refuse(1.0)
+        return Refuse(MIN_RETRY_S) if held.verdict is None else held.verdict
 
     def _release(self, admission: Admission, lane: Lane) -> None:
         """Release one request; the next look counts it, when it has been sent."""
