--- a/mulberrycleat/controller/loads.py
+++ b/mulberrycleat/controller/loads.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
-import logging
 from collections import deque
 from collections.abc import Mapping
 from typing import Any, NamedTuple
@@ -23,12 +21,9 @@
 from mulberrycleat.core import Holder
 from mulberrycleat.core.ports import Ports
 from mulberrycleat.manifest import Endpoint
-from mulberrycleat.settings import ControllerSettings
 
 __all__ = ["LoadController"]
 
-log = logging.getLogger(__name__)
-
 POLL_EVERY_S = 1.0
 POLL_TIMEOUT_S = 1.0
 RELAY_EVERY_S = 1.0
@@ -58,35 +53,27 @@
 
     Parameters
     ----------
-    settings : ControllerSettings
-        Peers and the own address.
     holder : Holder
         Named in requests to peers.
     manifests : ManifestController
         Endpoints.
     hosts : HostController
-        Peers that answer.
+        Hosts of the zone that answer, and their order for a task.
     ports : Ports
-        Ways to endpoints and peers.
-    fleet_key : str
-        Key that calls between the fleet's processes carry.
+        Ways to endpoints.
     """
 
     def __init__(
         self,
-        settings: ControllerSettings,
         holder: Holder,
         manifests: ManifestController,
         hosts: HostController,
         ports: Ports,
-        fleet_key: str,
     ) -> None:
-        self._settings = settings
         self._holder = holder
         self._manifests = manifests
         self._hosts = hosts
         self._http = ports.http
-        self._peers = {a: ports.connect_rpc(a, fleet_key) for a in settings.peers}
         self._loads: dict[str, _Load] = {}
         self._cache_news: deque[_Numbered] = deque(maxlen=KEPT_CACHE_NEWS)
         self._next = 1
@@ -97,8 +84,7 @@
         """Poll and relay for ever."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poll_regularly)
-            for address in self._peers:
-                nursery.start_soon(self._relay_regularly, address)
+            nursery.start_soon(self._relay_regularly)
             task_status.started()
 
     async def loads(self, request: LoadsRequest) -> LoadsReply:
@@ -120,13 +106,10 @@
         """Return the engines that this controller polls."""
         manifest = self._manifests.state.manifest
         models = {pool.name for pool in manifest.pools if pool.kind == "model"}
-        own = self._settings.listen
-        controllers = [own, *(a for a in self._settings.peers if a in self._hosts.alive)]
         return [
             endpoint
             for endpoint in manifest.endpoints
-            if endpoint.pool in models
-            and max(controllers, key=lambda a: _weight(a, endpoint.name)) == own
+            if endpoint.pool in models and self._hosts.rank(f"load {endpoint.name}") == 0
         ]
 
     async def _poll_regularly(self) -> None:
@@ -167,15 +150,20 @@
                     left -= len(keys)
                     self._add_cache_news(CacheNews(endpoint.name, event["kind"], keys), own=True)
 
-    async def _relay_regularly(self, address: str) -> None:
+    async def _relay_regularly(self) -> None:
         while True:
-            seen = self._peer_seen.get(address, 0)
-            request = LoadsRequest(str(self._holder), seen, own_only=True)
-            match await self._peers[address].call(LOADS, request, RELAY_TIMEOUT_S):
-                case Ok(reply):
-                    self._take(address, reply)
+            async with trio.open_nursery() as nursery:
+                for member in self._hosts.members.usable(trio.current_time()):
+                    nursery.start_soon(self._relay, member.address)
             await trio.sleep(RELAY_EVERY_S)
 
+    async def _relay(self, address: str) -> None:
+        seen = self._peer_seen.get(address, 0)
+        request = LoadsRequest(str(self._holder), seen, own_only=True)
+        match await self._hosts.call(address, LOADS, request, RELAY_TIMEOUT_S):
+            case Ok(reply):
+                self._take(address, reply)
+
     def _take(self, address: str, reply: LoadsReply) -> None:
         if reply.next < self._peer_seen.get(address, 0):
             self._peer_seen[address] = 0
@@ -198,10 +186,6 @@
             self._next += 1
 
 
-def _weight(address: str, endpoint: str) -> bytes:
-    return hashlib.blake2b(f"{address} {endpoint}".encode(), digest_size=8).digest()
-
-
 def _aged(news: LoadNews, age_s: float) -> LoadNews:
     return LoadNews(news.endpoint, age_s, news.requests, news.waiting, news.prefill, news.decode)
 
