--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from random import Random
 
 import trio
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
@@ -17,6 +18,7 @@
 from mulberrycleat.router.chain import FilterChain
 from mulberrycleat.router.endpoints import EndpointTable
 from mulberrycleat.router.filters import (
+    AdmissionFilter,
     AdmitFilter,
     AuthenticateFilter,
     BudgetFilter,
@@ -25,6 +27,7 @@
     RecallFilter,
 )
 from mulberrycleat.router.link import ControllerLink
+from mulberrycleat.router.loads import LoadFeed
 from mulberrycleat.router.stops import Drain
 from mulberrycleat.settings import RouterSettings
 from mulberrycleat.web import (
@@ -64,14 +67,19 @@
         self._ports = ports or Ports()
         self._link = ControllerLink(settings, fleet_key, self._ports)
         self._drain = Drain(settings)
+        random = Random(settings.host.name)
+        table = EndpointTable(settings.host.zone, random=random)
+        self._feed = LoadFeed(self._link, table)
+        self._admission = AdmissionFilter(table, random=random)
         self._chain = FilterChain(
             (
                 AuthenticateFilter(),
                 AdmitFilter(),
                 RecallFilter(self._link),
+                self._admission,
                 BudgetFilter(self._link),
                 ClaimFilter(self._link),
-                DispatchFilter(EndpointTable(settings.host.zone), self._ports.http),
+                DispatchFilter(table, self._ports.http),
             )
         )
         self._registry = CollectorRegistry()
@@ -98,6 +106,8 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._link.run)
+            nursery.start_soon(self._feed.run)
+            nursery.start_soon(self._admission.run)
             nursery.start_soon(self._drain.run, stop, lambda: self._link.view.manifest)
             with self._drain.scope:
                 await self._ports.serve_http(
