Report service-level burn from the routers' histograms

Cause: nothing told how fast the error budgets of the manifest's objectives are used up, nor which refusals were false. Ruled out: fixed buckets (a bound of an objective can change), lines in log files, a stream of the platform's log (appends are for what must be agreed). Change: ObserveFilter times answers where they leave the router, a Recorder keeps 60 mergeable intervals, /burn/intervals tells them to the fleet's key, mulberrycleat-burn collects, merges, assesses (three pairs of windows) and writes text, JSON or SVG; bin/demo shows one.

--- /dev/null
+++ b/mulberrycleat/bench/recording.py
@@ -0,0 +1,69 @@
+"""What the burn report costs a router: time of a recorded token, size of a series."""
+
+from __future__ import annotations
+
+import json
+import time
+import tracemalloc
+
+import click
+
+from mulberrycleat.burn.model import MEASURES, Series
+from mulberrycleat.burn.recorder import LiveSeries
+
+__all__ = ["command"]
+
+TOKENS = 200_000
+SERIES = 200
+KEPT = 2000
+GAPS_S = tuple(0.005 + 0.0001 * number for number in range(300))
+
+
+@click.command()
+def command() -> None:
+    """Print the cost of recording; the last line is JSON."""
+    record_us = _record_us()
+    live_kb, kept_kb, encode_us = _sizes()
+    click.echo(f"recording a token: {record_us:.2f} us")
+    click.echo(f"a live series of three measures: {live_kb:.1f} KB")
+    click.echo(f"a kept series of an interval: {kept_kb:.2f} KB, encoded in {encode_us:.0f} us")
+    result = {
+        "record_us": round(record_us, 2),
+        "live_series_kb": round(live_kb, 1),
+        "kept_series_kb": round(kept_kb, 2),
+        "encode_series_us": round(encode_us),
+    }
+    click.echo(json.dumps(result))
+
+
+def _record_us() -> float:
+    series = LiveSeries("account", "pool")
+    began = time.perf_counter()
+    for number in range(TOKENS):
+        series.record("between_tokens", GAPS_S[number % len(GAPS_S)])
+    return (time.perf_counter() - began) / TOKENS * 1e6
+
+
+def _sizes() -> tuple[float, float, float]:
+    """Return KB of a live series, KB of a kept one, and microseconds to encode one."""
+    tracemalloc.start()
+    live = [_series(number) for number in range(SERIES)]
+    live_kb = tracemalloc.get_traced_memory()[0] / SERIES / 1024
+    tracemalloc.stop()
+    began = time.perf_counter()
+    for number in range(SERIES):
+        live[number].snapshot()
+    encode_us = (time.perf_counter() - began) / SERIES * 1e6
+    tracemalloc.start()
+    kept: list[Series] = [live[number % SERIES].snapshot() for number in range(KEPT)]
+    kept_kb = tracemalloc.get_traced_memory()[0] / len(kept) / 1024
+    tracemalloc.stop()
+    return live_kb, kept_kb, encode_us
+
+
+def _series(number: int) -> LiveSeries:
+    series = LiveSeries(f"account-{number}", "pool")
+    for measure in MEASURES:
+        for gap_s in GAPS_S:
+            series.record(measure, gap_s)
+    return series
--- /dev/null
+++ b/mulberrycleat/burn/histogram.py
@@ -0,0 +1,70 @@
+"""Histograms of durations: one shape for all hosts, so that any two can be added."""
+
+from __future__ import annotations
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = [
+    "UNITS_PER_S",
+    "count_within",
+    "decode",
+    "encode",
+    "new_histogram",
+    "record",
+    "seconds_at",
+]
+
+UNITS_PER_S = 10_000
+LONGEST_S = 600
+SIGNIFICANT_DIGITS = 2
+WORD_BYTES = 4
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of 0.1 ms to 600 s with two significant digits."""
+    return HdrHistogram(1, LONGEST_S * UNITS_PER_S, SIGNIFICANT_DIGITS, word_size=WORD_BYTES)
+
+
+def record(histogram: HdrHistogram, duration_s: float) -> None:
+    """Count a duration; longer ones than 600 s count as 600 s."""
+    units = round(duration_s * UNITS_PER_S)
+    histogram.record_value(min(max(units, 1), LONGEST_S * UNITS_PER_S))
+
+
+def encode(histogram: HdrHistogram) -> str:
+    """Return a histogram in the V2 form of HdrHistogram, as base64."""
+    return histogram.encode().decode("ascii")
+
+
+def decode(text: str) -> HdrHistogram:
+    """Return the histogram that :func:`encode` wrote."""
+    return HdrHistogram.decode(text.encode("ascii"))
+
+
+def count_within(histogram: HdrHistogram, bound_s: float) -> int:
+    """Return how many recorded durations are at most `bound_s`, to the histogram's precision.
+
+    >>> histogram = new_histogram()
+    >>> for duration_s in (0.5, 1.0, 2.0):
+    ...     record(histogram, duration_s)
+    >>> count_within(histogram, 1.0)
+    2
+    """
+    limit = histogram.get_highest_equivalent_value(round(bound_s * UNITS_PER_S))
+    within = 0
+    for item in histogram.get_recorded_iterator():
+        if item.value_iterated_to > limit:
+            break
+        within += item.count_added_in_this_iter_step
+    return within
+
+
+def seconds_at(histogram: HdrHistogram, percentile: float) -> float:
+    """Return the duration at a percentile, in seconds; 0 when nothing was recorded.
+
+    >>> histogram = new_histogram()
+    >>> record(histogram, 0.25)
+    >>> round(seconds_at(histogram, 95), 2)
+    0.25
+    """
+    return histogram.get_value_at_percentile(percentile) / UNITS_PER_S
--- /dev/null
+++ b/mulberrycleat/burn/main.py
@@ -0,0 +1,176 @@
+"""``mulberrycleat-burn``: service-level burn from the routers' histograms."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from pathlib import Path
+
+import click
+import msgspec
+import trio_asyncio
+from result import Err, Ok
+
+from mulberrycleat.burn.collect import Collected, add_to_file, collect, read_file
+from mulberrycleat.burn.merge import newest
+from mulberrycleat.burn.model import Interval
+from mulberrycleat.burn.report import Report, as_data, as_text, make_report
+from mulberrycleat.cli.changes import current_state
+from mulberrycleat.cli.operations import read_statuses
+from mulberrycleat.core.logs import configure_logging
+from mulberrycleat.core.process import settings_or_exit, value_or_exit
+from mulberrycleat.eventlog import HttpEventLog
+from mulberrycleat.manifest import Manifest, ManifestState
+from mulberrycleat.settings import OperatorSettings, read_fleet_key
+from mulberrycleat.web import HttpClient
+
+__all__ = ["main"]
+
+EXIT_ALERT = 1
+EXIT_BAD_INPUT = 2
+EXIT_UNAVAILABLE = 3
+
+
+class _Tool:
+    """Settings and key, and what is read with them."""
+
+    def __init__(self, settings_file: Path) -> None:
+        self.settings = settings_or_exit(settings_file, OperatorSettings)
+        self.fleet_key = value_or_exit(settings_file, read_fleet_key(self.settings.fleet_key_file))
+        configure_logging(self.settings.log)
+
+    async def collect(self) -> Collected:
+        """Ask every router."""
+        client = HttpClient()
+        try:
+            return await collect(client, self.settings.routers, self.fleet_key)
+        finally:
+            await client.aclose()
+
+    async def read_manifest(self) -> Manifest:
+        """Return the manifest in force, from the platform's log."""
+        client = HttpClient()
+        try:
+            match await current_state(HttpEventLog(self.settings.platform, client)):
+                case Ok(ManifestState(manifest=manifest)):
+                    return manifest
+                case Err(error):
+                    _fail(EXIT_UNAVAILABLE, str(error))
+        finally:
+            await client.aclose()
+
+    async def read_spent(self) -> dict[str, tuple[int, int]]:
+        """Return prepaid and spent tokens by budget; of several hosts the one that knows most."""
+        found: dict[str, tuple[int, int]] = {}
+        for status in (await read_statuses(self.settings, self.fleet_key)).values():
+            if isinstance(status, Ok):
+                for name, budget in status.ok_value["budgets"].items():
+                    seen = (budget["prepaid"], budget["spent"])
+                    found[name] = max(found.get(name, (0, 0)), seen, key=sum)
+        return found
+
+
+@click.group()
+@click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(dir_okay=False, path_type=Path),
+    envvar="MULBERRYCLEAT_SETTINGS",
+    default="operator.toml",
+    show_default=True,
+    help="The operator's settings file; `routers` names the routers to ask.",
+)
+@click.pass_context
+def main(context: click.Context, settings_file: Path) -> None:
+    """Report how fast the error budgets of the manifest's objectives are used up.
+
+    Routers keep their intervals for an hour, and lose them when they are replaced: run `collect`
+    every few minutes to keep them in a file, and give the file to `report`.
+
+    Exit codes: 0 done; 1 an alert fires; 2 bad input; 3 a router or the platform cannot be reached.
+    """
+    context.obj = settings_file
+
+
+@main.command("collect")
+@click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
+@click.pass_obj
+def collect_command(settings_file: Path, file: Path) -> None:
+    """Add the routers' intervals to FILE, each once."""
+    tool = _Tool(settings_file)
+    found = trio_asyncio.run(tool.collect)
+    _read_files((file,) if file.exists() else ())
+    click.echo(f"{file}: {add_to_file(file, found.intervals)} intervals")
+    _tell_errors(found)
+
+
+@main.command("report")
+@click.option(
+    "--file",
+    "files",
+    multiple=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="Intervals that `collect` has kept; may be given again.",
+)
+@click.option("--format", "form", type=click.Choice(["text", "json", "svg"]), default="text")
+@click.option("--output", type=click.Path(dir_okay=False, path_type=Path))
+@click.pass_obj
+def report_command(
+    settings_file: Path, files: tuple[Path, ...], form: str, output: Path | None
+) -> None:
+    """Write the report."""
+    tool = _Tool(settings_file)
+    kept = _read_files(files)
+
+    async def read() -> tuple[Collected, Manifest, dict[str, tuple[int, int]]]:
+        return await tool.collect(), await tool.read_manifest(), await tool.read_spent()
+
+    found, manifest, spent = trio_asyncio.run(read)
+    report = make_report(newest([*kept, *found.intervals]), manifest, spent, time.time())
+    text = _render(report, form)
+    if output is None:
+        click.echo(text)
+    else:
+        output.write_text(text, encoding="utf-8")
+    _tell_errors(found)
+    sys.exit(EXIT_ALERT if any(burn.alerts for burn in report.burns) else 0)
+
+
+def _render(report: Report, form: str) -> str:
+    match form:
+        case "json":
+            return json.dumps(as_data(report))
+        case "svg":
+            # Imported here because only the picture needs the chart library.
+            from mulberrycleat.burn.chart import as_svg
+
+            return as_svg(report)
+        case _:
+            return as_text(report)
+
+
+def _read_files(files: tuple[Path, ...]) -> list[Interval]:
+    intervals: list[Interval] = []
+    for path in files:
+        try:
+            intervals += read_file(path)
+        except (OSError, msgspec.DecodeError) as error:
+            _fail(EXIT_BAD_INPUT, f"{path}: {error}")
+    return intervals
+
+
+def _tell_errors(found: Collected) -> None:
+    for error in found.errors:
+        click.echo(str(error), err=True)
+    if found.errors:
+        sys.exit(EXIT_UNAVAILABLE)
+
+
+def _fail(code: int, reason: str) -> None:
+    click.echo(reason, err=True)
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mulberrycleat/burn/recorder.py
@@ -0,0 +1,112 @@
+"""Recording of answers on a router, interval by interval."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+
+import trio
+from hdrh.histogram import HdrHistogram
+from result import Err, Ok, Result
+
+from mulberrycleat.burn.histogram import encode, new_histogram, record
+from mulberrycleat.burn.model import Interval, Series
+from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, new_id
+from mulberrycleat.settings import RouterSettings
+
+__all__ = ["LiveSeries", "Recorder"]
+
+
+class LiveSeries:
+    """The answers to one client account at one pool in the current interval."""
+
+    def __init__(self, account: str, pool: str) -> None:
+        self._account = account
+        self._pool = pool
+        self._served = 0
+        self._refused: Counter[str] = Counter()
+        self._in_doubt: Counter[str] = Counter()
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def record(self, measure: str, duration_s: float) -> None:
+        """Count a duration."""
+        histogram = self._histograms.get(measure)
+        if histogram is None:
+            histogram = self._histograms[measure] = new_histogram()
+        record(histogram, duration_s)
+
+    def note(self, outcome: Result[Served, Refusal]) -> None:
+        """Count the end of a request."""
+        match outcome:
+            case Ok(_):
+                self._served += 1
+            case Err(NotRun(code=code)):
+                self._refused[code] += 1
+            case Err(MayHaveRun(code=code)):
+                self._in_doubt[code] += 1
+
+    def snapshot(self) -> Series:
+        """Return what has been counted so far."""
+        return Series(
+            self._account,
+            self._pool,
+            self._served,
+            dict(self._refused),
+            dict(self._in_doubt),
+            {measure: encode(histogram) for measure, histogram in self._histograms.items()},
+        )
+
+
+class Recorder:
+    """Series of the current interval, and the last intervals in encoded form.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Host, length and number of intervals.
+    now : callable
+        Returns Unix time in seconds.
+    """
+
+    def __init__(self, settings: RouterSettings, now: Callable[[], float]) -> None:
+        self._settings = settings
+        self._now = now
+        self._router = new_id()
+        self._number = 0
+        self._start = now()
+        self._live: dict[tuple[str, str], LiveSeries] = {}
+        self._closed: deque[Interval] = deque(maxlen=settings.burn_intervals)
+
+    async def run(self) -> None:
+        """Close an interval again and again."""
+        while True:
+            await trio.sleep(self._settings.burn_interval_s)
+            self.close()
+
+    def series(self, account: str, pool: str) -> LiveSeries:
+        """Return the series of the current interval."""
+        key = (account, pool)
+        found = self._live.get(key)
+        if found is None:
+            found = self._live[key] = LiveSeries(account, pool)
+        return found
+
+    def close(self) -> None:
+        """End the current interval and begin another; an empty one is dropped."""
+        interval = self._current()
+        if interval.series:
+            self._closed.append(interval)
+        self._live = {}
+        self._number += 1
+        self._start = interval.end
+
+    def intervals(self) -> tuple[Interval, ...]:
+        """Return the intervals kept and the current one so far."""
+        return (*self._closed, self._current())
+
+    def _current(self) -> Interval:
+        host = self._settings.host
+        series = tuple(one.snapshot() for one in self._live.values())
+        return Interval(
+            host.name, host.zone, self._router, self._number, self._start, self._now(), series
+        )
--- a/mulberrycleat/demo/main.py
+++ b/mulberrycleat/demo/main.py
@@ -13,12 +13,14 @@
 
 import click
 
+from mulberrycleat.burn.main import EXIT_ALERT
 from mulberrycleat.demo.callers import book, chat, chat_stream
 from mulberrycleat.testing.fleet import FleetPlan, LocalFleet, local_fleet, write_manifest
 
 __all__ = ["main", "operate", "set_up"]
 
 PREPAID_TOKENS = 200_000
+PICTURE_DIRECTORY = Path(".demo")
 SURVEY_NOTE = "Day 3, east track: two washouts, one fallen myrtle, hut door hinge broken. " * 20
 DRUM_HISTORY = "Drum 4471: solvent 2019, resin 2021, caustic wash, dent at the lower hoop. " * 20
 
@@ -42,7 +44,7 @@
         else:
             with local_fleet(plan, where) as fleet:
                 set_up(fleet, where)
-                _show(fleet, where)
+                _show(fleet, where, directory or PICTURE_DIRECTORY)
 
 
 def operate(fleet: LocalFleet, *words: str) -> dict[str, Any]:
@@ -73,10 +75,11 @@
         fleet.interrupted.wait()
 
 
-def _show(fleet: LocalFleet, where: Path) -> None:
+def _show(fleet: LocalFleet, where: Path, pictures: Path) -> None:
     _show_requests(fleet)
     _show_step_back(fleet, where)
     _show_budgets(fleet)
+    _show_burn(fleet, pictures)
 
 
 def _show_requests(fleet: LocalFleet) -> None:
@@ -115,5 +118,23 @@
         print(f"{name}: {({k: v for k, v in budget.items() if k != 'shares'})}")
 
 
+def _show_burn(fleet: LocalFleet, pictures: Path) -> None:
+    print("== burn of the objectives")
+    pictures.mkdir(parents=True, exist_ok=True)
+    picture = pictures / "burn.svg"
+    _burn(fleet, "report", "--format", "svg", "--output", str(picture))
+    print(_burn(fleet, "report"))
+    print(f"as a picture: {picture}")
+
+
+def _burn(fleet: LocalFleet, *words: str) -> str:
+    command = [sys.executable, "-m", "mulberrycleat.burn.main"]
+    command += ["--settings", str(fleet.operator_file), *words]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    if done.returncode not in (0, EXIT_ALERT):
+        raise RuntimeError(f"burn: exit {done.returncode}: {done.stderr}{done.stdout}")
+    return done.stdout
+
+
 if __name__ == "__main__":
     main()
--- a/mulberrycleat/demo/tests/test_demo.py
+++ b/mulberrycleat/demo/tests/test_demo.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 from click.testing import CliRunner
 
 from mulberrycleat.demo.main import main
@@ -12,3 +14,6 @@
     assert result.exit_code == 0, result.output
     assert "repeated in another zone: {'booking': 1" in result.output
     assert "step back: {'accepted': True, 'version': 3" in result.output
+    assert "of the error budget left" in result.output
+    assert "as a picture: .demo/burn.svg" in result.output
+    assert "</svg>" in Path(".demo/burn.svg").read_text(encoding="utf-8")
--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -8,10 +8,11 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from result import Err, Ok, Result
 
+from mulberrycleat.burn import INTERVALS_PATH, Recorder
 from mulberrycleat.core import Refusal, Served, Step, new_id
 from mulberrycleat.core.logs import log_fields
 from mulberrycleat.core.ports import Ports
-from mulberrycleat.router.answers import BufferedSink, http_problem, problem_event, problem_reply
+from mulberrycleat.router.answers import http_problem, problem_event, problem_reply
 from mulberrycleat.router.call import Call
 from mulberrycleat.router.chain import FilterChain
 from mulberrycleat.router.endpoints import EndpointTable
@@ -21,9 +22,11 @@
     BudgetFilter,
     ClaimFilter,
     DispatchFilter,
+    ObserveFilter,
     RecallFilter,
 )
 from mulberrycleat.router.link import ControllerLink
+from mulberrycleat.rpc import KEY_HEADER, is_fleet_key
 from mulberrycleat.settings import RouterSettings
 from mulberrycleat.web import (
     App,
@@ -61,11 +64,14 @@
         self._settings = settings
         self._ports = ports or Ports()
         self._link = ControllerLink(settings, fleet_key, self._ports)
+        self._fleet_key = fleet_key
+        self._recorder = Recorder(settings, self._ports.now)
         self._stopping = False
         self._chain = FilterChain(
             (
                 AuthenticateFilter(),
                 AdmitFilter(),
+                ObserveFilter(self._recorder),
                 RecallFilter(self._link),
                 BudgetFilter(self._link),
                 ClaimFilter(self._link),
@@ -89,6 +95,7 @@
                 Route("GET", "/healthz", self._health),
                 Route("GET", "/readyz", self._ready),
                 Route("GET", "/metrics", self._metrics),
+                Route("GET", INTERVALS_PATH, self._intervals),
             ),
             self._settings.max_body_bytes,
             self._settings.receive_timeout_s,
@@ -96,6 +103,7 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._link.run)
+            nursery.start_soon(self._recorder.run)
             nursery.start_soon(self._note_stop, stop)
             await self._ports.serve_http(
                 app, self._settings.listen, stop, self._settings.drain_timeout_s
@@ -110,7 +118,7 @@
         self._stopping = True
 
     async def _serve(self, request: Request, responder: Responder) -> Reply | None:
-        call = Call(new_id(), request, self._link.view, BufferedSink(responder))
+        call = Call(new_id(), request, self._link.view, responder)
         with log_fields(request=call.id, path=request.path):
             return await self._run_chain(call, responder)
 
@@ -145,6 +153,11 @@
         ready = self._link.fresh.is_set() and not self._stopping
         return json_reply({"ready": ready}, 200 if ready else 503)
 
+    async def _intervals(self, request: Request, responder: Responder) -> Reply:
+        if not is_fleet_key(request.headers.get(KEY_HEADER, ""), self._fleet_key):
+            return json_reply({"error": "the fleet key is missing or wrong"}, 401)
+        return json_reply({"intervals": self._recorder.intervals()})
+
     async def _metrics(self, request: Request, responder: Responder) -> Reply:
         self._version.set(self._link.view.manifest_version)
         return Reply(200, generate_latest(self._registry), METRICS_TYPE)
--- a/mulberrycleat/router/filters/__init__.py
+++ b/mulberrycleat/router/filters/__init__.py
@@ -4,6 +4,7 @@
 from mulberrycleat.router.filters.authenticate import AuthenticateFilter
 from mulberrycleat.router.filters.budget import BudgetFilter
 from mulberrycleat.router.filters.dispatch import DispatchFilter
+from mulberrycleat.router.filters.observe import ObserveFilter
 from mulberrycleat.router.filters.once import ClaimFilter, RecallFilter
 
 __all__ = [
@@ -12,5 +13,6 @@
     "BudgetFilter",
     "ClaimFilter",
     "DispatchFilter",
+    "ObserveFilter",
     "RecallFilter",
 ]
--- /dev/null
+++ b/mulberrycleat/router/filters/observe.py
@@ -0,0 +1,96 @@
+"""Filter that measures what the caller gets, from the admitted request to the end."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import trio
+from result import Result
+
+from mulberrycleat.burn.recorder import Recorder
+from mulberrycleat.core import Refusal, Served
+from mulberrycleat.router.answers import BufferedSink
+from mulberrycleat.router.call import Call, Proceed, Sink
+
+__all__ = ["ObserveFilter", "TimedSink"]
+
+_TEXT_MARK = b'"content":'
+_STREAM_HEADER = ("content-type", "text/event-stream")
+
+
+class TimedSink:
+    """A sink that times the tokens that pass through it.
+
+    Parameters
+    ----------
+    inner : Sink
+        Gets everything unchanged.
+    recorder : Recorder
+        Gets the times.
+    account, pool : str
+        Series to which they belong.
+    """
+
+    def __init__(self, inner: Sink, recorder: Recorder, account: str, pool: str) -> None:
+        self._inner = inner
+        self._recorder = recorder
+        self._key = (account, pool)
+        self._began = trio.current_time()
+        self._last_token: float | None = None
+        self._is_stream = False
+
+    @property
+    def started(self) -> bool:
+        """Whether part of the answer has been sent."""
+        return self._inner.started
+
+    def end(self, outcome: Result[Served, Refusal]) -> None:
+        """Count the end of the request."""
+        series = self._recorder.series(*self._key)
+        series.note(outcome)
+        if outcome.is_ok():
+            series.record("whole_answer", trio.current_time() - self._began)
+
+    async def start(self, status: int, headers: tuple[tuple[str, str], ...] = ()) -> None:
+        """Send the status line and the headers."""
+        self._is_stream = _STREAM_HEADER in headers
+        await self._inner.start(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if self._is_stream and _TEXT_MARK in data:
+            self._note_token()
+        await self._inner.write(data)
+
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last part of the body."""
+        await self._inner.finish(data)
+
+    def _note_token(self) -> None:
+        now = trio.current_time()
+        series = self._recorder.series(*self._key)
+        if self._last_token is None:
+            series.record("first_token", now - self._began)
+        else:
+            series.record("between_tokens", now - self._last_token)
+        self._last_token = now
+
+
+class ObserveFilter:
+    """Count and time admitted requests by client account and pool.
+
+    Parameters
+    ----------
+    recorder : Recorder
+        Keeps the series.
+    """
+
+    def __init__(self, recorder: Recorder) -> None:
+        self._recorder = recorder
+
+    async def handle(self, call: Call, proceed: Proceed) -> Result[Served, Refusal]:
+        """Pass the call on with its sink timed; a caller who goes away is not counted."""
+        timed = TimedSink(call.sink, self._recorder, call.account, call.pool.name)
+        outcome = await proceed(replace(call, sink=BufferedSink(timed)))
+        timed.end(outcome)
+        return outcome
--- a/mulberrycleat/rpc/__init__.py
+++ b/mulberrycleat/rpc/__init__.py
@@ -1,6 +1,6 @@
 """Calls between the fleet's own processes, by grpclib with a MessagePack codec."""
 
 from mulberrycleat.rpc.client import RpcClient
-from mulberrycleat.rpc.server import Method, RpcHandler, serve_rpc
+from mulberrycleat.rpc.server import KEY_HEADER, Method, RpcHandler, is_fleet_key, serve_rpc
 
-__all__ = ["Method", "RpcClient", "RpcHandler", "serve_rpc"]
+__all__ = ["KEY_HEADER", "Method", "RpcClient", "RpcHandler", "is_fleet_key", "serve_rpc"]
--- a/mulberrycleat/rpc/server.py
+++ b/mulberrycleat/rpc/server.py
@@ -21,7 +21,7 @@
 
 from mulberrycleat.rpc.codec import MsgpackCodec
 
-__all__ = ["KEY_HEADER", "Method", "RpcHandler", "method_path", "serve_rpc"]
+__all__ = ["KEY_HEADER", "Method", "RpcHandler", "is_fleet_key", "method_path", "serve_rpc"]
 
 log = logging.getLogger(__name__)
 
@@ -49,6 +49,15 @@
     return f"/{_SERVICE}/{method.name}"
 
 
+def is_fleet_key(given: str, fleet_key: str) -> bool:
+    """Return whether a caller's key is the fleet's, in a time that does not tell how much of it.
+
+    >>> is_fleet_key("", "k")
+    False
+    """
+    return hmac.compare_digest(given.encode(), fleet_key.encode())
+
+
 class _Service:
     def __init__(self, handlers: Mapping[Method, RpcHandler], fleet_key: str) -> None:
         self._handlers = handlers
@@ -77,7 +86,7 @@
 
     def _check_key(self, metadata: Any) -> None:
         given = metadata.get(KEY_HEADER, "") if metadata else ""
-        if not hmac.compare_digest(given.encode(), self._fleet_key.encode()):
+        if not is_fleet_key(given, self._fleet_key):
             raise GRPCError(Status.UNAUTHENTICATED, "the fleet key is missing or wrong")
 
 
--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -152,6 +152,10 @@
         Longest time for a caller to send its request, in seconds.
     drain_timeout_s : float
         Longest time for streams in flight to end after a stop signal, in seconds.
+    burn_interval_s : float
+        Length of the intervals in which answers are counted for the burn report, in seconds.
+    burn_intervals : int
+        Number of intervals that are kept for the report.
     """
 
     host: HostSettings
@@ -161,6 +165,8 @@
     max_body_bytes: Annotated[int, Meta(gt=0)] = 1_048_576
     receive_timeout_s: Seconds = 10.0
     drain_timeout_s: Seconds = 60.0
+    burn_interval_s: Seconds = 60.0
+    burn_intervals: Annotated[int, Meta(ge=1, le=10_000)] = 60
     log: LogSettings = field(default_factory=LogSettings)
 
 
@@ -176,6 +182,8 @@
         The platform's services.
     controllers : tuple of str
         Controllers to ask for the state, one a host.
+    routers : tuple of str
+        Routers to ask for the burn report, one a host.
     fleet_key_file : str
         File with the key that calls between the fleet's processes carry.
     """
@@ -184,4 +192,5 @@
     platform: PlatformSettings
     fleet_key_file: str
     controllers: tuple[Address, ...] = ()
+    routers: tuple[Address, ...] = ()
     log: LogSettings = field(default_factory=lambda: LogSettings("warning", "text"))
--- a/mulberrycleat/testing/layout.py
+++ b/mulberrycleat/testing/layout.py
@@ -11,6 +11,10 @@
 __all__ = ["HOST_KINDS", "FleetPlan", "Layout", "Member"]
 
 PLATFORM_ZONE = "platform"
+FIRST_TOKEN_S = 1.3
+BETWEEN_TOKENS_S = 0.036
+BOOKING_S = 2.0
+TARGET = 0.95
 HOST_KINDS = ("router", "controller")
 
 
@@ -127,6 +131,7 @@
             "operator": name,
             "platform": {"log": self._members["log"].address},
             "controllers": [member.address for member in self.of_kind("controller")],
+            "routers": [member.address for member in self.of_kind("router")],
             "fleet_key_file": self._fleet_key_file,
         }
 
@@ -149,9 +154,17 @@
             "budgets": [{"name": name, "account": name} for name in self._keys],
             "pools": models + services,
             "endpoints": self._endpoints,
+            "objectives": self._objectives(),
             **changes,
         }
 
+    def _objectives(self) -> list[dict[str, Any]]:
+        pools = [f"pool-{model}" for model in self._plan.models]
+        first = [_objective(pool, "first_token", FIRST_TOKEN_S) for pool in pools]
+        between = [_objective(pool, "between_tokens", BETWEEN_TOKENS_S) for pool in pools]
+        whole = [_objective(pool, "whole_answer", BOOKING_S) for pool in self._plan.services]
+        return first + between + whole
+
     def _add(self, name: str, kind: str, zone: str, host: str, settings: dict) -> None:
         address = settings.get("control") or settings["listen"]
         self._members[name] = Member(name, kind, zone, host, address, settings)
@@ -204,5 +217,9 @@
         self._add(f"router-{name}", "router", zone, name, router | self._plan.router)
 
 
+def _objective(pool: str, measure: str, bound_s: float) -> dict[str, Any]:
+    return {"pool": pool, "measure": measure, "bound_s": bound_s, "target": TARGET}
+
+
 def _sha256(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
