Let go of callers who do not read

Cause: hypercorn sends in a scope shielded from cancellation. A caller who stopped reading held its stream for ever, and with it the process, which a stop signal could not end. Ruled out: a timeout around each send in the application; the shielded send does not end (tried, the test still hung). Change: the listening socket is made here, with TCP_USER_TIMEOUT (30 s) that its connections inherit; the kernel then closes them and the request counts as the caller's having gone. Oversized, dripping and malformed requests were refused already.

--- a/mulberrycleat/core/tests/test_processes.py
+++ b/mulberrycleat/core/tests/test_processes.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 
-PROGRAMS = ("router", "controller", "cli", "standin")
+PROGRAMS = ("router", "controller", "cli", "standin", "burn")
 AUDIT = """
 import sys
 STARTS = ("subprocess.Popen", "os.posix_spawn", "os.fork", "os.forkpty", "os.system", "os.exec")
--- a/mulberrycleat/web/server.py
+++ b/mulberrycleat/web/server.py
@@ -4,6 +4,7 @@
 
 import logging
 import signal
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -16,6 +17,8 @@
 log = logging.getLogger(__name__)
 
 _KEEP_ALIVE_S = 30.0
+_SEND_TIMEOUT_S = 30.0
+_BACKLOG = 1024
 
 
 async def serve_app(
@@ -23,6 +26,7 @@
     address: str,
     stop: trio.Event,
     drain_timeout_s: float = 5.0,
+    send_timeout_s: float = _SEND_TIMEOUT_S,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve `app` at ``ip:port`` until `stop` is set and the answers in flight have ended.
@@ -31,9 +35,13 @@
     ----------
     drain_timeout_s : float
         Longest wait for answers in flight after `stop`, in seconds.
+    send_timeout_s : float
+        A connection is closed whose other side takes no data for so long, in seconds. Without it a
+        caller who does not read would hold a stream, and the process at its end, for ever.
     """
+    listener = _listen(address, send_timeout_s)
     config = Config()
-    config.bind = [address]
+    config.bind = [f"fd://{listener.detach()}"]
     config.graceful_timeout = drain_timeout_s
     config.keep_alive_timeout = _KEEP_ALIVE_S
     config.errorlog = logging.getLogger("hypercorn.error")
@@ -42,6 +50,23 @@
     await serve(app, config, shutdown_trigger=stop.wait, task_status=task_status)
 
 
+def _listen(address: str, send_timeout_s: float) -> socket.socket:
+    """Return a listening socket whose connections inherit the send timeout."""
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        timeout_ms = round(send_timeout_s * 1000)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+        listener.bind((host, int(port)))
+        listener.listen(_BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 async def stop_on_signal(on_stop: Callable[[], None], task_status: Any = None) -> None:
     """Call `on_stop` at the first SIGTERM or SIGINT."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
