--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -10,10 +10,11 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from result import Err, Ok, Result
 
+from mulberrycleat.burn import INTERVALS_PATH, Recorder
 from mulberrycleat.core import Refusal, Served, Step, new_id
 from mulberrycleat.core.logs import log_fields
 from mulberrycleat.core.ports import Ports
-from mulberrycleat.router.answers import BufferedSink, http_problem, problem_event, problem_reply
+from mulberrycleat.router.answers import http_problem, problem_event, problem_reply
 from mulberrycleat.router.call import Call
 from mulberrycleat.router.chain import FilterChain
 from mulberrycleat.router.endpoints import EndpointTable
@@ -24,11 +25,13 @@
     BudgetFilter,
     ClaimFilter,
     DispatchFilter,
+    ObserveFilter,
     RecallFilter,
 )
 from mulberrycleat.router.link import ControllerLink
 from mulberrycleat.router.loads import LoadFeed
 from mulberrycleat.router.stops import Drain
+from mulberrycleat.rpc import KEY_HEADER, is_fleet_key
 from mulberrycleat.settings import RouterSettings
 from mulberrycleat.web import (
     App,
@@ -66,6 +69,8 @@
         self._settings = settings
         self._ports = ports or Ports()
         self._link = ControllerLink(settings, fleet_key, self._ports)
+        self._fleet_key = fleet_key
+        self._recorder = Recorder(settings, self._ports.now)
         self._drain = Drain(settings)
         random = Random(settings.host.name)
         table = EndpointTable(settings.host.zone, random=random)
@@ -75,6 +80,7 @@
             (
                 AuthenticateFilter(),
                 AdmitFilter(),
+                ObserveFilter(self._recorder),
                 RecallFilter(self._link),
                 self._admission,
                 BudgetFilter(self._link),
@@ -99,6 +105,7 @@
                 Route("GET", "/healthz", self._health),
                 Route("GET", "/readyz", self._ready),
                 Route("GET", "/metrics", self._metrics),
+                Route("GET", INTERVALS_PATH, self._intervals),
             ),
             self._settings.max_body_bytes,
             self._settings.receive_timeout_s,
@@ -108,6 +115,7 @@
             nursery.start_soon(self._link.run)
             nursery.start_soon(self._feed.run)
             nursery.start_soon(self._admission.run)
+            nursery.start_soon(self._recorder.run)
             nursery.start_soon(self._drain.run, stop, lambda: self._link.view.manifest)
             with self._drain.scope:
                 await self._ports.serve_http(
@@ -119,7 +127,7 @@
             nursery.cancel_scope.cancel()
 
     async def _serve(self, request: Request, responder: Responder) -> Reply | None:
-        call = Call(new_id(), request, self._link.view, BufferedSink(responder))
+        call = Call(new_id(), request, self._link.view, responder)
         with log_fields(request=call.id, path=request.path):
             return await self._run_chain(call, responder)
 
@@ -154,6 +162,11 @@
         ready = self._link.fresh.is_set() and not self._drain.stopping
         return json_reply({"ready": ready}, 200 if ready else 503)
 
+    async def _intervals(self, request: Request, responder: Responder) -> Reply:
+        if not is_fleet_key(request.headers.get(KEY_HEADER, ""), self._fleet_key):
+            return json_reply({"error": "the fleet key is missing or wrong"}, 401)
+        return json_reply({"intervals": self._recorder.intervals()})
+
     async def _metrics(self, request: Request, responder: Responder) -> Reply:
         self._version.set(self._link.view.manifest_version)
         return Reply(200, generate_latest(self._registry), METRICS_TYPE)
