Record the outcome of a non-idempotent request before answering; bound what is remembered

Cause: the answer went out before its outcome was recorded; two writes at once could drop an outcome that neither had written; a router whose controller did not answer told it once and forgot; bodies that are not UTF-8 came back changed; keys were held for ever in memory, yet a host that started after their records expired knew nothing of them and would have run them again.

Change: the answer is held back until the controller has its outcome (at most half a second for the log). Reports to the controller are repeated until confirmed. Bodies are bytes, large ones are not kept. Keys are remembered for 24 h of the log's time; a key that is a UUID of version 7 tells its own time and never wins an intent once it is nearly that old. Checkpoints go into the stream; a host that could not read from the first record claims nothing until it has read a whole checkpoint whose offset lies within what it read, and folds the records after that on top.

--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -80,7 +80,7 @@
         self._budgets = BudgetController(
             settings, self._holder, event_log, PeerTransfers(peers), fences
         )
-        self._once = OnceController(self._holder, event_log)
+        self._once = OnceController(self._holder, event_log, settings.platform.checkpoint_every_s)
 
     async def run(self, stop: trio.Event) -> None:
         """Run until `stop` is set, then settle and end. Needs an open trio-asyncio loop."""
--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -177,13 +177,17 @@
         ``won``: the asker may dispatch. ``done``: the answer is in the other fields. ``open``:
         another dispatch began and its outcome is not known. ``mismatch``: the key belongs to
         another request. ``unavailable``: the log cannot be reached; nothing was dispatched.
-        ``unknown``: the key has not been seen.
+        ``unknown``: the key has not been seen. ``expired``: the key tells a time outside of the
+        window in which keys are remembered; nothing was dispatched.
+    kept : bool
+        Whether the answer's body was kept.
     """
 
     state: str
     status: int = 0
     content_type: str = ""
-    body: str = ""
+    body: bytes = b""
+    kept: bool = True
 
 
 class FinishRequest(msgspec.Struct, frozen=True):
@@ -193,7 +197,7 @@
     key: str
     status: int
     content_type: str
-    body: str
+    body: bytes
 
 
 class AbandonRequest(msgspec.Struct, frozen=True):
--- a/mulberrycleat/controller/once.py
+++ b/mulberrycleat/controller/once.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from typing import Any
 
 import msgspec
@@ -18,9 +19,20 @@
     FinishRequest,
     RecallRequest,
 )
-from mulberrycleat.core import Holder
+from mulberrycleat.core import Holder, new_id
 from mulberrycleat.eventlog import EventLog, Page, follow
-from mulberrycleat.once import STREAM, Abandon, Intent, OnceRecord, OnceState, Outcome
+from mulberrycleat.once import (
+    KEY_WINDOW_S,
+    STREAM,
+    Abandon,
+    Checkpoint,
+    Intent,
+    OnceHistory,
+    OnceRecord,
+    OnceState,
+    Outcome,
+    checkpoint_parts,
+)
 
 __all__ = ["OnceController"]
 
@@ -29,6 +41,11 @@
 BEGIN_TIMEOUT_S = 3.0
 RETRY_EVERY_S = 0.2
 OPEN_WAIT_S = 1.5
+FINISH_WAIT_S = 0.5
+CHECKPOINT_EVERY_S = 3600.0
+CHECKPOINT_JITTER = 0.5
+MAX_BODY_BYTES = 65_536
+MAX_KEYS = 100_000
 
 
 class OnceController:
@@ -40,14 +57,36 @@
         This incarnation of the host.
     event_log : EventLog
         The platform's log.
+    checkpoint_every_s : float
+        Time between two checkpoints, in seconds; well below the log's retention.
+    window_s : float
+        How long keys are remembered, in seconds.
     """
 
-    def __init__(self, holder: Holder, event_log: EventLog) -> None:
+    def __init__(
+        self,
+        holder: Holder,
+        event_log: EventLog,
+        checkpoint_every_s: float = CHECKPOINT_EVERY_S,
+        window_s: float = KEY_WINDOW_S,
+    ) -> None:
         self._holder = str(holder)
         self._event_log = event_log
-        self._state = OnceState()
+        self._checkpoint_every_s = checkpoint_every_s
+        self._checkpointed = trio.Event()
+        self._history = OnceHistory(window_s)
         self._changes = Changes()
         self._unwritten: list[OnceRecord] = []
+        self._writing = trio.Lock()
+
+    @property
+    def history(self) -> OnceHistory:
+        """The fold of the stream."""
+        return self._history
+
+    @property
+    def _state(self) -> OnceState:
+        return self._history.state
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Follow the stream and write what is still unwritten, for ever."""
@@ -55,9 +94,12 @@
             await nursery.start(self._follow)
             task_status.started()
             nursery.start_soon(self._write_regularly)
+            nursery.start_soon(self._checkpoint_regularly)
 
     async def recall(self, request: RecallRequest) -> BeginReply:
         """Return what is known of a key without claiming it."""
+        if not self._history.complete:
+            return BeginReply("unavailable")
         known = self._known(request.key, request.digest)
         if known is not None and known.state == "open":
             await self._changes.wait_until(lambda: self._settled(request.key), OPEN_WAIT_S)
@@ -65,52 +107,68 @@
 
     async def begin(self, request: BeginRequest) -> BeginReply:
         """Claim a key; only ``won`` allows the dispatch."""
+        if not self._history.complete or len(self._state) >= MAX_KEYS:
+            return BeginReply("unavailable")
         if known := self._known(request.key, request.digest, request.id):
             return known
         intent = Intent(request.id, request.key, request.digest, self._holder)
         with trio.move_on_after(BEGIN_TIMEOUT_S):
             while not self._state.seen(intent.id):
                 await self._append_and_wait(intent)
-        if not self._state.seen(intent.id):
+        if not self._state.seen(intent.id) or not self._history.complete:
             self._unwritten.append(Abandon(intent.id, intent.key))
             return BeginReply("unavailable")
-        return self._known(request.key, request.digest, request.id) or BeginReply("unavailable")
+        if known := self._known(request.key, request.digest, request.id):
+            return known
+        too_old = self._state.is_too_old(request.key, self._history.last_at)
+        return BeginReply("expired" if too_old else "unavailable")
 
     async def finish(self, request: FinishRequest) -> Ack:
-        """Record an answer; it is written again until the log confirms it."""
-        self._unwritten.append(
-            Outcome(request.id, request.key, request.status, request.content_type, request.body)
-        )
-        await self.flush()
+        """Record an answer; it is written again until the log confirms it.
+
+        The reply does not wait for the log longer than ``FINISH_WAIT_S``: the caller waits too.
+        """
+        kept = len(request.body) <= MAX_BODY_BYTES
+        body = request.body if kept else b""
+        status, content_type = request.status, request.content_type
+        outcome = Outcome(request.id, request.key, status, content_type, body, kept)
+        self._unwritten.append(outcome)
+        with trio.move_on_after(FINISH_WAIT_S):
+            await self.flush()
         return Ack()
 
     async def abandon(self, request: AbandonRequest) -> Ack:
         """Record that a claimed dispatch never happened."""
         self._unwritten.append(Abandon(request.id, request.key))
-        await self.flush()
+        with trio.move_on_after(FINISH_WAIT_S):
+            await self.flush()
         return Ack()
 
     async def flush(self) -> bool:
         """Write what is unwritten; return whether all of it was confirmed."""
-        records = tuple(self._unwritten)
-        if not records:
-            return True
-        match await self._append(*records):
-            case Ok(_):
-                del self._unwritten[: len(records)]
+        async with self._writing:
+            records = tuple(self._unwritten)
+            if not records:
                 return True
-            case _:
-                return False
+            written = isinstance(await self._append(*records), Ok)
+            if written:
+                del self._unwritten[: len(records)]
+            return written
 
     async def _follow(self, task_status: trio.TaskStatus) -> None:
         await follow(self._event_log, STREAM, self._on_page, task_status=task_status)
 
     async def _on_page(self, page: Page) -> None:
+        self._history.begin_page(page)
         for entry in page.entries:
             try:
-                self._state.apply(msgspec.convert(entry.data, OnceRecord))
+                record = msgspec.convert(entry.data, OnceRecord)
             except msgspec.ValidationError as error:
                 log.warning("record passed over", extra={"offset": entry.offset, "why": str(error)})
+                continue
+            self._history.take(entry, record)
+            if isinstance(record, Checkpoint):
+                self._note_checkpoint()
         if page.entries:
             self._changes.notify()
 
@@ -129,6 +187,28 @@
             await trio.sleep(RETRY_EVERY_S)
             await self.flush()
 
+    async def _checkpoint_regularly(self) -> None:
+        """Write a checkpoint when nobody else has for a while.
+
+        A host that does not know the beginning writes one only when no checkpoint has come for the
+        whole window: then no host knows more, and every key of before is past its window.
+        """
+        last = trio.current_time()
+        while True:
+            jitter = random.uniform(1, 1 + CHECKPOINT_JITTER)
+            with trio.move_on_after(self._checkpoint_every_s * jitter):
+                await self._checkpointed.wait()
+                last = trio.current_time()
+                continue
+            alone = trio.current_time() - last > self._history.window_s
+            if self._history.complete or alone:
+                for part in checkpoint_parts(self._history, new_id()):
+                    await self._append(part)
+
+    def _note_checkpoint(self) -> None:
+        event, self._checkpointed = self._checkpointed, trio.Event()
+        event.set()
+
     def _settled(self, key: str) -> bool:
         found = self._state.find(key)
         return found is None or found.outcome is not None
@@ -141,5 +221,6 @@
             return BeginReply("mismatch")
         if found.outcome is not None:
             outcome = found.outcome
-            return BeginReply("done", outcome.status, outcome.content_type, outcome.body)
+            status, content_type = outcome.status, outcome.content_type
+            return BeginReply("done", status, content_type, outcome.body, outcome.kept)
         return BeginReply("won" if found.intent.id == intent_id else "open")
--- a/mulberrycleat/once/__init__.py
+++ b/mulberrycleat/once/__init__.py
@@ -1,13 +1,28 @@
 """Requests that may run at most once."""
 
-from mulberrycleat.once.fold import (
+from mulberrycleat.once.fold import KEY_WINDOW_S, KeyState, OnceState
+from mulberrycleat.once.history import OnceHistory, checkpoint_parts
+from mulberrycleat.once.model import (
     STREAM,
     Abandon,
+    Checkpoint,
     Intent,
-    KeyState,
+    KeyEntry,
     OnceRecord,
-    OnceState,
     Outcome,
 )
 
-__all__ = ["STREAM", "Abandon", "Intent", "KeyState", "OnceRecord", "OnceState", "Outcome"]
+__all__ = [
+    "KEY_WINDOW_S",
+    "STREAM",
+    "Abandon",
+    "Checkpoint",
+    "Intent",
+    "KeyEntry",
+    "KeyState",
+    "OnceHistory",
+    "OnceRecord",
+    "OnceState",
+    "Outcome",
+    "checkpoint_parts",
+]
--- a/mulberrycleat/once/tests/test_fold.py
+++ b/mulberrycleat/once/tests/test_fold.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 from mulberrycleat.once import Abandon, Intent, OnceState, Outcome
+from mulberrycleat.once.fold import MAX_ANSWER_BYTES
+
+MADE_AT = 1_752_139_038.72
+TIMED_KEY = "huts:0197f3a0-0000-7000-8000-000000000000"
+DAY_S = 86_400.0
 
 
 def test_second_intent_never_wins_after_an_outcome():
     state = OnceState()
     state.apply(Intent("i1", "k", "d", "a"))
-    state.apply(Outcome("i1", "k", 200, "text/plain", "done"))
+    state.apply(Outcome("i1", "k", 200, "text/plain", b"done"))
     state.apply(Intent("i2", "k", "d", "b"))
-    state.apply(Outcome("i2", "k", 200, "text/plain", "other"))
-    assert state.find("k").outcome.body == "done"
+    state.apply(Outcome("i2", "k", 200, "text/plain", b"other"))
+    assert state.find("k").outcome.body == b"done"
 
 
 def test_abandon_frees_the_key_even_when_it_comes_before_the_intent():
@@ -20,3 +25,37 @@
     state.apply(Intent("i1", "k", "d", "a"))
     state.apply(Intent("i2", "k", "d", "b"))
     assert state.find("k").intent.id == "i2"
+
+
+def test_key_that_tells_its_time_never_wins_again_after_it_is_forgotten():
+    state = OnceState(DAY_S)
+    state.apply(Intent("i1", TIMED_KEY, "d", "a"), MADE_AT + 1)
+    for late in (0.5 * DAY_S, DAY_S, DAY_S + 2, 30 * DAY_S):
+        state.apply(Intent(f"late-{late}", TIMED_KEY, "d", "b"), MADE_AT + late)
+        found = state.find(TIMED_KEY)
+        assert found is None or found.intent.id == "i1", late
+    assert state.find(TIMED_KEY) is None
+
+
+def test_key_from_the_future_never_wins():
+    state = OnceState(DAY_S)
+    state.apply(Intent("i1", TIMED_KEY, "d", "a"), MADE_AT - 3600)
+    assert state.find(TIMED_KEY) is None
+
+
+def test_answers_are_kept_up_to_a_bound_and_the_key_stays_done():
+    state = OnceState()
+    body = b"x" * (MAX_ANSWER_BYTES // 4)
+    for number in range(6):
+        state.apply(Intent(f"i{number}", f"k{number}", "d", "a"), number)
+        state.apply(Outcome(f"i{number}", f"k{number}", 200, "text/plain", body), number)
+    kept = [state.find(f"k{number}").outcome.kept for number in range(6)]
+    assert kept == [False, False, True, True, True, True]
+
+
+def test_forgotten_keys_take_no_memory():
+    state = OnceState(window_s=10)
+    for number in range(1000):
+        state.apply(Intent(f"i{number}", f"k{number}", "d", "a"), number)
+        state.apply(Abandon(f"gone-{number}", f"k{number}"), number)
+    assert len(state) <= 11 and not state.seen("i900")
--- a/mulberrycleat/router/answers.py
+++ b/mulberrycleat/router/answers.py
@@ -11,24 +11,23 @@
 from mulberrycleat.router.call import Sink
 from mulberrycleat.web import Reply
 
-__all__ = ["PROBLEM_TYPE", "BufferedSink", "http_problem", "problem_event", "problem_reply"]
+__all__ = ["PROBLEM_TYPE", "HeldSink", "http_problem", "problem_event", "problem_reply"]
 
 PROBLEM_TYPE = "application/problem+json"
 
 
-class BufferedSink:
-    """A sink that keeps a copy of the answer that passes through it."""
+class HeldSink:
+    """A sink that keeps an answer back until it is released whole."""
 
-    def __init__(self, inner: Sink) -> None:
-        self._inner = inner
+    def __init__(self) -> None:
         self._status = 0
-        self._content_type = ""
+        self._headers: tuple[tuple[str, str], ...] = ()
         self._chunks: list[bytes] = []
 
     @property
     def started(self) -> bool:
-        """Whether part of the answer has been sent."""
-        return self._inner.started
+        """Whether an answer has begun."""
+        return self._status != 0
 
     @property
     def status(self) -> int:
@@ -38,7 +37,7 @@
     @property
     def content_type(self) -> str:
         """The answer's content type."""
-        return self._content_type
+        return dict(self._headers).get("content-type", "")
 
     @property
     def body(self) -> bytes:
@@ -46,20 +45,22 @@
         return b"".join(self._chunks)
 
     async def start(self, status: int, headers: tuple[tuple[str, str], ...] = ()) -> None:
-        """Send the status line and the headers."""
+        """Keep status and headers."""
         self._status = status
-        self._content_type = dict(headers).get("content-type", "")
-        await self._inner.start(status, headers)
+        self._headers = headers
 
     async def write(self, data: bytes) -> None:
-        """Send a part of the body."""
+        """Keep a part of the body."""
         self._chunks.append(data)
-        await self._inner.write(data)
 
     async def finish(self, data: bytes = b"") -> None:
-        """Send the last part of the body."""
+        """Keep the last part of the body."""
         self._chunks.append(data)
-        await self._inner.finish(data)
+
+    async def release(self, sink: Sink) -> None:
+        """Send what was kept."""
+        await sink.start(self._status, self._headers)
+        await sink.finish(self.body)
 
 
 def problem_reply(refusal: Refusal, request_id: str) -> Reply:
--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -11,7 +11,7 @@
 
 from mulberrycleat.core import Refusal, Served, new_id
 from mulberrycleat.core.ports import Ports
-from mulberrycleat.router.answers import BufferedSink, http_problem, problem_event, problem_reply
+from mulberrycleat.router.answers import http_problem, problem_event, problem_reply
 from mulberrycleat.router.call import Call
 from mulberrycleat.router.chain import FilterChain
 from mulberrycleat.router.endpoints import EndpointTable
@@ -108,7 +108,7 @@
             nursery.cancel_scope.cancel()
 
     async def _serve(self, request: Request, responder: Responder) -> Reply | None:
-        call = Call(new_id(), request, self._link.view, BufferedSink(responder))
+        call = Call(new_id(), request, self._link.view, responder)
         outcome: Result[Served, Refusal] | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_when_gone, responder, nursery.cancel_scope)
--- a/mulberrycleat/router/filters/once.py
+++ b/mulberrycleat/router/filters/once.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import logging
+from dataclasses import replace
 
 import trio
 from result import Err, Ok, Result
@@ -19,17 +19,14 @@
     RecallRequest,
 )
 from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
-from mulberrycleat.router.answers import BufferedSink
+from mulberrycleat.router.answers import HeldSink
 from mulberrycleat.router.call import Call, Proceed
 from mulberrycleat.router.link import ControllerLink
 
 __all__ = ["ClaimFilter", "RecallFilter"]
 
-log = logging.getLogger(__name__)
-
 RECALL_TIMEOUT_S = 3.0
 BEGIN_TIMEOUT_S = 4.0
-FINISH_TIMEOUT_S = 4.0
 
 
 def once_key(call: Call) -> str:
@@ -78,40 +75,45 @@
                 return Err(NotRun(Step.DEDUPLICATE, error.peer, error.reason))
 
     async def _dispatch(self, call: Call, proceed: Proceed) -> Result[Served, Refusal]:
+        """Dispatch to the end even when the caller goes, and record the outcome first."""
+        held = HeldSink()
         with trio.CancelScope(shield=True):
-            outcome = await proceed(call)
+            outcome = await proceed(replace(call, sink=held))
             if isinstance(outcome, Ok):
-                await self._finish(call)
+                await self._finish(call, held)
             elif isinstance(outcome.err_value, NotRun):
                 await self._abandon(call)
+        if isinstance(outcome, Ok):
+            await held.release(call.sink)
         return outcome
 
-    async def _finish(self, call: Call) -> None:
-        sink = call.sink
-        if not isinstance(sink, BufferedSink):
-            return
-        body = sink.body.decode("utf-8", "replace")
-        request = FinishRequest(call.id, once_key(call), sink.status, sink.content_type, body)
-        await self._report(await self._link.call(FINISH, request, FINISH_TIMEOUT_S))
+    async def _finish(self, call: Call, held: HeldSink) -> None:
+        status, content_type = held.status, held.content_type
+        request = FinishRequest(call.id, once_key(call), status, content_type, held.body)
+        await self._link.report(FINISH, request)
 
     async def _abandon(self, call: Call) -> None:
-        request = AbandonRequest(call.id, once_key(call))
-        await self._report(await self._link.call(ABANDON, request, FINISH_TIMEOUT_S))
-
-    async def _report(self, outcome: Result) -> None:
-        if isinstance(outcome, Err):
-            error = outcome.err_value
-            log.error("outcome not recorded", extra={"step": "settle", "peer": error.peer})
+        await self._link.report(ABANDON, AbandonRequest(call.id, once_key(call)))
 
 
 async def answer_known(call: Call, reply: BeginReply) -> Result[Served, Refusal]:
     """Answer or refuse a request whose key is known."""
     match reply.state:
-        case "done":
-            headers = (("content-type", reply.content_type), ("idempotent-replayed", "true"))
+        case "done" if reply.kept:
+            headers = (
+                ("content-type", reply.content_type),
+                ("content-length", str(len(reply.body))),
+                ("idempotent-replayed", "true"),
+            )
             await call.sink.start(reply.status, headers)
-            await call.sink.finish(reply.body.encode())
+            await call.sink.finish(reply.body)
             return Ok(Served(0, "replay"))
+        case "done":
+            reason = "the request ran; its answer is no longer kept"
+            return Err(MayHaveRun(Step.DEDUPLICATE, "", reason, 409, "answer_not_kept", 0))
+        case "expired":
+            reason = "the idempotency key tells a time outside of the window for repeats"
+            return Err(NotRun(Step.DEDUPLICATE, "", reason, 422, None, "key_expired"))
         case "mismatch":
             reason = "the idempotency key belongs to another request"
             return Err(NotRun(Step.DEDUPLICATE, "", reason, 422, None, "key_mismatch"))
--- a/mulberrycleat/router/link.py
+++ b/mulberrycleat/router/link.py
@@ -4,7 +4,7 @@
 
 import logging
 from dataclasses import replace
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 import trio
@@ -36,6 +36,13 @@
 RETRY_EVERY_S = 0.3
 
 
+class Report(NamedTuple):
+    """How a claimed dispatch ended, to be told to the controller by a method."""
+
+    method: Method
+    message: Any
+
+
 class ControllerLink:
     """Calls to the controller of this host, the view that it sends, and settlements on the way.
 
@@ -55,6 +62,7 @@
         self._view = View()
         self._state = ManifestState()
         self._unsettled: dict[str, int] = {}
+        self._unreported: dict[str, Report] = {}
         self._fresh = trio.Event()
 
     @property
@@ -80,6 +88,22 @@
         """Settle the reservation of a request with the next batch."""
         self._unsettled[request] = tokens
 
+    async def report(self, method: Method, message: Any) -> bool:
+        """Tell the controller how a claimed dispatch ended, again and again until it confirms.
+
+        Parameters
+        ----------
+        message : FinishRequest or AbandonRequest
+            The end of the dispatch.
+
+        Returns
+        -------
+        bool
+            Whether the first telling was confirmed.
+        """
+        self._unreported[message.id] = Report(method, message)
+        return await self._send_reports()
+
     async def run(self) -> None:
         """Keep the view fresh and send settlements, for ever."""
         async with trio.open_nursery() as nursery:
@@ -87,7 +111,21 @@
             nursery.start_soon(self._settle_regularly)
 
     async def flush(self) -> bool:
-        """Send all settlements; return whether the controller has them."""
+        """Send all settlements and reports; return whether the controller has them."""
+        reported = await self._send_reports()
+        return await self._send_settlements() and reported
+
+    async def _send_reports(self) -> bool:
+        for request, report in list(self._unreported.items()):
+            match await self.call(report.method, report.message, SETTLE_TIMEOUT_S):
+                case Ok(_):
+                    self._unreported.pop(request, None)
+                case Err(error):
+                    log.warning("report failed", extra={"step": "settle", "peer": error.peer})
+                    return False
+        return not self._unreported
+
+    async def _send_settlements(self) -> bool:
         batch = dict(self._unsettled)
         if not batch:
             return True
--- a/mulberrycleat/router/tests/test_stops.py
+++ b/mulberrycleat/router/tests/test_stops.py
@@ -103,4 +103,4 @@
     assert faults == [], faults
     assert all(caller.whole for caller in callers)
     (state,) = operate(fleet, "status")["hosts"].values()
-    assert state["reserved"].get("dolerite", 0) == 0
+    assert state["budgets"]["dolerite"]["reserved_here"] == 0
