Bound what a request can cost by every field that it carries

Cause: max_completion_tokens, n, best_of and continue_text went to the engine as the caller gave them, and text in tools or in other fields of a message was not part of the reservation, so a request could cost more than was reserved for it.

Change: one answer a request; either name of the bound counts; fields that only the router may set are dropped; other fields add their size to the reservation.

--- a/mulberrycleat/router/filters/admit.py
+++ b/mulberrycleat/router/filters/admit.py
@@ -24,6 +24,13 @@
 NON_IDEMPOTENT_HEADER = "non-idempotent"
 TIMEOUT_HEADER = "x-timeout-s"
 MAX_KEY_CHARS = 200
+ROUTER_FIELDS = frozenset(
+    ("max_completion_tokens", "n", "best_of", "stream_options", "continue_text", "continue_tokens")
+)
+TEXTLESS_FIELDS = ROUTER_FIELDS | frozenset(
+    ("model", "messages", "max_tokens", "stream", "temperature", "top_p", "seed", "stop", "user")
+)
+_MESSAGE_FIELDS = frozenset(("role", "content"))
 
 
 class _Message(msgspec.Struct):
@@ -36,6 +43,15 @@
     messages: list[_Message]
     stream: bool = False
     max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+    best_of: int | None = None
+
+    @property
+    def bound(self) -> int | None:
+        """The caller's bound on generated tokens, under either of its names."""
+        given = [b for b in (self.max_tokens, self.max_completion_tokens) if b is not None]
+        return min(given, default=None)
 
 
 class AdmitFilter:
@@ -75,10 +91,13 @@
         return Err(NotRun(Step.ADMIT, "", f"no model {chat.model!r}", 404, None, "unknown_model"))
     if not chat.messages:
         return Err(_bad("body: messages: at least one is needed"))
-    if chat.max_tokens is not None and chat.max_tokens < 1:
+    if chat.bound is not None and chat.bound < 1:
         return Err(_bad("body: max_tokens: must be at least 1"))
-    generated = min(chat.max_tokens or pool.max_generated, pool.max_generated)
+    if chat.n not in (None, 1) or chat.best_of not in (None, 1):
+        return Err(_bad("body: n, best_of: only one answer a request"))
+    generated = min(chat.bound or pool.max_generated, pool.max_generated)
     text_bytes = sum(len(message.content.encode()) for message in chat.messages)
+    text_bytes += _other_bytes(body)
     return Ok(
         replace(
             call,
@@ -107,7 +126,16 @@
 
 
 def _bounded(body: Mapping[str, Any], generated: int) -> Mapping[str, Any]:
-    return {**body, "max_tokens": generated, "stream": True}
+    """Return the body for an engine, without fields that only this router may set."""
+    passed = {name: value for name, value in body.items() if name not in ROUTER_FIELDS}
+    return {**passed, "max_tokens": generated, "stream": True}
+
+
+def _other_bytes(body: Mapping[str, Any]) -> int:
+    """Return the size of what may become prompt text besides the messages' contents."""
+    fields = {name: value for name, value in body.items() if name not in TEXTLESS_FIELDS}
+    parts = [{k: v for k, v in m.items() if k not in _MESSAGE_FIELDS} for m in body["messages"]]
+    return sum(len(msgspec.json.encode(part)) for part in (fields, *parts) if part)
 
 
 def _find_pool(manifest: Manifest, kind: str, name: str) -> Pool | None:
