--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -81,7 +81,7 @@
         self._budgets = BudgetController(
             settings, self._holder, event_log, PeerTransfers(peers), fences
         )
-        self._once = OnceController(self._holder, event_log)
+        self._once = OnceController(self._holder, event_log, settings.platform.checkpoint_every_s)
         self._loads = LoadController(self._holder, self._manifests, self._hosts, self._ports)
 
     @property
