--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -9,6 +9,9 @@
 import trio
 
 from mulberrycleat.controller import messages as m
+from mulberrycleat.controller.budget_closing import FenceRunner
+from mulberrycleat.controller.budget_peers import PeerTransfers
+from mulberrycleat.controller.budget_status import describe_budgets
 from mulberrycleat.controller.budgets import BudgetController
 from mulberrycleat.controller.changes import Changes
 from mulberrycleat.controller.engines import HttpEngines
@@ -18,16 +21,17 @@
 from mulberrycleat.controller.orders import OrderController
 from mulberrycleat.controller.plans import kept_from_work, moved, plan_progress, planned_leaving
 from mulberrycleat.core import Holder, new_id
+from mulberrycleat.core.ports import Ports
 from mulberrycleat.eventlog import HttpEventLog, RelayedLog
-from mulberrycleat.rpc import Method, RpcHandler, serve_rpc
+from mulberrycleat.rpc import Method, RpcHandler
 from mulberrycleat.settings import ControllerSettings
-from mulberrycleat.web import HttpClient
 
 __all__ = ["Controller"]
 
 log = logging.getLogger(__name__)
 
 STOP_TIMEOUT_S = 5.0
+STOP_POLL_S = 0.1
 
 
 class Controller:
@@ -39,17 +43,21 @@
         The settings file, whole.
     fleet_key : str
         Key that calls between the fleet's processes carry.
+    ports : Ports, optional
+        Ways out of and into the process.
     """
 
-    def __init__(self, settings: ControllerSettings, fleet_key: str) -> None:
+    def __init__(
+        self, settings: ControllerSettings, fleet_key: str, ports: Ports | None = None
+    ) -> None:
         self._settings = settings
         self._fleet_key = fleet_key
         self._holder = Holder(settings.host.name, settings.host.zone, new_id())
-        self._client = HttpClient()
+        self._ports = ports or Ports()
         self._changes = Changes()
-        self._hosts = HostController(settings, self._holder, self._client, fleet_key, self._changes)
+        self._hosts = HostController(settings, self._holder, self._ports, fleet_key, self._changes)
         event_log = RelayedLog(
-            HttpEventLog(settings.platform, self._client),
+            HttpEventLog(settings.platform, self._ports.http),
             self._hosts.choose_reader,
             self._hosts.ask_reader,
         )
@@ -57,7 +65,7 @@
         self._manifests = ManifestController(
             settings, self._holder, event_log, self._hosts, self._changes
         )
-        self._engines = HttpEngines(self._client)
+        self._engines = HttpEngines(self._ports.http)
         self._orders = OrderController(
             self._holder,
             event_log,
@@ -67,7 +75,11 @@
             lambda task: self._hosts.rank(task) == 0,
             self._changes,
         )
-        self._budgets = BudgetController(settings, self._holder, event_log)
+        peers = [self._ports.connect_rpc(address, fleet_key) for address in settings.peers]
+        fences = FenceRunner(self._holder, self._manifests, self._ports.http)
+        self._budgets = BudgetController(
+            settings, self._holder, event_log, PeerTransfers(peers), fences
+        )
         self._once = OnceController(self._holder, event_log)
 
     async def run(self, stop: trio.Event) -> None:
@@ -75,11 +87,18 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_controllers)
             await stop.wait()
+            await self._wait_for_router()
             with trio.move_on_after(STOP_TIMEOUT_S):
                 while not (await self._budgets.flush() and await self._once.flush()):
-                    await trio.sleep(0.1)
+                    await trio.sleep(STOP_POLL_S)
             nursery.cancel_scope.cancel()
 
+    async def _wait_for_router(self) -> None:
+        """Go on serving until no request of the router beside holds a reservation."""
+        with trio.move_on_after(self._settings.drain_timeout_s):
+            while self._budgets.keeper.reservations:
+                await trio.sleep(STOP_POLL_S)
+
     async def _run_controllers(self) -> None:
         async with trio.open_nursery() as nursery:
             for controller in (
@@ -90,7 +109,9 @@
                 self._once,
             ):
                 await nursery.start(controller.run)
-            await nursery.start(serve_rpc, self._handlers(), self._settings.listen, self._fleet_key)
+            await nursery.start(
+                self._ports.serve_rpc, self._handlers(), self._settings.listen, self._fleet_key
+            )
             log.info("ready", extra={"listen": self._settings.listen})
 
     def _handlers(self) -> Mapping[Method, RpcHandler]:
@@ -98,6 +119,7 @@
             m.SYNC: self._sync,
             m.RESERVE: self._budgets.reserve,
             m.SETTLE: self._budgets.settle,
+            m.PULL: self._budgets.pull,
             m.RECALL: self._once.recall,
             m.BEGIN: self._once.begin,
             m.FINISH: self._once.finish,
@@ -131,19 +153,6 @@
 
     async def _status(self, request: m.StatusRequest) -> m.StatusReply:
         state = self._manifests.state
-        budgets = {
-            name: {
-                "prepaid": budget.prepaid,
-                "spent": budget.spent,
-                "held": budget.granted - budget.spent,
-                "available": budget.available,
-                "shares": {
-                    holder: {"granted": share.granted, "spent": share.spent}
-                    for holder, share in budget.shares.items()
-                },
-            }
-            for name, budget in self._budgets.ledger.budgets.items()
-        }
         body = {
             "host": self._holder.host,
             "zone": self._holder.zone,
@@ -160,7 +169,7 @@
                 for peer in self._hosts.versions()
             },
             "log_reads": self._relay.log_reads,
-            "budgets": budgets,
-            "reserved": {name: part.reserved for name, part in self._budgets.slices.items()},
+            "holder": self._budgets.keeper.holder,
+            "budgets": describe_budgets(self._budgets.ledger, self._budgets.keeper),
         }
         return m.StatusReply(msgspec.json.encode(body))
--- a/mulberrycleat/controller/hosts.py
+++ b/mulberrycleat/controller/hosts.py
@@ -20,11 +20,11 @@
     ReadStreamRequest,
 )
 from mulberrycleat.core import Holder, PeerError
+from mulberrycleat.core.ports import Ports
 from mulberrycleat.eventlog import Page, RelayAnswer, RelayState
 from mulberrycleat.membership import Members, first_by_rank, ranked
 from mulberrycleat.rpc import Method, RpcClient
 from mulberrycleat.settings import ControllerSettings
-from mulberrycleat.web import HttpClient
 
 __all__ = ["HostController"]
 
@@ -53,13 +53,14 @@
         self,
         settings: ControllerSettings,
         holder: Holder,
-        client: HttpClient,
+        ports: Ports,
         fleet_key: str,
         changes: Changes,
     ) -> None:
         self._settings = settings
         self._holder = holder
-        self._client = client
+        self._ports = ports
+        self._client = ports.http
         self._fleet_key = fleet_key
         self._changes = changes
         self._members = Members(settings.listen, settings.peers)
@@ -119,7 +120,7 @@
     ) -> Result[Any, PeerError]:
         """Call another controller."""
         if address not in self._peers:
-            self._peers[address] = RpcClient(address, self._fleet_key)
+            self._peers[address] = self._ports.connect_rpc(address, self._fleet_key)
         return await self._peers[address].call(method, message, timeout_s)
 
     def versions(self) -> tuple[HostVersion, ...]:
--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mulberrycleat.budget import Transfer
 from mulberrycleat.eventlog import Entry
 from mulberrycleat.membership import Heard
 from mulberrycleat.rpc import Method
@@ -15,6 +16,7 @@
     "CONFIRM",
     "FINISH",
     "HEARTBEAT",
+    "PULL",
     "READ_STREAM",
     "RECALL",
     "RESERVE",
@@ -33,6 +35,8 @@
     "Heartbeat",
     "HeartbeatReply",
     "HostVersion",
+    "PullReply",
+    "PullRequest",
     "ReadStreamReply",
     "ReadStreamRequest",
     "RecallRequest",
@@ -103,12 +107,22 @@
 
 
 class ReserveReply(msgspec.Struct, frozen=True):
-    """Whether the tokens were set aside, and if not, why and when to come back (seconds)."""
+    """Whether the tokens were set aside, and if not, why and when to come back (seconds).
+
+    Attributes
+    ----------
+    holder : str
+        Holder of the tokens; dispatches carry it, so that an endpoint can refuse a fenced one.
+    number : int
+        Number of the reservation, counted by the holder.
+    """
 
     granted: bool
     code: str = ""
     reason: str = ""
     retry_after_s: float | None = None
+    holder: str = ""
+    number: int = 0
 
 
 class Settlement(msgspec.Struct, frozen=True):
@@ -125,6 +139,20 @@
     settlements: tuple[Settlement, ...]
 
 
+class PullRequest(msgspec.Struct, frozen=True):
+    """A holder asks a peer of its zone to send it tokens of a budget."""
+
+    receiver: str
+    budget: str
+    tokens: int
+
+
+class PullReply(msgspec.Struct, frozen=True):
+    """Tokens sent; once the peer has made this, they have left it. None where it has none."""
+
+    transfer: Transfer | None = None
+
+
 class RecallRequest(msgspec.Struct, frozen=True):
     """Ask what is known of an idempotency key."""
 
@@ -292,4 +320,5 @@
 CONFIRM = Method("Confirm", ConfirmRequest, ConfirmReply)
 READ_STREAM = Method("ReadStream", ReadStreamRequest, ReadStreamReply)
 HEARTBEAT = Method("Heartbeat", Heartbeat, HeartbeatReply)
+PULL = Method("Pull", PullRequest, PullReply)
 STATUS = Method("Status", StatusRequest, StatusReply)
--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -8,7 +8,9 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from result import Err, Ok, Result
 
-from mulberrycleat.core import Refusal, Served, new_id
+from mulberrycleat.core import Refusal, Served, Step, new_id
+from mulberrycleat.core.logs import log_fields
+from mulberrycleat.core.ports import Ports
 from mulberrycleat.router.answers import BufferedSink, http_problem, problem_event, problem_reply
 from mulberrycleat.router.call import Call
 from mulberrycleat.router.chain import FilterChain
@@ -25,13 +27,11 @@
 from mulberrycleat.settings import RouterSettings
 from mulberrycleat.web import (
     App,
-    HttpClient,
     Reply,
     Request,
     Responder,
     Route,
     json_reply,
-    serve_app,
 )
 
 __all__ = ["Router"]
@@ -51,12 +51,16 @@
         The settings file, whole.
     fleet_key : str
         Key that calls between the fleet's processes carry.
+    ports : Ports, optional
+        Ways out of and into the process.
     """
 
-    def __init__(self, settings: RouterSettings, fleet_key: str) -> None:
+    def __init__(
+        self, settings: RouterSettings, fleet_key: str, ports: Ports | None = None
+    ) -> None:
         self._settings = settings
-        self._client = HttpClient()
-        self._link = ControllerLink(settings, fleet_key)
+        self._ports = ports or Ports()
+        self._link = ControllerLink(settings, fleet_key, self._ports)
         self._stopping = False
         self._chain = FilterChain(
             (
@@ -65,7 +69,7 @@
                 RecallFilter(self._link),
                 BudgetFilter(self._link),
                 ClaimFilter(self._link),
-                DispatchFilter(EndpointTable(settings.host.zone), self._client),
+                DispatchFilter(EndpointTable(settings.host.zone), self._ports.http),
             )
         )
         self._registry = CollectorRegistry()
@@ -93,7 +97,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._link.run)
             nursery.start_soon(self._note_stop, stop)
-            await serve_app(app, self._settings.listen, stop, self._settings.drain_timeout_s)
+            await self._ports.serve_http(
+                app, self._settings.listen, stop, self._settings.drain_timeout_s
+            )
             with trio.move_on_after(SETTLE_ON_STOP_S):
                 while not await self._link.flush():
                     await trio.sleep(0.1)
@@ -105,29 +111,32 @@
 
     async def _serve(self, request: Request, responder: Responder) -> Reply | None:
         call = Call(new_id(), request, self._link.view, BufferedSink(responder))
+        with log_fields(request=call.id, path=request.path):
+            return await self._run_chain(call, responder)
+
+    async def _run_chain(self, call: Call, responder: Responder) -> Reply | None:
         outcome: Result[Served, Refusal] | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_when_gone, responder, nursery.cancel_scope)
             outcome = await self._chain.run(call)
             nursery.cancel_scope.cancel()
-        self._note(call, outcome)
+        self._note(outcome)
         if isinstance(outcome, Err):
             return await _refuse(call, responder, outcome.err_value)
         return None
 
-    def _note(self, call: Call, outcome: Result[Served, Refusal] | None) -> None:
-        fields = {"request": call.id, "path": call.request.path}
+    def _note(self, outcome: Result[Served, Refusal] | None) -> None:
         match outcome:
             case Ok(served):
                 self._requests.labels("served", "").inc()
-                log.info("served", extra={**fields, "peer": served.endpoint})
+                log.info("served", extra={"step": Step.STREAM.value, "peer": served.endpoint})
             case Err(refusal):
                 self._requests.labels(refusal.outcome, refusal.code).inc()
                 where = {"step": refusal.step.value, "peer": refusal.peer, "why": refusal.reason}
-                log.info("refused", extra={**fields, **where, "code": refusal.code})
+                log.info("refused", extra={**where, "code": refusal.code})
             case None:
                 self._requests.labels("cancelled", "").inc()
-                log.info("caller gone", extra=fields)
+                log.info("caller gone", extra={"step": Step.STREAM.value, "peer": "caller"})
 
     async def _health(self, request: Request, responder: Responder) -> Reply:
         return json_reply({"status": "ok"})
@@ -142,10 +151,15 @@
 
 
 async def _refuse(call: Call, responder: Responder, refusal: Refusal) -> Reply | None:
+    """Answer with a problem, or end a stream that has begun with an error event.
+
+    Such a stream is left without its last chunk, so that the server closes the connection and no
+    HTTP client can take the body for a whole one.
+    """
     if not responder.started:
         return problem_reply(refusal, call.id)
     if not responder.finished:
-        await responder.finish(problem_event(refusal, call.id))
+        await responder.write(problem_event(refusal, call.id))
     return None
 
 
