--- /dev/null
+++ b/mulberrycleat/bench/manifest_spread.py
@@ -0,0 +1,84 @@
+"""``bin/bench manifest_spread``: in which order the reader of a zone serves the others.
+
+A seeded model of one reader that serves a page at a time to hosts that ask again after each page.
+Serving the host that is furthest behind first is the slowest-peer-first strategy of Wu et al.,
+"Time-Critical Data Dissemination in Cooperative Peer-to-Peer Systems".
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import statistics
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+import click
+
+__all__ = ["command"]
+
+SERVE_S = 0.00055
+ROUND_TRIP_S = 0.002
+ARRIVAL_S = 0.01
+
+
+class _Request(NamedTuple):
+    """A host that waits: when it asked, and how many pages it lacks."""
+
+    asked_at: float
+    host: int
+    lacks: int
+
+
+ORDERS: dict[str, Callable[[_Request], tuple]] = {
+    "as asked": lambda r: (r.asked_at, r.host),
+    "furthest behind first": lambda r: (-r.lacks, r.asked_at, r.host),
+    "nearest first": lambda r: (r.lacks, r.asked_at, r.host),
+}
+
+
+@click.command()
+@click.option("--hosts", default=62, show_default=True, help="Hosts of the zone.")
+@click.option("--runs", default=200, show_default=True, help="Seeded runs of each case.")
+def command(hosts: int, runs: int) -> None:
+    """Compare orders of service by the time until the last host has everything."""
+    cases = {"one page each": 0.0, "one in ten far behind": 0.1, "half far behind": 0.5}
+    results: dict[str, dict[str, float]] = {}
+    for case, share in cases.items():
+        results[case] = {}
+        for name, order in ORDERS.items():
+            times = [_run(Random(seed), hosts, share, order) for seed in range(runs)]
+            last_ms = 1000 * statistics.mean(max(done) for done in times)
+            mean_ms = 1000 * statistics.mean(statistics.mean(done) for done in times)
+            results[case][name] = round(last_ms, 2)
+            print(f"{case:<24}{name:<24}last {last_ms:8.2f} ms   mean {mean_ms:8.2f} ms")
+    print(json.dumps(results))
+
+
+def _run(rng: Random, hosts: int, behind: float, order: Callable[[_Request], tuple]) -> list[float]:
+    """Return when each host had all pages, in seconds."""
+    arrivals = [
+        _Request(rng.uniform(0, ARRIVAL_S), host, _pages(rng, behind)) for host in range(hosts)
+    ]
+    heapq.heapify(arrivals)
+    waiting: list[_Request] = []
+    now, done = 0.0, [0.0] * hosts
+    while arrivals or waiting:
+        if not waiting:
+            now = max(now, arrivals[0].asked_at)
+        while arrivals and arrivals[0].asked_at <= now:
+            waiting.append(heapq.heappop(arrivals))
+        request = min(waiting, key=order)
+        waiting.remove(request)
+        now += SERVE_S
+        if request.lacks == 1:
+            done[request.host] = now + ROUND_TRIP_S / 2
+        else:
+            again = _Request(now + ROUND_TRIP_S, request.host, request.lacks - 1)
+            heapq.heappush(arrivals, again)
+    return done
+
+
+def _pages(rng: Random, behind: float) -> int:
+    return rng.randint(5, 20) if rng.random() < behind else 1
