--- a/mulberrycleat/manifest/check.py
+++ b/mulberrycleat/manifest/check.py
@@ -8,7 +8,7 @@
 
 import json
 import tomllib
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
@@ -17,7 +17,7 @@
 from mulberrycleat.manifest.sections import KINDS, Sections, key_of, split, updated
 from mulberrycleat.settings import Fault, convert_all, line_of
 
-__all__ = ["check_change", "check_manifest", "parse_manifest"]
+__all__ = ["check_change", "check_items", "check_manifest", "parse_manifest"]
 
 
 class _Reference(NamedTuple):
@@ -38,6 +38,7 @@
     _Reference("objectives", "pool", "pools"),
 )
 _OPTIONAL = frozenset({"plans"})
+_OWN_CHECKS = frozenset({"keys", "pools", "plans"})
 _KEY_FIELDS = {"keys": "sha256", "plans": "endpoint", "objectives": "measure"}
 
 _Place = tuple[str, str]
@@ -100,9 +101,26 @@
                     faults += [f._replace(path=f"put.{section}[{i}].{f.path}") for f in found]
     if faults:
         return Err(faults)
-    items = {section: found for section, found in items.items() if found}
-    after = updated(sections, items, remove)
-    touched = {*paths, *_referrers(sections, after, items, remove)}
+    return check_items(sections, items, remove, paths)
+
+
+def check_items(
+    sections: Sections,
+    items: Mapping[str, Sequence[Any]],
+    remove: Mapping[str, Any],
+    paths: Mapping[_Place, str],
+) -> Result[Sections, list[Fault]]:
+    """Return the sections with items put and keys removed, or every fault among the names.
+
+    Parameters
+    ----------
+    paths : mapping
+        Path to name in a fault, by section and key; others are named by section and key.
+    """
+    put = {section: found for section, found in items.items() if found}
+    after = updated(sections, put, remove)
+    touched = {(section, key_of(item)) for section, found in put.items() for item in found}
+    touched.update(_referrers(sections, after, put, remove))
     faults = list(_item_faults(after, sorted(touched), paths))
     return Err(faults) if faults else Ok(after)
 
@@ -154,22 +172,24 @@
     sections: Sections, places: Iterable[_Place], paths: Mapping[_Place, str]
 ) -> Iterator[Fault]:
     models = _models(sections)
+    references = {section: _references_of(section, sections) for section in KINDS}
     for section, key in places:
         item = sections[section].get(key)
         if item is None:
             continue
-        path = paths.get((section, key)) or f"{section}.{key}"
-        yield from _reference_faults(sections, section, item, path)
-        yield from _own_faults(sections, item, path, models)
-
-
-def _reference_faults(sections: Sections, section: str, item: Any, path: str) -> Iterator[Fault]:
-    for source, field, target in _REFERENCES:
-        if source != section:
-            continue
-        name = getattr(item, field)
-        if name not in sections[target] and not (section in _OPTIONAL and not name):
-            yield Fault(f"{path}.{field}", f"no {target[:-1]} named {name!r}")
+        for field, target, known in references[section]:
+            name = getattr(item, field)
+            if name not in known and (name or section not in _OPTIONAL):
+                path = paths.get((section, key)) or f"{section}.{key}"
+                yield Fault(f"{path}.{field}", f"no {target[:-1]} named {name!r}")
+        if section in _OWN_CHECKS:
+            path = paths.get((section, key)) or f"{section}.{key}"
+            yield from _own_faults(sections, item, path, models)
+
+
+def _references_of(section: str, sections: Sections) -> list[tuple[str, str, Mapping[str, Any]]]:
+    """Return field, target and known names of each reference that items of `section` make."""
+    return [(r.field, r.target, sections[r.target]) for r in _REFERENCES if r.section == section]
 
 
 def _own_faults(
--- a/mulberrycleat/manifest/checkpoint.py
+++ b/mulberrycleat/manifest/checkpoint.py
@@ -14,9 +14,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from mulberrycleat.manifest.check import check_change
+from mulberrycleat.manifest.check import check_items
 from mulberrycleat.manifest.fold import ManifestState, Verdict
-from mulberrycleat.manifest.sections import empty_sections, merge, plain_items
+from mulberrycleat.manifest.sections import KINDS, merge, plain_items
 from mulberrycleat.settings import Fault
 
 __all__ = [
@@ -116,11 +116,15 @@
     snapshot: Snapshot, items: Iterable[tuple[str, dict[str, Any]]]
 ) -> Result[ManifestState, list[Fault]]:
     """Return the state of a snapshot and its items, or every fault in them."""
-    put: dict[str, list[dict[str, Any]]] = {}
+    plain: dict[str, list[dict[str, Any]]] = {}
     for section, item in items:
-        put.setdefault(section, []).append(item)
+        plain.setdefault(section, []).append(item)
+    try:
+        typed = {name: msgspec.convert(plain[name], list[KINDS[name]]) for name in plain}
+    except (msgspec.ValidationError, KeyError) as error:
+        return Err([Fault("items", str(error))])
     empty = ManifestState()
-    match check_change(empty_sections(), put, {}):
+    match check_items(empty.sections, typed, {}, {}):
         case Err(faults):
             return Err(faults)
         case Ok(sections):
--- a/mulberrycleat/manifest/fold.py
+++ b/mulberrycleat/manifest/fold.py
@@ -166,7 +166,7 @@
             version=version,
             by=record.by,
             sections=sections,
-            manifest=merge(self.manifest, self.sections, sections),
+            manifest=merge(self.manifest, self.sections, sections, _changed_keys(record)),
             verdicts=_bounded(self.verdicts, record.id, Accepted(version)),
             early={key: base for key, base in self.early.items() if base >= version},
         )
@@ -179,6 +179,16 @@
         return replace(self, verdicts=_bounded(self.verdicts, record.id, verdict), early=early)
 
 
+def _changed_keys(record: ManifestRecord) -> list[str] | None:
+    """Return the hashes of the callers' keys that a change names; None for a whole manifest."""
+    match record:
+        case Publish():
+            return None
+        case Change():
+            put = [key["sha256"] for key in record.put.get("keys", ())]
+            return [*put, *record.remove.get("keys", ())]
+
+
 def _bounded(verdicts: dict[str, Verdict], key: str, verdict: Verdict) -> dict[str, Verdict]:
     surplus = len(verdicts) + 1 - VERDICTS_KEPT
     kept = dict(islice(verdicts.items(), max(0, surplus), None))
--- a/mulberrycleat/manifest/sections.py
+++ b/mulberrycleat/manifest/sections.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import replace
 from typing import Any, NamedTuple
 
@@ -107,15 +107,33 @@
     return after
 
 
-def merge(before: Manifest, old: Sections, new: Sections) -> Manifest:
-    """Return the manifest of `new`, given that of `old`; accounts without a change are shared."""
+def merge(
+    before: Manifest,
+    old: Sections,
+    new: Sections,
+    changed_keys: Iterable[str] | None = None,
+) -> Manifest:
+    """Return the manifest of `new`, given that of `old`; accounts without a change are shared.
+
+    Parameters
+    ----------
+    changed_keys : iterable of str, optional
+        Hashes of all keys that differ, where they are known.
+    """
     changed = [section for section in KINDS if new[section] is not old[section]]
     fields = {
         section: tuple(new[section].values())
         for section in changed
         if section not in ("accounts", "keys")
     }
-    if "accounts" in changed or "keys" in changed:
+    if not {"accounts", "keys"} & set(changed):
+        pass
+    elif changed_keys is not None:
+        hashes = list(changed_keys)
+        put = [new["keys"][sha256] for sha256 in hashes if sha256 in new["keys"]]
+        gone = [old["keys"][sha256] for sha256 in hashes if sha256 in old["keys"]]
+        fields["accounts"] = _accounts_after(before, new, put, gone)
+    else:
         fields["accounts"] = _accounts(before, new)
     return replace(before, **fields) if fields else before
 
@@ -163,3 +181,31 @@
         for account in new["accounts"].values()
     )
     return tuple(known[a.name] if known.get(a.name) == a else a for a in made)
+
+
+def _accounts_after(
+    before: Manifest, new: Sections, put: Iterable[Key], gone: Iterable[Key]
+) -> tuple[Account, ...]:
+    """Return the accounts, given the keys that were put and those that were there before."""
+    keys: dict[str, dict[str, Key]] = {}
+    known = {account.name: account for account in before.accounts}
+    for key in (*gone, *put):
+        held = known[key.account].keys if key.account in known else ()
+        keys.setdefault(key.account, {one.sha256: one for one in held})
+    for key in gone:
+        keys[key.account].pop(key.sha256, None)
+    for key in put:
+        keys[key.account][key.sha256] = key
+    return tuple(
+        _account(account, known.get(account.name), keys.get(account.name))
+        for account in new["accounts"].values()
+    )
+
+
+def _account(bare: Account, known: Account | None, keys: dict[str, Key] | None) -> Account:
+    """Return an account with its keys, or `known` if that is the same."""
+    if keys is not None:
+        return replace(bare, keys=tuple(keys.values()))
+    if known is None:
+        return bare
+    return known if replace(known, keys=()) == bare else replace(bare, keys=known.keys)
--- a/mulberrycleat/manifest/tests/test_fold.py
+++ b/mulberrycleat/manifest/tests/test_fold.py
@@ -83,6 +83,7 @@
         after = state.apply(Change("p", 0, "ann", put, remove))
         assert after.verdicts["p"] == Accepted(1)
         assert after.sections == split(new)
+        assert split(after.manifest) == split(new)
 
 
 def test_forgotten_verdicts_let_no_repeat_take_effect():
