--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+import math
 
 import trio
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from result import Err, Ok, Result
 
-from mulberrycleat.core import Refusal, Served, new_id
+from mulberrycleat.core import Refusal, Served, Step, new_id
+from mulberrycleat.core.logs import log_fields
 from mulberrycleat.core.ports import Ports
 from mulberrycleat.router.answers import BufferedSink, http_problem, problem_event, problem_reply
 from mulberrycleat.router.call import Call
@@ -23,6 +25,7 @@
     RecallFilter,
 )
 from mulberrycleat.router.link import ControllerLink
+from mulberrycleat.router.stops import Drain
 from mulberrycleat.settings import RouterSettings
 from mulberrycleat.web import (
     App,
@@ -60,7 +63,7 @@
         self._settings = settings
         self._ports = ports or Ports()
         self._link = ControllerLink(settings, fleet_key, self._ports)
-        self._stopping = False
+        self._drain = Drain(settings)
         self._chain = FilterChain(
             (
                 AuthenticateFilter(),
@@ -95,50 +98,50 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._link.run)
-            nursery.start_soon(self._note_stop, stop)
-            await self._ports.serve_http(
-                app, self._settings.listen, stop, self._settings.drain_timeout_s
-            )
+            nursery.start_soon(self._drain.run, stop, lambda: self._link.view.manifest)
+            with self._drain.scope:
+                await self._ports.serve_http(
+                    self._drain.wrap(app), self._settings.listen, self._drain.closed, math.inf
+                )
             with trio.move_on_after(SETTLE_ON_STOP_S):
                 while not await self._link.flush():
                     await trio.sleep(0.1)
             nursery.cancel_scope.cancel()
 
-    async def _note_stop(self, stop: trio.Event) -> None:
-        await stop.wait()
-        self._stopping = True
-
     async def _serve(self, request: Request, responder: Responder) -> Reply | None:
         call = Call(new_id(), request, self._link.view, BufferedSink(responder))
+        with log_fields(request=call.id, path=request.path):
+            return await self._run_chain(call, responder)
+
+    async def _run_chain(self, call: Call, responder: Responder) -> Reply | None:
         outcome: Result[Served, Refusal] | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_when_gone, responder, nursery.cancel_scope)
             outcome = await self._chain.run(call)
             nursery.cancel_scope.cancel()
-        self._note(call, outcome)
+        self._note(outcome)
         if isinstance(outcome, Err):
             return await _refuse(call, responder, outcome.err_value)
         return None
 
-    def _note(self, call: Call, outcome: Result[Served, Refusal] | None) -> None:
-        fields = {"request": call.id, "path": call.request.path}
+    def _note(self, outcome: Result[Served, Refusal] | None) -> None:
         match outcome:
             case Ok(served):
                 self._requests.labels("served", "").inc()
-                log.info("served", extra={**fields, "peer": served.endpoint})
+                log.info("served", extra={"step": Step.STREAM.value, "peer": served.endpoint})
             case Err(refusal):
                 self._requests.labels(refusal.outcome, refusal.code).inc()
                 where = {"step": refusal.step.value, "peer": refusal.peer, "why": refusal.reason}
-                log.info("refused", extra={**fields, **where, "code": refusal.code})
+                log.info("refused", extra={**where, "code": refusal.code})
             case None:
                 self._requests.labels("cancelled", "").inc()
-                log.info("caller gone", extra=fields)
+                log.info("caller gone", extra={"step": Step.STREAM.value, "peer": "caller"})
 
     async def _health(self, request: Request, responder: Responder) -> Reply:
         return json_reply({"status": "ok"})
 
     async def _ready(self, request: Request, responder: Responder) -> Reply:
-        ready = self._link.fresh.is_set() and not self._stopping
+        ready = self._link.fresh.is_set() and not self._drain.stopping
         return json_reply({"ready": ready}, 200 if ready else 503)
 
     async def _metrics(self, request: Request, responder: Responder) -> Reply:
