--- a/mulberrycleat/router/filters/observe.py
+++ b/mulberrycleat/router/filters/observe.py
@@ -9,7 +9,6 @@
 
 from mulberrycleat.burn.recorder import Recorder
 from mulberrycleat.core import Refusal, Served
-from mulberrycleat.router.answers import BufferedSink
 from mulberrycleat.router.call import Call, Proceed, Sink
 
 __all__ = ["ObserveFilter", "TimedSink"]
@@ -91,6 +90,6 @@
     async def handle(self, call: Call, proceed: Proceed) -> Result[Served, Refusal]:
         """Pass the call on with its sink timed; a caller who goes away is not counted."""
         timed = TimedSink(call.sink, self._recorder, call.account, call.pool.name)
-        outcome = await proceed(replace(call, sink=BufferedSink(timed)))
+        outcome = await proceed(replace(call, sink=timed))
         timed.end(outcome)
         return outcome
