Take a cancel scope, a pool scan and a split off the path of a streamed token

Cause, by profile: each token made a cancel scope for its wait; one connection pool for all peers was looked through with a time that grows with the square of its connections, 2,000 steps a request at 30 streams; each event was split into lines. Change: one scope around the events whose deadline moves (an event that comes as the deadline strikes is not taken, so that no event is counted and not sent on), one pool for each peer, and a short way for events of one line.

--- a/mulberrycleat/router/events.py
+++ b/mulberrycleat/router/events.py
@@ -205,5 +205,7 @@
 
 
 def _data_of(raw: bytes) -> bytes:
+    if raw.startswith(_DATA) and raw.count(b"\n") == 2:
+        return raw[len(_DATA) :].strip()
     lines = [line[len(_DATA) :].strip() for line in raw.splitlines() if line.startswith(_DATA)]
     return b"\n".join(lines)
--- a/mulberrycleat/router/exchanges/model.py
+++ b/mulberrycleat/router/exchanges/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -82,27 +83,24 @@
 
 async def _pass_events(call: Call, events: AsyncIterator[Event], writer: AnswerWriter) -> None:
     count = call.meter.count
-    timeout_s = FIRST_EVENT_TIMEOUT_S
-    while event := await _next(events, timeout_s):
-        if call.meter.first_at is None:
-            call.meter.first_at = trio.current_time()
-            timeout_s = STALL_TIMEOUT_S
-        count.take(event)
-        if count.done:
-            return
-        await writer.pass_on(event)
+    with trio.CancelScope(deadline=trio.current_time() + FIRST_EVENT_TIMEOUT_S) as silence:
+        async for event in events:
+            if silence.cancel_called:
+                break
+            silence.deadline = math.inf
+            if call.meter.first_at is None:
+                call.meter.first_at = trio.current_time()
+            count.take(event)
+            if count.done:
+                return
+            await writer.pass_on(event)
+            silence.deadline = trio.current_time() + STALL_TIMEOUT_S
+    if silence.cancel_called:
+        raise BrokenAnswerError("the engine fell silent")
     if not count.complete:
         raise BrokenAnswerError("the answer was cut short")
 
 
-async def _next(events: AsyncIterator[Event], timeout_s: float) -> Event | None:
-    try:
-        with trio.fail_after(timeout_s):
-            return await anext(events, None)
-    except trio.TooSlowError as error:
-        raise BrokenAnswerError(f"no event in {timeout_s:g} s") from error
-
-
 async def _read_to_end(events: AsyncIterator[Event]) -> None:
     """Read the end of the body, so that the connection can serve another request."""
     with trio.move_on_after(END_OF_BODY_TIMEOUT_S):
--- a/mulberrycleat/web/client.py
+++ b/mulberrycleat/web/client.py
@@ -25,6 +25,7 @@
     "peer_error",
 ]
 
+KEEP_ALIVE_S = 15.0
 NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 FAILURES = (
     httpcore.NetworkError,
@@ -130,20 +131,18 @@
     connect_timeout_s : float
         Longest wait for a connection, in seconds.
     max_connections : int
-        Connections over all peers.
+        Connections to one peer.
     """
 
     def __init__(self, connect_timeout_s: float = 1.0, max_connections: int = 1000) -> None:
         self._connect_timeout_s = connect_timeout_s
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=max_connections,
-            max_keepalive_connections=max_connections // 4,
-            keepalive_expiry=15.0,
-        )
+        self._max_connections = max_connections
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def aclose(self) -> None:
         """Close every connection."""
-        await self._pool.aclose()
+        for pool in self._pools.values():
+            await pool.aclose()
 
     @asynccontextmanager
     async def stream(
@@ -165,7 +164,7 @@
             "write": timeout_s,
             "pool": self._connect_timeout_s,
         }
-        async with self._pool.stream(
+        async with self._pool(_host(url)).stream(
             method, url, headers=_pairs(headers), content=body, extensions={"timeout": timeout}
         ) as response:
             found = {
@@ -174,6 +173,16 @@
             }
             yield StreamedAnswer(response.status, found, response.aiter_stream())
 
+    def _pool(self, host: str) -> httpcore.AsyncConnectionPool:
+        """Return the pool of one peer; the time of a look at a pool grows with its square."""
+        if host not in self._pools:
+            self._pools[host] = httpcore.AsyncConnectionPool(
+                max_connections=self._max_connections,
+                max_keepalive_connections=self._max_connections // 4,
+                keepalive_expiry=KEEP_ALIVE_S,
+            )
+        return self._pools[host]
+
 
 def peer_error(error: Exception, step: Step, url: str) -> PeerError:
     """Turn one of httpcore's exceptions into a :class:`PeerError`."""
