--- a/mulberrycleat/controller/loads.py
+++ b/mulberrycleat/controller/loads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from collections.abc import Mapping
 from typing import Any, NamedTuple
@@ -25,6 +26,7 @@
 __all__ = ["LoadController"]
 
 POLL_EVERY_S = 1.0
+POLLS_TO_CACHE_POLL = 2
 POLL_TIMEOUT_S = 1.0
 RELAY_EVERY_S = 1.0
 RELAY_TIMEOUT_S = 1.0
@@ -113,16 +115,17 @@
         ]
 
     async def _poll_regularly(self) -> None:
-        while True:
+        for number in itertools.count():
             async with trio.open_nursery() as nursery:
                 for endpoint in self.share():
-                    nursery.start_soon(self._poll, endpoint)
+                    nursery.start_soon(self._poll, endpoint, number % POLLS_TO_CACHE_POLL == 0)
             await trio.sleep(POLL_EVERY_S)
 
-    async def _poll(self, endpoint: Endpoint) -> None:
+    async def _poll(self, endpoint: Endpoint, with_cache: bool) -> None:
         with trio.move_on_after(POLL_TIMEOUT_S):
             await self._poll_load(endpoint)
-            await self._poll_cache(endpoint)
+            if with_cache:
+                await self._poll_cache(endpoint)
 
     async def _poll_load(self, endpoint: Endpoint) -> None:
         url = f"http://{endpoint.address}/load"
