--- a/mulberrycleat/router/call.py
+++ b/mulberrycleat/router/call.py
@@ -100,6 +100,8 @@
         Parsed body of a request for a model.
     reserve_tokens : int
         The most that the request can cost.
+    holder, reservation : str, int
+        Holder of the reserved tokens and its number for them; set by the budget filter.
     idempotent : bool
         Whether it may be run again.
     idempotency_key : str
@@ -125,6 +127,8 @@
     pool: Pool | None = None
     body: Mapping[str, Any] = field(default_factory=dict)
     reserve_tokens: int = 0
+    holder: str = ""
+    reservation: int = 0
     idempotent: bool = True
     idempotency_key: str = ""
     digest: str = ""
--- a/mulberrycleat/router/exchanges/model.py
+++ b/mulberrycleat/router/exchanges/model.py
@@ -136,7 +136,13 @@
 
 
 def _headers(call: Call) -> dict[str, str]:
-    headers = {"content-type": "application/json", REQUEST_ID_HEADER: call.id}
+    headers = {
+        "content-type": "application/json",
+        REQUEST_ID_HEADER: call.id,
+        "x-holder": call.holder,
+        "x-fencing-number": str(call.reservation),
+        "x-budget": call.budget,
+    }
     if call.demand is not None:
         headers[PRIORITY_HEADER] = str(priority_of(call.demand))
     return headers
