Compare a sample of a large pool, and shed a little sooner at a standing queue

Change: of more than 24 endpoints, up to 12 that may have the prompt cached and a sample of the others are compared; the margin at a standing queue goes from 0.5 to 0.45.

--- a/mulberrycleat/endpoint/admission.py
+++ b/mulberrycleat/endpoint/admission.py
@@ -41,7 +41,7 @@
     hold_s: float = 2.0
     passing_tokens: float = 100_000.0
     margin: float = 0.9
-    standing_margin: float = 0.5
+    standing_margin: float = 0.45
     standing_s: float = 2.0
     short_margin: float = 2.0
 
--- a/mulberrycleat/endpoint/chooser.py
+++ b/mulberrycleat/endpoint/chooser.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+import heapq
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import NamedTuple
@@ -37,6 +38,9 @@
         router's own zone, only those of that zone are.
     reserve_share : float
         Part of an endpoint's places that longer requests leave to short ones.
+    sample : int
+        Largest number of endpoints that are compared. Of a larger pool those that may have the
+        prompt cached are, and others by chance.
     max_ejected_share : float
         Largest share of a pool that may be ejected at once.
     """
@@ -46,6 +50,7 @@
     near_share: float = 0.2
     near_s: float = 0.02
     reserve_share: float = 0.4
+    sample: int = 24
     max_ejected_share: float = 0.34
 
 
@@ -101,14 +106,13 @@
         tried : collection of str
             Names to leave out.
         """
-        states = self._usable([self.state(endpoint) for endpoint in endpoints], now)
         cached = self._index.cached_tokens(demand.keys)
+        states = self._usable([self.state(endpoint) for endpoint in endpoints], now)
+        states = self._sampled([s for s in states if s.endpoint.name not in tried], cached)
         generated = demand.max_tokens * self._generated_share
         share = self._share_before(demand)
         scored = []
         for state in states:
-            if state.endpoint.name in tried:
-                continue
             tokens = min(cached.get(state.endpoint.name, 0), demand.prompt_tokens)
             estimate = state.estimate(
                 demand, tokens, generated, share, now, self._settings.reserve_share
@@ -176,6 +180,17 @@
         ejected.sort(key=lambda state: state.health.failures)
         return usable + ejected[: max(0, len(ejected) - bound)]
 
+    def _sampled(
+        self, states: list[EndpointState], cached: Mapping[str, int]
+    ) -> list[EndpointState]:
+        size = self._settings.sample
+        if len(states) <= size:
+            return states
+        names = set(heapq.nlargest(size // 2, cached, key=cached.__getitem__))
+        holders = [state for state in states if state.endpoint.name in names]
+        others = [state for state in states if state.endpoint.name not in names]
+        return holders + self._random.sample(others, size - len(holders))
+
     def _score(self, state: EndpointState, estimate: Estimate) -> float:
         away = 0.0 if state.endpoint.zone == self._zone else self._settings.other_zone_s
         return estimate.whole_s + self._settings.work_weight * estimate.work_s + away
--- a/mulberrycleat/endpoint/tests/test_choice.py
+++ b/mulberrycleat/endpoint/tests/test_choice.py
@@ -171,3 +171,26 @@
     long = chooser.choose(endpoints[:1], LONG, 40.1).estimate
     short = chooser.choose(endpoints[:1], SHORT, 40.1).estimate
     assert short.queue_s < 0.1 < 2.0 < long.queue_s
+
+
+def test_of_a_large_pool_the_holders_of_a_prefix_and_a_sample_are_compared():
+    pool = [Endpoint(f"e{i}", "pool", "zone-a", f"127.0.0.1:{i}") for i in range(127)]
+    chooser = make()
+    note = LONG._replace(keys=tuple(range(90)))
+    for endpoint in pool:
+        chooser.state(endpoint)
+    chooser.take_cache_event("e99", "stored", note.keys)
+    assert {chooser.choose(pool, note, 1.0).endpoint.name for _ in range(20)} == {"e99"}
+    spread = {chooser.choose(pool, SHORT, 1.0).endpoint.name for _ in range(100)}
+    assert len(spread) > 30
+
+
+def test_a_sample_avoids_the_slow_half_of_a_large_pool():
+    pool = [Endpoint(f"e{i}", "pool", "zone-a", f"127.0.0.1:{i}") for i in range(100)]
+    chooser = make()
+    for number, endpoint in enumerate(pool):
+        slow = number % 2
+        for turn in range(3):
+            serve(chooser, endpoint, turn, 4.0 if slow else 0.5, 12.0 if slow else 2.0)
+    chosen = {chooser.choose(pool, LONG, 50.0).endpoint.name for _ in range(50)}
+    assert all(int(name[1:]) % 2 == 0 for name in chosen)
