--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -124,6 +124,7 @@
             m.BEGIN: self._once.begin,
             m.FINISH: self._once.finish,
             m.ABANDON: self._once.abandon,
+            m.ANSWER: self._once.keep_answer,
             m.HEARTBEAT: self._hosts.heartbeat,
             m.READ_STREAM: self._read_stream,
             m.CATCH_UP: self._manifests.catch_up,
--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "ABANDON",
+    "ANSWER",
     "BEGIN",
     "CATCH_UP",
     "CONFIRM",
@@ -25,6 +26,7 @@
     "SYNC",
     "AbandonRequest",
     "Ack",
+    "AnswerRequest",
     "BeginReply",
     "BeginRequest",
     "CatchUpReply",
@@ -200,6 +202,17 @@
     body: bytes
 
 
+class AnswerRequest(msgspec.Struct, frozen=True):
+    """Keep the answer of an idempotent request for its repeats. Idempotent by `id`."""
+
+    id: str
+    key: str
+    digest: str
+    status: int
+    content_type: str
+    body: bytes
+
+
 class AbandonRequest(msgspec.Struct, frozen=True):
     """Record that the dispatch which `id` claimed never happened and never will."""
 
@@ -319,6 +332,7 @@
 RECALL = Method("Recall", RecallRequest, BeginReply)
 BEGIN = Method("Begin", BeginRequest, BeginReply)
 FINISH = Method("Finish", FinishRequest, Ack)
+ANSWER = Method("Answer", AnswerRequest, Ack)
 ABANDON = Method("Abandon", AbandonRequest, Ack)
 CATCH_UP = Method("CatchUp", CatchUpRequest, CatchUpReply)
 CONFIRM = Method("Confirm", ConfirmRequest, ConfirmReply)
--- a/mulberrycleat/controller/once.py
+++ b/mulberrycleat/controller/once.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from typing import Any
 
@@ -14,6 +15,7 @@
 from mulberrycleat.controller.messages import (
     AbandonRequest,
     Ack,
+    AnswerRequest,
     BeginReply,
     BeginRequest,
     FinishRequest,
@@ -25,6 +27,7 @@
     KEY_WINDOW_S,
     STREAM,
     Abandon,
+    Answer,
     Checkpoint,
     Intent,
     OnceHistory,
@@ -42,10 +45,13 @@
 RETRY_EVERY_S = 0.2
 OPEN_WAIT_S = 1.5
 FINISH_WAIT_S = 0.5
+REFUSE_AT_ONCE_S = 2.0
 CHECKPOINT_EVERY_S = 3600.0
 CHECKPOINT_JITTER = 0.5
 MAX_BODY_BYTES = 65_536
-MAX_KEYS = 100_000
+MAX_KEYS = 40_000
+MAX_ANSWER_KEYS = 20_000
+MAX_UNWRITTEN = 200
 
 
 class OnceController:
@@ -78,6 +84,7 @@
         self._changes = Changes()
         self._unwritten: list[OnceRecord] = []
         self._writing = trio.Lock()
+        self._refused_until = -math.inf
 
     @property
     def history(self) -> OnceHistory:
@@ -109,6 +116,8 @@
         """Claim a key; only ``won`` allows the dispatch."""
         if not self._history.complete or len(self._state) >= MAX_KEYS:
             return BeginReply("unavailable")
+        if trio.current_time() < self._refused_until:
+            return BeginReply("unavailable")
         if known := self._known(request.key, request.digest, request.id):
             return known
         intent = Intent(request.id, request.key, request.digest, self._holder)
@@ -117,6 +126,7 @@
                 await self._append_and_wait(intent)
         if not self._state.seen(intent.id) or not self._history.complete:
             self._unwritten.append(Abandon(intent.id, intent.key))
+            self._refused_until = trio.current_time() + REFUSE_AT_ONCE_S
             return BeginReply("unavailable")
         if known := self._known(request.key, request.digest, request.id):
             return known
@@ -137,6 +147,13 @@
             await self.flush()
         return Ack()
 
+    async def keep_answer(self, request: AnswerRequest) -> Ack:
+        """Record the answer of an idempotent request with the next write."""
+        if len(self._unwritten) < MAX_UNWRITTEN and len(self._state) < MAX_ANSWER_KEYS:
+            fields = msgspec.structs.asdict(request)
+            self._unwritten.append(Answer(holder=self._holder, **fields))
+        return Ack()
+
     async def abandon(self, request: AbandonRequest) -> Ack:
         """Record that a claimed dispatch never happened."""
         self._unwritten.append(Abandon(request.id, request.key))
--- a/mulberrycleat/once/__init__.py
+++ b/mulberrycleat/once/__init__.py
@@ -5,6 +5,7 @@
 from mulberrycleat.once.model import (
     STREAM,
     Abandon,
+    Answer,
     Checkpoint,
     Intent,
     KeyEntry,
@@ -16,6 +17,7 @@
     "KEY_WINDOW_S",
     "STREAM",
     "Abandon",
+    "Answer",
     "Checkpoint",
     "Intent",
     "KeyEntry",
--- a/mulberrycleat/once/fold.py
+++ b/mulberrycleat/once/fold.py
@@ -5,7 +5,15 @@
 from collections import OrderedDict
 from dataclasses import dataclass, replace
 
-from mulberrycleat.once.model import Abandon, Checkpoint, Intent, KeyEntry, OnceRecord, Outcome
+from mulberrycleat.once.model import (
+    Abandon,
+    Answer,
+    Checkpoint,
+    Intent,
+    KeyEntry,
+    OnceRecord,
+    Outcome,
+)
 from mulberrycleat.once.timed_key import key_time
 
 __all__ = ["KEY_WINDOW_S", "KeyState", "OnceState"]
@@ -94,10 +102,13 @@
         self._keys[entry.intent.key] = found
         self._seen[entry.intent.id] = entry.at
 
-    def give_back_answer(self, outcome: Outcome) -> None:
+    def give_back_answer(self, record: Outcome | Answer) -> None:
         """Put the body of a restored key's answer back."""
-        state = self._keys.get(outcome.key)
-        if state and state.intent.id == outcome.id and state.outcome is not None:
+        state = self._keys.get(record.key)
+        if state and state.intent.id == record.id and state.outcome is not None:
+            content_type, body = record.content_type, record.body
+            kept = getattr(record, "kept", True)
+            outcome = Outcome(record.id, record.key, record.status, content_type, body, kept)
             self._keep(state, outcome)
 
     def apply(self, record: OnceRecord, at: float = 0.0) -> None:
@@ -112,6 +123,8 @@
                 state = self._keys.get(record.key)
                 if state and state.intent.id == record.id and state.outcome is None:
                     self._keep(state, record)
+            case Answer() if record.id not in self._seen:
+                self._take_answer(record, at)
             case Abandon():
                 self._abandoned[record.id] = at
                 state = self._keys.get(record.key)
@@ -120,6 +133,15 @@
             case Checkpoint() | _:
                 return
 
+    def _take_answer(self, answer: Answer, at: float) -> None:
+        self._seen[answer.id] = at
+        if answer.key in self._keys or self.is_too_old(answer.key, at):
+            return
+        intent = Intent(answer.id, answer.key, answer.digest, answer.holder)
+        content_type = answer.content_type
+        outcome = Outcome(answer.id, answer.key, answer.status, content_type, answer.body)
+        self._keep(KeyState(intent, at), outcome)
+
     def _keep(self, state: KeyState, outcome: Outcome) -> None:
         self._keys[outcome.key] = replace(state, outcome=outcome)
         self._answers[outcome.key] = len(outcome.body)
--- a/mulberrycleat/once/history.py
+++ b/mulberrycleat/once/history.py
@@ -4,7 +4,7 @@
 
 from mulberrycleat.eventlog import Entry, Page
 from mulberrycleat.once.fold import KEY_WINDOW_S, OnceState
-from mulberrycleat.once.model import Checkpoint, OnceRecord, Outcome
+from mulberrycleat.once.model import Answer, Checkpoint, OnceRecord, Outcome
 
 __all__ = ["OnceHistory", "checkpoint_parts"]
 
@@ -100,7 +100,7 @@
         for entry, record in self._unplaced:
             if entry.offset >= parts[0].offset:
                 self._state.apply(record, entry.at)
-            elif isinstance(record, Outcome):
+            elif isinstance(record, Outcome | Answer):
                 self._state.give_back_answer(record)
         self._complete = True
         self._unplaced.clear()
--- a/mulberrycleat/once/model.py
+++ b/mulberrycleat/once/model.py
@@ -4,7 +4,16 @@
 
 import msgspec
 
-__all__ = ["STREAM", "Abandon", "Checkpoint", "Intent", "KeyEntry", "OnceRecord", "Outcome"]
+__all__ = [
+    "STREAM",
+    "Abandon",
+    "Answer",
+    "Checkpoint",
+    "Intent",
+    "KeyEntry",
+    "OnceRecord",
+    "Outcome",
+]
 
 STREAM = "once"
 
@@ -52,6 +61,18 @@
     key: str
 
 
+class Answer(msgspec.Struct, frozen=True, tag="answer"):
+    """The answer of an idempotent request that carried a key; there was no intent before it."""
+
+    id: str
+    key: str
+    digest: str
+    holder: str
+    status: int
+    content_type: str
+    body: bytes
+
+
 class KeyEntry(msgspec.Struct, frozen=True, array_like=True):
     """One key in a checkpoint: the winning intent, when it was written, whether it has ended."""
 
@@ -70,4 +91,4 @@
     entries: tuple[KeyEntry, ...]
 
 
-OnceRecord = Intent | Outcome | Abandon | Checkpoint
+OnceRecord = Intent | Outcome | Abandon | Answer | Checkpoint
--- a/mulberrycleat/router/answers.py
+++ b/mulberrycleat/router/answers.py
@@ -11,7 +11,14 @@
 from mulberrycleat.router.call import Sink
 from mulberrycleat.web import Reply
 
-__all__ = ["PROBLEM_TYPE", "HeldSink", "http_problem", "problem_event", "problem_reply"]
+__all__ = [
+    "PROBLEM_TYPE",
+    "CopyingSink",
+    "HeldSink",
+    "http_problem",
+    "problem_event",
+    "problem_reply",
+]
 
 PROBLEM_TYPE = "application/problem+json"
 
@@ -63,6 +70,53 @@
         await sink.finish(self.body)
 
 
+class CopyingSink(HeldSink):
+    """A sink that passes an answer on at once and keeps a copy up to a bound.
+
+    Parameters
+    ----------
+    inner : Sink
+        Where the answer goes.
+    bound : int
+        Largest body that is kept, in bytes.
+    """
+
+    def __init__(self, inner: Sink, bound: int) -> None:
+        super().__init__()
+        self._inner = inner
+        self._left = bound
+
+    @property
+    def started(self) -> bool:
+        """Whether part of the answer has been sent."""
+        return self._inner.started
+
+    @property
+    def whole(self) -> bool:
+        """Whether the copy is whole."""
+        return self._left >= 0
+
+    async def start(self, status: int, headers: tuple[tuple[str, str], ...] = ()) -> None:
+        """Send the status line and the headers."""
+        await super().start(status, headers)
+        await self._inner.start(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._copy(data)
+        await self._inner.write(data)
+
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last part of the body."""
+        await self._copy(data)
+        await self._inner.finish(data)
+
+    async def _copy(self, data: bytes) -> None:
+        self._left -= len(data)
+        if self.whole:
+            await super().write(data)
+
+
 def problem_reply(refusal: Refusal, request_id: str) -> Reply:
     """Return a refusal as an RFC 9457 problem."""
     headers = [("content-type", PROBLEM_TYPE), ("x-request-id", request_id)]
--- a/mulberrycleat/router/filters/once.py
+++ b/mulberrycleat/router/filters/once.py
@@ -9,17 +9,19 @@
 
 from mulberrycleat.controller.messages import (
     ABANDON,
+    ANSWER,
     BEGIN,
     FINISH,
     RECALL,
     AbandonRequest,
+    AnswerRequest,
     BeginReply,
     BeginRequest,
     FinishRequest,
     RecallRequest,
 )
 from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
-from mulberrycleat.router.answers import HeldSink
+from mulberrycleat.router.answers import CopyingSink, HeldSink
 from mulberrycleat.router.call import Call, Proceed
 from mulberrycleat.router.link import ControllerLink
 
@@ -27,6 +29,7 @@
 
 RECALL_TIMEOUT_S = 3.0
 BEGIN_TIMEOUT_S = 4.0
+MAX_KEPT_BYTES = 65_536
 
 
 def once_key(call: Call) -> str:
@@ -35,17 +38,25 @@
 
 
 class RecallFilter:
-    """Answer a repeat of a finished non-idempotent request without running or billing it."""
+    """Answer a repeat of a finished request without running or billing it.
+
+    A non-idempotent request is refused when nothing can be known of its key; an idempotent one with
+    a key runs again then. The answer of the latter is kept for its repeats.
+    """
 
     def __init__(self, link: ControllerLink) -> None:
         self._link = link
 
     async def handle(self, call: Call, proceed: Proceed) -> Result[Served, Refusal]:
         """Pass a new key on; answer or refuse a known one."""
-        if call.idempotent:
+        if not call.idempotency_key:
             return await proceed(call)
         request = RecallRequest(once_key(call), call.digest)
         match await self._link.call(RECALL, request, RECALL_TIMEOUT_S):
+            case Ok(BeginReply(state="done" | "mismatch") as reply) if reply.kept:
+                return await answer_known(call, reply)
+            case _ if call.idempotent:
+                return await self._run_idempotent(call, proceed)
             case Ok(BeginReply(state="unknown")):
                 return await proceed(call)
             case Ok(reply):
@@ -53,6 +64,15 @@
             case Err(error):
                 return Err(NotRun(Step.DEDUPLICATE, error.peer, error.reason))
 
+    async def _run_idempotent(self, call: Call, proceed: Proceed) -> Result[Served, Refusal]:
+        copy = CopyingSink(call.sink, MAX_KEPT_BYTES)
+        outcome = await proceed(replace(call, sink=copy))
+        if isinstance(outcome, Ok) and copy.whole:
+            key, status, content_type = once_key(call), copy.status, copy.content_type
+            answer = AnswerRequest(call.id, key, call.digest, status, content_type, copy.body)
+            self._link.report_later(ANSWER, answer)
+        return outcome
+
 
 class ClaimFilter:
     """Claim the key of a non-idempotent request, let the winner dispatch, record the answer."""
--- a/mulberrycleat/router/link.py
+++ b/mulberrycleat/router/link.py
@@ -88,6 +88,10 @@
         """Settle the reservation of a request with the next batch."""
         self._unsettled[request] = tokens
 
+    def report_later(self, method: Method, message: Any) -> None:
+        """Tell the controller with the next batch; as :meth:`report` otherwise."""
+        self._unreported[message.id] = Report(method, message)
+
     async def report(self, method: Method, message: Any) -> bool:
         """Tell the controller how a claimed dispatch ended, again and again until it confirms.
 
--- a/mulberrycleat/router/tests/test_deaths.py
+++ b/mulberrycleat/router/tests/test_deaths.py
@@ -77,6 +77,26 @@
             assert count <= 1 and (outcome != "served" or count == 1), moment_s
 
 
+async def test_zone_that_is_cut_off_refuses_bookings_as_not_run_and_soon_at_once():
+    async with in_process_fleet() as fleet:
+        await fleet.book(HERE, "dolerite", "bookings", "warm")
+        fleet.network.cut("zone-a", "platform")
+        waits = []
+        for number in range(4):
+            started = trio.current_time()
+            answer = await fleet.book(HERE, "dolerite", "bookings", f"k{number}")
+            assert answer.outcome == "not_run" and "retry-after" in answer.headers
+            assert await bookings(fleet, f"k{number}") == 0
+            waits.append(trio.current_time() - started)
+        assert max(waits[1:]) < 0.1, waits
+        fleet.network.heal("zone-a", "platform")
+        await trio.sleep(10)
+        for number in range(4):
+            again = await fleet.book(THERE, "dolerite", "bookings", f"k{number}")
+            assert again.outcome == "served"
+            assert await bookings(fleet, f"k{number}") == 1
+
+
 async def test_two_routers_with_one_key_book_once_and_give_one_answer():
     async with in_process_fleet() as fleet:
         answers = []
--- /dev/null
+++ b/mulberrycleat/router/tests/test_repeats.py
@@ -0,0 +1,42 @@
+"""Repeats of an idempotent request with a key: the same answer, billed once."""
+
+from __future__ import annotations
+
+import trio
+
+from mulberrycleat.testing.inprocess import in_process_fleet
+
+MODEL = "survey-large"
+HERE, THERE = "zone-a-1", "zone-b-1"
+QUESTION = {"text": "Is the east track open?", "max_tokens": 6, "idempotency_key": "q1"}
+
+
+async def test_repeat_in_another_zone_gets_the_same_answer_and_is_not_run():
+    for stream in (True, False):
+        async with in_process_fleet() as fleet:
+            first = await fleet.chat(HERE, "dolerite", MODEL, stream=stream, **QUESTION)
+            await trio.sleep(1)
+            again = await fleet.chat(THERE, "dolerite", MODEL, stream=stream, **QUESTION)
+            assert (again.outcome, again.body) == ("served", first.body)
+            assert again.headers["idempotent-replayed"] == "true"
+            served = [await fleet.stats(m.name) for m in fleet.layout.of_kind("engine")]
+            assert sum(one["served"] for one in served) == 1
+            other = {**QUESTION, "text": "And the west track?"}
+            refused = await fleet.chat(THERE, "dolerite", MODEL, stream=stream, **other)
+            assert (refused.status, refused.outcome) == (422, "not_run")
+
+
+async def test_keyed_question_runs_while_the_log_is_out_of_reach():
+    async with in_process_fleet() as fleet:
+        await fleet.chat(HERE, "dolerite", MODEL, "Warm up the slice.")
+        fleet.network.cut("zone-a", "platform")
+        answer = await fleet.chat(HERE, "dolerite", MODEL, **QUESTION)
+        assert answer.outcome == "served"
+
+
+async def test_key_of_one_account_is_not_that_of_another():
+    async with in_process_fleet() as fleet:
+        await fleet.chat(HERE, "dolerite", MODEL, **QUESTION)
+        await trio.sleep(1)
+        answer = await fleet.chat(HERE, "swan-coastal", MODEL, **QUESTION)
+        assert "idempotent-replayed" not in answer.headers
