--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -16,6 +16,7 @@
 from mulberrycleat.controller.changes import Changes
 from mulberrycleat.controller.engines import HttpEngines
 from mulberrycleat.controller.hosts import HostController
+from mulberrycleat.controller.loads import LoadController
 from mulberrycleat.controller.manifests import ManifestController
 from mulberrycleat.controller.once import OnceController
 from mulberrycleat.controller.orders import OrderController
@@ -81,6 +82,17 @@
             settings, self._holder, event_log, PeerTransfers(peers), fences
         )
         self._once = OnceController(self._holder, event_log, settings.platform.checkpoint_every_s)
+        self._loads = LoadController(self._holder, self._manifests, self._hosts, self._ports)
+
+    @property
+    def loads(self) -> LoadController:
+        """Load reports."""
+        return self._loads
+
+    @property
+    def budgets(self) -> BudgetController:
+        """The controller of budgets."""
+        return self._budgets
 
     async def run(self, stop: trio.Event) -> None:
         """Run until `stop` is set, then settle and end. Needs an open trio-asyncio loop."""
@@ -107,6 +119,7 @@
                 self._orders,
                 self._budgets,
                 self._once,
+                self._loads,
             ):
                 await nursery.start(controller.run)
             await nursery.start(
@@ -126,6 +139,7 @@
             m.ABANDON: self._once.abandon,
             m.ANSWER: self._once.keep_answer,
             m.HEARTBEAT: self._hosts.heartbeat,
+            m.LOADS: self._loads.loads,
             m.READ_STREAM: self._read_stream,
             m.CATCH_UP: self._manifests.catch_up,
             m.CONFIRM: self._manifests.confirm,
--- /dev/null
+++ b/mulberrycleat/controller/tests/test_budgets.py
@@ -0,0 +1,130 @@
+"""Budgets of a whole fleet in one event loop: deaths, fences, cuts, restarts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import trio
+
+from mulberrycleat.testing import fixture
+from mulberrycleat.testing.inprocess import InProcessFleet, in_process_fleet
+from mulberrycleat.testing.layout import FleetPlan
+
+ACCOUNT = "dolerite"
+MODEL = "survey-large"
+HOST, PEER = "zone-a-1", "zone-a-2"
+PREPAID = 200_000
+
+
+@fixture
+def plan() -> FleetPlan:
+    """Return one zone with two hosts, whose only endpoint checks fencing."""
+    return FleetPlan(zones=("zone-a",), hosts_per_zone=2, services=())
+
+
+async def budget_at(fleet: InProcessFleet, host: str) -> dict[str, Any]:
+    """Return what a host says of the account's budget."""
+    return (await fleet.operator.statuses())[host]["budgets"][ACCOUNT]
+
+
+def fencing_manifest(fleet: InProcessFleet) -> dict[str, Any]:
+    """Return the fleet's manifest with endpoints that check fencing."""
+    manifest = fleet.layout.manifest()
+    endpoints = [{**one, "checks_fencing": True} for one in manifest["endpoints"]]
+    return {**manifest, "endpoints": endpoints}
+
+
+async def kill_in_flight(fleet: InProcessFleet, host: str) -> None:
+    """Kill a host's processes while a request of it runs."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.chat, host, ACCOUNT, MODEL, "Is it open?")
+        await trio.sleep(0.3)
+        fleet.network.kill(f"router-{host}")
+        fleet.network.kill(f"controller-{host}")
+
+
+async def generated(fleet: InProcessFleet) -> int:
+    """Return the tokens that the engine generated."""
+    return (await fleet.stats("pool-survey-large-zone-a-1"))["generated"]
+
+
+async def test_replaced_host_is_fenced_and_its_tokens_come_back(plan):
+    async with in_process_fleet(plan) as fleet:
+        await fleet.operator.publish_and_wait(fencing_manifest(fleet))
+        await trio.sleep(5)
+        await kill_in_flight(fleet, HOST)
+        await fleet.start(HOST)
+        await fleet.wait_until_ready(HOST)
+        await trio.sleep(20)
+        budget = await budget_at(fleet, PEER)
+        assert budget["stranded"] == 0
+        assert budget["spent"] >= await generated(fleet) > 0
+        assert budget["held"] + budget["available"] + budget["spent"] == PREPAID
+
+
+async def test_slice_stays_stranded_where_fencing_is_not_checked(plan):
+    async with in_process_fleet(plan) as fleet:
+        await trio.sleep(5)
+        await kill_in_flight(fleet, HOST)
+        await fleet.start(HOST)
+        await fleet.wait_until_ready(HOST)
+        await trio.sleep(120)
+        budget = await budget_at(fleet, PEER)
+        assert budget["stranded"] > 0
+        zones = budget["zones"]["zone-a"]
+        assert zones["stranded"] == budget["stranded"]
+
+
+async def test_frozen_holder_that_was_fenced_spends_nothing_when_it_wakes(plan):
+    async with in_process_fleet(plan) as fleet:
+        await fleet.operator.publish_and_wait(fencing_manifest(fleet))
+        await trio.sleep(5)
+        before = await generated(fleet)
+        endpoint = fleet.layout.manifest()["endpoints"][0]["address"]
+        holder = fleet.controller(HOST).budgets.keeper.holder
+        url = f"http://{endpoint}/v1/fence"
+        (await fleet.outside.http.send_json("POST", url, {"holder": holder, "number": 1})).unwrap()
+        answer = await fleet.chat(HOST, ACCOUNT, MODEL, "Is it open?")
+        assert answer.outcome == "not_run"
+        assert await generated(fleet) == before
+        assert (await budget_at(fleet, PEER))["spent"] == 0
+
+
+async def test_graceful_stop_returns_everything(plan):
+    async with in_process_fleet(plan) as fleet:
+        await trio.sleep(5)
+        await fleet.chat(HOST, ACCOUNT, MODEL, "Is it open?", max_tokens=5)
+        await fleet.network.stop(f"router-{HOST}")
+        await fleet.network.stop(f"controller-{HOST}")
+        await trio.sleep(5)
+        budget = await budget_at(fleet, PEER)
+        assert budget["stranded"] == 0
+        assert [name.rpartition("/")[0] for name in budget["shares"]] == [PEER]
+        assert budget["held"] + budget["available"] + budget["spent"] == PREPAID
+
+
+async def test_hosts_of_a_cut_zone_share_their_tokens(plan):
+    async with in_process_fleet(plan) as fleet:
+        await trio.sleep(5)
+        fleet.network.cut("zone-a", "platform")
+        keeper = fleet.controller(HOST).budgets.keeper
+        assert keeper.reserve("r0", ACCOUNT, keeper.free(ACCOUNT) - 10)
+        answer = await fleet.chat(HOST, ACCOUNT, MODEL, "Is it open?", max_tokens=5)
+        assert answer.outcome == "served"
+
+
+async def test_new_host_serves_after_the_records_expired(plan):
+    standin = {"log": {"retention_s": 60.0}}
+    small = replace(plan, standin=standin, controller={"checkpoint_every_s": 10.0})
+    async with in_process_fleet(small) as fleet:
+        await fleet.chat(HOST, ACCOUNT, MODEL, "Is it open?", max_tokens=5)
+        await trio.sleep(10)
+        spent = (await budget_at(fleet, PEER))["spent"]
+        await trio.sleep(150)
+        await fleet.network.stop(f"controller-{HOST}")
+        await fleet.start(HOST)
+        await trio.sleep(30)
+        budget = await budget_at(fleet, HOST)
+        assert (budget["prepaid"], budget["spent"]) == (PREPAID, spent)
+        assert fleet.controller(HOST).budgets.keeper.free(ACCOUNT) > 0
