Take a service's 429, and 503 with a time, as not run; dispatch nothing past the deadline

Change: these statuses are refusals: tried elsewhere, or not run with the key free again. Time is checked before each try. A test with a real process shows that a stream that fails has no last HTTP chunk.

Ruled out: taking every 503 as a refusal (a service may answer it after it has done the work).

--- a/mulberrycleat/router/exchanges/failures.py
+++ b/mulberrycleat/router/exchanges/failures.py
@@ -24,7 +24,7 @@
 
 
 def refused(call: Call, endpoint: str, status: int) -> Refusal:
-    """Return the refusal for a status other than success of a model engine."""
+    """Return the refusal for a status by which an endpoint declined a request or failed."""
     reason = f"the endpoint answered {status}"
     if status in BUSY_STATUSES:
         return NotRun(Step.DISPATCH, endpoint, reason, 503, BUSY_RETRY_S, "endpoint_busy")
--- a/mulberrycleat/router/exchanges/service.py
+++ b/mulberrycleat/router/exchanges/service.py
@@ -8,7 +8,12 @@
 from mulberrycleat.core import MayHaveRun, PeerError, Refusal, Served, Step
 from mulberrycleat.manifest import Endpoint
 from mulberrycleat.router.call import Call
-from mulberrycleat.router.exchanges.failures import REQUEST_ID_HEADER, failure, wrong_owner
+from mulberrycleat.router.exchanges.failures import (
+    REQUEST_ID_HEADER,
+    failure,
+    refused,
+    wrong_owner,
+)
 from mulberrycleat.web import BaseHttpClient, HttpAnswer
 
 __all__ = ["run_service"]
@@ -32,6 +37,8 @@
         case Ok(answer) if owner := wrong_owner(call, answer.headers):
             reason = f"the answer belongs to request {owner!r}"
             return Err(failure(call, PeerError(Step.DISPATCH, endpoint.name, reason)))
+        case Ok(answer) if _is_refusal(answer):
+            return Err(refused(call, endpoint.name, answer.status))
         case Ok(answer) if answer.status < SERVER_ERROR:
             await _send(call, answer)
             return Ok(Served(call.reserve_tokens, endpoint.name))
@@ -43,6 +50,11 @@
             return Err(failure(call, found))
 
 
+def _is_refusal(answer: HttpAnswer) -> bool:
+    """Return whether a service says that it did not take the request: 429, 503 with a time."""
+    return answer.status == 429 or (answer.status == 503 and "retry-after" in answer.headers)
+
+
 async def _send(call: Call, answer: HttpAnswer) -> None:
     kept = {name: answer.headers[name] for name in FORWARDED_HEADERS if name in answer.headers}
     headers = {
--- a/mulberrycleat/router/filters/dispatch.py
+++ b/mulberrycleat/router/filters/dispatch.py
@@ -52,6 +52,8 @@
         for number in range(MAX_TRIES):
             if number and not await self._may_retry(call, number, refusal):
                 break
+            if trio.current_time() >= call.deadline:
+                return Err(past_deadline(call))
             choice = self._table.choose(call, tried)
             if choice is None:
                 break
--- a/mulberrycleat/router/tests/fakes.py
+++ b/mulberrycleat/router/tests/fakes.py
@@ -84,6 +84,7 @@
     fault: Exception | None = None
     status: int = 200
     owner: str | None = None
+    retry_after: str = ""
     bookings: list[str] = field(default_factory=list)
 
 
@@ -111,6 +112,8 @@
         service = self._endpoints[url.split("/")[2]]
         if isinstance(service.fault, httpcore.ConnectError):
             return Err(peer_error(service.fault, step, url))
+        if service.retry_after:
+            return Ok(HttpAnswer(service.status, {"retry-after": service.retry_after}, b""))
         service.bookings.append(headers["idempotency-key"])
         if service.fault:
             return Err(peer_error(service.fault, step, url))
--- a/mulberrycleat/router/tests/test_deaths.py
+++ b/mulberrycleat/router/tests/test_deaths.py
@@ -139,6 +139,24 @@
         assert (cut.outcome, cut.text) == ("served", whole.text)
 
 
+async def test_stream_cut_by_its_routers_death_is_whole_at_another_router_and_never_looks_whole():
+    async with in_process_fleet() as fleet:
+        question = {"max_tokens": 40, "text": "Is the east track open?"}
+        whole = await fleet.chat(THERE, "dolerite", MODEL, **question)
+        answers = []
+
+        async def ask() -> None:
+            answers.append(await fleet.chat(HERE, "dolerite", MODEL, **question))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.3)
+            fleet.network.kill(f"router-{HERE}")
+        assert answers[0].outcome == "broken" and "[DONE]" not in answers[0].events
+        again = await fleet.chat(THERE, "dolerite", MODEL, **question)
+        assert (again.outcome, again.text) == ("served", whole.text)
+
+
 async def busiest(fleet: InProcessFleet) -> str:
     """Return the engine that is at work."""
     for member in fleet.layout.of_kind("engine"):
--- a/mulberrycleat/router/tests/test_stops.py
+++ b/mulberrycleat/router/tests/test_stops.py
@@ -1,4 +1,4 @@
-"""A planned stop of a router as a real process: no stream is cut, no request goes unanswered."""
+"""A router as a real process: a planned stop cuts nothing, a broken stream never looks whole."""
 
 from __future__ import annotations
 
@@ -7,8 +7,9 @@
 import threading
 import time
 from collections.abc import Iterator
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, IncompleteRead
 from pathlib import Path
+from urllib.request import Request, urlopen
 
 from mulberrycleat.demo.main import operate
 from mulberrycleat.testing import fixture
@@ -104,3 +105,23 @@
     assert all(caller.whole for caller in callers)
     (state,) = operate(fleet, "status")["hosts"].values()
     assert state["budgets"]["dolerite"]["reserved_here"] == 0
+
+
+def test_stream_that_fails_has_no_whole_http_body(fleet):
+    engine = f"http://{fleet.of_kind('engine')[0].address}/faults"
+    faults = Request(engine, b'{"truncate_after": 3}', method="PUT")
+    with urlopen(faults, timeout=5) as answer:
+        assert answer.status == 200
+    connection = HTTPConnection(fleet.members[ROUTER].address, timeout=30)
+    messages = [{"role": "user", "content": "Is the east track open?"}]
+    body = {"model": "survey-large", "messages": messages, "stream": True, "max_tokens": 20}
+    headers = {"Authorization": f"Bearer {fleet.keys['dolerite']}"}
+    connection.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+    answer = connection.getresponse()
+    try:
+        answer.read()
+        raise AssertionError("the broken stream had a whole body")
+    except IncompleteRead as error:
+        text = error.partial
+    assert text.count(b"data: {") > 3 and b"event: error" in text and b"[DONE]" not in text
+    assert b'"outcome":"may_have_run"' in text
--- a/mulberrycleat/router/tests/test_whole_answers.py
+++ b/mulberrycleat/router/tests/test_whole_answers.py
@@ -124,6 +124,10 @@
     late = make_call(MODEL_POOL, 1, deadline=trio.current_time())
     outcome = await dispatch(late, FakeEngine(unreachable=True))
     assert isinstance(outcome.err_value, NotRun)
+    service = FakeService()
+    booking = make_call(SERVICE_POOL, 1, deadline=trio.current_time() - 1)
+    outcome = await dispatch(booking, service)
+    assert isinstance(outcome.err_value, NotRun) and service.bookings == []
 
 
 async def test_booking_is_sent_again_only_when_it_cannot_have_left():
@@ -142,6 +146,20 @@
         assert second.bookings == []
 
 
+async def test_booking_that_a_service_declines_is_tried_elsewhere_and_one_that_it_fails_is_not():
+    for status in (429, 503):
+        second = FakeService()
+        busy = FakeService(status=status, retry_after="1")
+        outcome = await dispatch(make_call(SERVICE_POOL), busy, second)
+        assert isinstance(outcome, Ok) and second.bookings == ["r1"], status
+    outcome = await dispatch(make_call(SERVICE_POOL, 1), FakeService(status=429, retry_after="1"))
+    assert isinstance(outcome.err_value, NotRun)
+    for status in (500, 502, 503, 504):
+        second = FakeService()
+        outcome = await dispatch(make_call(SERVICE_POOL), FakeService(status=status), second)
+        assert isinstance(outcome.err_value, MayHaveRun) and second.bookings == [], status
+
+
 async def test_booking_never_gets_the_answer_of_another_request():
     call = make_call(SERVICE_POOL)
     second = FakeService()
