Pass path and query to a service as the caller sent them; refuse keys that no header can carry

Cause: the query was dropped and not part of the request's digest; a path or key outside of ASCII raised an exception after the claim, which left the key in doubt; a deeply nested body raised one before it.

Change: the path is quoted, the query passed on and part of the digest; keys are printable ASCII; nesting beyond the parser's bound is a malformed body.

--- a/mulberrycleat/router/exchanges/service.py
+++ b/mulberrycleat/router/exchanges/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from urllib.parse import quote, urlencode
+
 import trio
 from result import Err, Ok, Result
 
@@ -28,7 +30,7 @@
     client: BaseHttpClient, call: Call, endpoint: Endpoint
 ) -> Result[Served, Refusal]:
     """Send a request to a service; the answer is passed on once it has come whole."""
-    url = f"http://{endpoint.address}/{call.request.params.get('path', '')}"
+    url = f"http://{endpoint.address}/{_target(call)}"
     timeout_s = min(READ_TIMEOUT_S, call.deadline - trio.current_time())
     call.meter.dispatched = True
     match await client.request(
@@ -67,8 +69,15 @@
     await call.sink.finish(answer.body)
 
 
+def _target(call: Call) -> str:
+    path = quote(call.request.params.get("path", ""))
+    return f"{path}?{urlencode(call.request.query)}" if call.request.query else path
+
+
 def _headers(call: Call) -> dict[str, str]:
     content_type = call.request.headers.get("content-type", "application/json")
+    if not content_type.isascii():
+        content_type = DEFAULT_CONTENT_TYPE
     return {
         "content-type": content_type,
         REQUEST_ID_HEADER: call.id,
--- a/mulberrycleat/router/filters/admit.py
+++ b/mulberrycleat/router/filters/admit.py
@@ -62,8 +62,9 @@
         key = call.request.headers.get(KEY_HEADER, "")
         if len(key) > MAX_KEY_CHARS:
             return Err(_bad(f"{KEY_HEADER}: longer than {MAX_KEY_CHARS} characters"))
-        digest = hashlib.sha256(call.request.path.encode() + b"\0" + call.request.body).hexdigest()
-        keyed = replace(call, idempotency_key=key, digest=digest)
+        if not (key.isascii() and key.isprintable()):
+            return Err(_bad(f"{KEY_HEADER}: only printable ASCII characters"))
+        keyed = replace(call, idempotency_key=key, digest=_digest(call))
         deadline = _deadline(call)
         if deadline is None:
             return Err(_bad(f"{TIMEOUT_HEADER}: must be a number of seconds above 0"))
@@ -84,7 +85,7 @@
     try:
         chat = msgspec.json.decode(call.request.body, type=_ChatBody)
         body = msgspec.json.decode(call.request.body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Err(_bad(f"body: {error}"))
     pool = _find_pool(call.view.manifest, "model", chat.model)
     if pool is None:
@@ -150,6 +151,12 @@
     return pool.idempotent and marked not in ("1", "true", "yes")
 
 
+def _digest(call: Call) -> str:
+    request = call.request
+    head = msgspec.json.encode([request.path, sorted(request.query.items())])
+    return hashlib.sha256(head + request.body).hexdigest()
+
+
 def _deadline(call: Call) -> float | None:
     """Return until when the caller waits by its own word; None when the word is malformed."""
     given = call.request.headers.get(TIMEOUT_HEADER)
--- a/mulberrycleat/router/tests/fakes.py
+++ b/mulberrycleat/router/tests/fakes.py
@@ -86,6 +86,7 @@
     owner: str | None = None
     retry_after: str = ""
     bookings: list[str] = field(default_factory=list)
+    targets: list[str] = field(default_factory=list)
 
 
 class FakeClient:
@@ -110,6 +111,8 @@
         self, method: str, url: str, body: bytes, headers: Any, timeout_s: float, step: Step
     ) -> Any:
         service = self._endpoints[url.split("/")[2]]
+        assert url.isascii() and all(value.isascii() for value in headers.values())
+        service.targets.append(url.split("/", 3)[3])
         if isinstance(service.fault, httpcore.ConnectError):
             return Err(peer_error(service.fault, step, url))
         if service.retry_after:
@@ -171,7 +174,7 @@
         for i in range(1, count + 1)
     )
     manifest = Manifest(pools=(pool,), endpoints=endpoints)
-    request = Request("POST", "/", {}, {}, b"{}", {"path": "permits"})
+    request = fields.pop("request", Request("POST", "/", {}, {}, b"{}", {"path": "permits"}))
     body = {"model": "m", "messages": [], "max_tokens": 6, "stream": True}
     given = {"id": "r1", "account": "huts", "stream": True, "idempotent": pool.idempotent}
     given |= {"reserve_tokens": 100, "body": body, "sink": FakeCaller(), **fields}
--- a/mulberrycleat/router/tests/test_admit.py
+++ b/mulberrycleat/router/tests/test_admit.py
@@ -13,7 +13,13 @@
 from mulberrycleat.manifest import Manifest, Pool
 from mulberrycleat.router.call import Call, View
 from mulberrycleat.router.filters import AdmitFilter
-from mulberrycleat.router.tests.fakes import FakeCaller
+from mulberrycleat.router.tests.fakes import (
+    SERVICE_POOL,
+    FakeCaller,
+    FakeService,
+    dispatch,
+    make_call,
+)
 from mulberrycleat.web import Request
 
 MESSAGES = [{"role": "user", "content": "Open?"}]
@@ -48,6 +54,23 @@
     assert (await admitted(messages=hidden)).reserve_tokens >= plain + 500
 
 
+async def test_malformed_requests_are_refused_as_not_run():
+    for key in ("k\u00e9y", "a\tb", "x" * 201):
+        assert await admitted({"idempotency-key": key}) is None, key
+    deep = msgspec.Raw(b"[" * 100_000 + b"]" * 100_000)
+    assert await admitted(tools=deep) is None
+
+
+async def test_service_gets_path_and_query_as_the_caller_sent_them():
+    service = FakeService()
+    headers = {"content-type": "text/\u00e9"}
+    query = {"for": "Friday & Saturday"}
+    request = Request("POST", "/", headers, query, b"{}", {"path": "huts/windy r\u00edo"})
+    outcome = await dispatch(make_call(SERVICE_POOL, 1, request=request), service)
+    assert isinstance(outcome, Ok)
+    assert service.targets == ["huts/windy%20r%C3%ADo?for=Friday+%26+Saturday"]
+
+
 async def test_deadline_is_the_sooner_of_the_callers_and_the_pools():
     now = trio.current_time()
     assert math.isclose((await admitted()).deadline, now + 30, abs_tol=1)
