--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -16,6 +16,7 @@
     "CATCH_UP",
     "CONFIRM",
     "FINISH",
+    "GUARD",
     "HEARTBEAT",
     "LOADS",
     "PULL",
@@ -36,6 +37,8 @@
     "ConfirmReply",
     "ConfirmRequest",
     "FinishRequest",
+    "GuardReply",
+    "GuardRequest",
     "Heartbeat",
     "HeartbeatReply",
     "HostVersion",
@@ -160,6 +163,21 @@
     transfer: Transfer | None = None
 
 
+class GuardRequest(msgspec.Struct, frozen=True):
+    """A holder asks a peer to take in what it may spend of a budget in all, at most."""
+
+    holder: str
+    budget: str
+    limit: int
+
+
+class GuardReply(msgspec.Struct, frozen=True):
+    """Whether the limit was taken in, and by which holder."""
+
+    taken_in: bool
+    holder: str = ""
+
+
 class RecallRequest(msgspec.Struct, frozen=True):
     """Ask what is known of an idempotency key."""
 
@@ -387,5 +405,6 @@
 READ_STREAM = Method("ReadStream", ReadStreamRequest, ReadStreamReply)
 HEARTBEAT = Method("Heartbeat", Heartbeat, HeartbeatReply)
 LOADS = Method("Loads", LoadsRequest, LoadsReply)
+GUARD = Method("Guard", GuardRequest, GuardReply)
 PULL = Method("Pull", PullRequest, PullReply)
 STATUS = Method("Status", StatusRequest, StatusReply)
--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -156,6 +156,10 @@
     drain_timeout_s : float
         Longest time for streams in flight to end after that, in seconds; no less than the longest
         `timeout_s` of a pool is granted.
+    burn_interval_s : float
+        Length of the intervals in which answers are counted for the burn report, in seconds.
+    burn_intervals : int
+        Number of intervals that are kept for the report.
     """
 
     host: HostSettings
@@ -166,6 +170,8 @@
     receive_timeout_s: Seconds = 10.0
     unready_wait_s: Annotated[float, Meta(ge=0)] = 2.0
     drain_timeout_s: Seconds = 60.0
+    burn_interval_s: Seconds = 60.0
+    burn_intervals: Annotated[int, Meta(ge=1, le=10_000)] = 60
     log: LogSettings = field(default_factory=LogSettings)
 
 
@@ -181,6 +187,8 @@
         The platform's services.
     controllers : tuple of str
         Controllers to ask for the state, one a host.
+    routers : tuple of str
+        Routers to ask for the burn report, one a host.
     fleet_key_file : str
         File with the key that calls between the fleet's processes carry.
     """
@@ -189,4 +197,5 @@
     platform: PlatformSettings
     fleet_key_file: str
     controllers: tuple[Address, ...] = ()
+    routers: tuple[Address, ...] = ()
     log: LogSettings = field(default_factory=lambda: LogSettings("warning", "text"))
