--- a/mulberrycleat/router/exchanges/service.py
+++ b/mulberrycleat/router/exchanges/service.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from urllib.parse import quote, urlencode
+
 import trio
 from result import Err, Ok, Result
 
 from mulberrycleat.core import MayHaveRun, PeerError, Refusal, Served, Step
 from mulberrycleat.manifest import Endpoint
 from mulberrycleat.router.call import Call
-from mulberrycleat.router.exchanges.failures import REQUEST_ID_HEADER, failure, wrong_owner
+from mulberrycleat.router.exchanges.failures import (
+    REQUEST_ID_HEADER,
+    failure,
+    refused,
+    wrong_owner,
+)
 from mulberrycleat.web import BaseHttpClient, HttpAnswer
 
 __all__ = ["run_service"]
@@ -23,7 +30,7 @@
     client: BaseHttpClient, call: Call, endpoint: Endpoint
 ) -> Result[Served, Refusal]:
     """Send a request to a service; the answer is passed on once it has come whole."""
-    url = f"http://{endpoint.address}/{call.request.params.get('path', '')}"
+    url = f"http://{endpoint.address}/{_target(call)}"
     timeout_s = min(READ_TIMEOUT_S, call.deadline - trio.current_time())
     call.meter.dispatched = True
     match await client.request(
@@ -32,6 +39,8 @@
         case Ok(answer) if owner := wrong_owner(call, answer.headers):
             reason = f"the answer belongs to request {owner!r}"
             return Err(failure(call, PeerError(Step.DISPATCH, endpoint.name, reason)))
+        case Ok(answer) if _is_refusal(answer):
+            return Err(refused(call, endpoint.name, answer.status))
         case Ok(answer) if answer.status < SERVER_ERROR:
             await _send(call, answer)
             return Ok(Served(call.reserve_tokens, endpoint.name))
@@ -43,6 +52,11 @@
             return Err(failure(call, found))
 
 
+def _is_refusal(answer: HttpAnswer) -> bool:
+    """Return whether a service says that it did not take the request: 429, 503 with a time."""
+    return answer.status == 429 or (answer.status == 503 and "retry-after" in answer.headers)
+
+
 async def _send(call: Call, answer: HttpAnswer) -> None:
     kept = {name: answer.headers[name] for name in FORWARDED_HEADERS if name in answer.headers}
     headers = {
@@ -55,8 +69,15 @@
     await call.sink.finish(answer.body)
 
 
+def _target(call: Call) -> str:
+    path = quote(call.request.params.get("path", ""))
+    return f"{path}?{urlencode(call.request.query)}" if call.request.query else path
+
+
 def _headers(call: Call) -> dict[str, str]:
     content_type = call.request.headers.get("content-type", "application/json")
+    if not content_type.isascii():
+        content_type = DEFAULT_CONTENT_TYPE
     return {
         "content-type": content_type,
         REQUEST_ID_HEADER: call.id,
