--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -16,6 +16,7 @@
     "CONFIRM",
     "FINISH",
     "HEARTBEAT",
+    "LOADS",
     "PULL",
     "READ_STREAM",
     "RECALL",
@@ -27,6 +28,7 @@
     "Ack",
     "BeginReply",
     "BeginRequest",
+    "CacheNews",
     "CatchUpReply",
     "CatchUpRequest",
     "ConfirmReply",
@@ -35,6 +37,9 @@
     "Heartbeat",
     "HeartbeatReply",
     "HostVersion",
+    "LoadNews",
+    "LoadsReply",
+    "LoadsRequest",
     "PullReply",
     "PullRequest",
     "ReadStreamReply",
@@ -299,6 +304,49 @@
     members: tuple[HostVersion, ...]
 
 
+class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint's load, `age_s` seconds old.
+
+    Attributes
+    ----------
+    requests, waiting : int
+        Requests there, and those of them that wait for a place in the batch.
+    prefill, decode : int
+        Prompt tokens still to be read, and the most tokens still to be generated.
+    """
+
+    endpoint: str
+    age_s: float
+    requests: int
+    waiting: int
+    prefill: int
+    decode: int
+
+
+class CacheNews(msgspec.Struct, frozen=True, array_like=True):
+    """Prefix keys that an endpoint has ``stored`` or ``evicted``."""
+
+    endpoint: str
+    kind: str
+    keys: tuple[int, ...]
+
+
+class LoadsRequest(msgspec.Struct, frozen=True):
+    """Ask for loads, and for cache news from number `seen`; peers ask for those polled there."""
+
+    asker: str
+    seen: int
+    own_only: bool = False
+
+
+class LoadsReply(msgspec.Struct, frozen=True):
+    """Loads and cache news; `next` is to be given as `seen` the next time."""
+
+    next: int
+    loads: tuple[LoadNews, ...] = ()
+    cache_news: tuple[CacheNews, ...] = ()
+
+
 class StatusRequest(msgspec.Struct, frozen=True):
     """Ask for a controller's state."""
 
@@ -320,5 +368,6 @@
 CONFIRM = Method("Confirm", ConfirmRequest, ConfirmReply)
 READ_STREAM = Method("ReadStream", ReadStreamRequest, ReadStreamReply)
 HEARTBEAT = Method("Heartbeat", Heartbeat, HeartbeatReply)
+LOADS = Method("Loads", LoadsRequest, LoadsReply)
 PULL = Method("Pull", PullRequest, PullReply)
 STATUS = Method("Status", StatusRequest, StatusReply)
--- a/mulberrycleat/router/call.py
+++ b/mulberrycleat/router/call.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from mulberrycleat.core import Refusal, Served
+from mulberrycleat.endpoint import Demand
 from mulberrycleat.manifest import Manifest, Pool
 from mulberrycleat.router.events import TokenCount
 from mulberrycleat.web import Request
@@ -67,11 +68,14 @@
         Whether a byte of the request may have left for an endpoint.
     count : TokenCount
         Text and tokens over all tries.
+    first_at : float or None
+        When the first event of the present try came, in seconds of trio's clock.
     """
 
     def __init__(self) -> None:
         self.dispatched = False
         self.count = TokenCount()
+        self.first_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +100,8 @@
         Parsed body of a request for a model.
     reserve_tokens : int
         The most that the request can cost.
+    holder, reservation : str, int
+        Holder of the reserved tokens and its number for them; set by the budget filter.
     idempotent : bool
         Whether it may be run again.
     idempotency_key : str
@@ -106,6 +112,8 @@
         Whether the caller wants server-sent events.
     deadline : float
         Time of trio's clock after which the caller does not want an answer, in seconds.
+    demand : Demand or None
+        Work of a request for a model; set by the admission filter.
     meter : Meter
         Shared by all copies of the call.
     """
@@ -119,11 +127,14 @@
     pool: Pool | None = None
     body: Mapping[str, Any] = field(default_factory=dict)
     reserve_tokens: int = 0
+    holder: str = ""
+    reservation: int = 0
     idempotent: bool = True
     idempotency_key: str = ""
     digest: str = ""
     stream: bool = False
     deadline: float = math.inf
+    demand: Demand | None = None
     meter: Meter = field(default_factory=Meter)
 
 
