--- a/mulberrycleat/cli/confirm.py
+++ b/mulberrycleat/cli/confirm.py
@@ -55,9 +55,12 @@
 
 class _Wait:
     def __init__(
-        self, fleet_key: str, version: int, on_host: Callable[[Confirmation], None]
+        self,
+        connect: Callable[[str], RpcClient],
+        version: int,
+        on_host: Callable[[Confirmation], None],
     ) -> None:
-        self._fleet_key = fleet_key
+        self._connect = connect
         self._version = version
         self._on_host = on_host
         self._started = trio.current_time()
@@ -82,7 +85,7 @@
             self._hosts[address] = replace(self._hosts[address], host=host, zone=zone)
 
     async def _ask(self, nursery: trio.Nursery, address: str) -> None:
-        client = RpcClient(address, self._fleet_key)
+        client = self._connect(address)
         try:
             while self._hosts[address].missing:
                 request = ConfirmRequest(self._version, ASK_WAIT_S)
@@ -114,7 +117,7 @@
 
 async def confirm_everywhere(
     settings: OperatorSettings,
-    fleet_key: str,
+    connect: Callable[[str], RpcClient],
     version: int,
     timeout_s: float,
     on_host: Callable[[Confirmation], None],
@@ -126,10 +129,12 @@
 
     Parameters
     ----------
+    connect : callable
+        Returns a client of the controller at an address.
     on_host : callable
         Gets each host as it confirms.
     """
-    wait = _Wait(fleet_key, version, on_host)
+    wait = _Wait(connect, version, on_host)
     with trio.move_on_after(timeout_s):
         await wait.run(settings.controllers)
     return list(wait.hosts.values())
--- a/mulberrycleat/cli/publishing.py
+++ b/mulberrycleat/cli/publishing.py
@@ -39,6 +39,7 @@
     state_at,
 )
 from mulberrycleat.manifest.sections import Difference
+from mulberrycleat.rpc import RpcClient
 
 __all__ = ["drain", "publish", "step_back"]
 
@@ -180,7 +181,11 @@
         if wait and isinstance(verdict, Accepted):
             show = _ignore if as_json else _show_host
             hosts = await confirm_everywhere(
-                settings, session.fleet_key, verdict.version, timeout_s, show
+                settings,
+                lambda address: RpcClient(address, session.fleet_key),
+                verdict.version,
+                timeout_s,
+                show,
             )
         return Ok((outcome.ok_value, hosts))
 
