--- a/mulberrycleat/testing/exchange.py
+++ b/mulberrycleat/testing/exchange.py
@@ -88,7 +88,7 @@
     def send(self, method: str, target: str, body: bytes, headers: dict[str, str]) -> None:
         """Send the request."""
         path, _, query = target.partition("?")
-        pairs = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
+        pairs = [_header(name, value) for name, value in headers.items()]
         self._request = {
             "type": "http",
             "method": method,
@@ -213,6 +213,13 @@
         scope.cancel()
 
 
+def _header(name: str, value: str | bytes) -> tuple[bytes, bytes]:
+    """Encode as httpcore does, which takes text for ASCII."""
+    return name.lower().encode("ascii"), (
+        value if isinstance(value, bytes) else value.encode("ascii")
+    )
+
+
 async def _cancel_after(event: trio.Event, scope: trio.CancelScope) -> None:
     await event.wait()
     scope.cancel()
