--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import math
+from random import Random
 
 import trio
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
@@ -17,6 +19,7 @@
 from mulberrycleat.router.chain import FilterChain
 from mulberrycleat.router.endpoints import EndpointTable
 from mulberrycleat.router.filters import (
+    AdmissionFilter,
     AdmitFilter,
     AuthenticateFilter,
     BudgetFilter,
@@ -26,6 +29,8 @@
     RecallFilter,
 )
 from mulberrycleat.router.link import ControllerLink
+from mulberrycleat.router.loads import LoadFeed
+from mulberrycleat.router.stops import Drain
 from mulberrycleat.rpc import KEY_HEADER, is_fleet_key
 from mulberrycleat.settings import RouterSettings
 from mulberrycleat.web import (
@@ -66,16 +71,21 @@
         self._link = ControllerLink(settings, fleet_key, self._ports)
         self._fleet_key = fleet_key
         self._recorder = Recorder(settings, self._ports.now)
-        self._stopping = False
+        self._drain = Drain(settings)
+        random = Random(settings.host.name)
+        table = EndpointTable(settings.host.zone, random=random)
+        self._feed = LoadFeed(self._link, table)
+        self._admission = AdmissionFilter(table, random=random)
         self._chain = FilterChain(
             (
                 AuthenticateFilter(),
                 AdmitFilter(),
                 ObserveFilter(self._recorder),
                 RecallFilter(self._link),
+                self._admission,
                 BudgetFilter(self._link),
                 ClaimFilter(self._link),
-                DispatchFilter(EndpointTable(settings.host.zone), self._ports.http),
+                DispatchFilter(table, self._ports.http),
             )
         )
         self._registry = CollectorRegistry()
@@ -104,19 +114,18 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._link.run)
             nursery.start_soon(self._recorder.run)
-            nursery.start_soon(self._note_stop, stop)
-            await self._ports.serve_http(
-                app, self._settings.listen, stop, self._settings.drain_timeout_s
-            )
+            nursery.start_soon(self._feed.run)
+            nursery.start_soon(self._admission.run)
+            nursery.start_soon(self._drain.run, stop, lambda: self._link.view.manifest)
+            with self._drain.scope:
+                await self._ports.serve_http(
+                    self._drain.wrap(app), self._settings.listen, self._drain.closed, math.inf
+                )
             with trio.move_on_after(SETTLE_ON_STOP_S):
                 while not await self._link.flush():
                     await trio.sleep(0.1)
             nursery.cancel_scope.cancel()
 
-    async def _note_stop(self, stop: trio.Event) -> None:
-        await stop.wait()
-        self._stopping = True
-
     async def _serve(self, request: Request, responder: Responder) -> Reply | None:
         call = Call(new_id(), request, self._link.view, responder)
         with log_fields(request=call.id, path=request.path):
@@ -150,7 +159,7 @@
         return json_reply({"status": "ok"})
 
     async def _ready(self, request: Request, responder: Responder) -> Reply:
-        ready = self._link.fresh.is_set() and not self._stopping
+        ready = self._link.fresh.is_set() and not self._drain.stopping
         return json_reply({"ready": ready}, 200 if ready else 503)
 
     async def _intervals(self, request: Request, responder: Responder) -> Reply:
--- a/mulberrycleat/router/filters/budget.py
+++ b/mulberrycleat/router/filters/budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from result import Err, Ok, Result
 
 from mulberrycleat.budget import cost_of
@@ -31,8 +33,9 @@
         """Refuse with 402 a request that the budget does not cover."""
         request = ReserveRequest(self._link.router, call.id, call.budget, call.reserve_tokens)
         match await self._link.call(RESERVE, request, RESERVE_TIMEOUT_S):
-            case Ok(ReserveReply(granted=True)):
-                return await self._run(call, proceed)
+            case Ok(ReserveReply(granted=True) as reply):
+                held = replace(call, holder=reply.holder, reservation=reply.number)
+                return await self._run(held, proceed)
             case Ok(reply):
                 return Err(_refusal(reply))
             case Err(error):
--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -115,7 +115,7 @@
         Time between two settlements to the log, in seconds.
     drain_timeout_s : float
         Longest time for reservations to be settled after a stop signal, in seconds; not less than
-        the router's.
+        the router's, and than the longest `timeout_s` of a pool.
     checkpoint_every_s : float
         Time between two checkpoints of the ledger, in seconds; a fifth of the log's retention or
         less.
@@ -127,7 +127,7 @@
     fleet_key_file: str
     peers: tuple[Address, ...] = ()
     settle_every_s: Seconds = 0.5
-    drain_timeout_s: Seconds = 65.0
+    drain_timeout_s: Seconds = 130.0
     checkpoint_every_s: Seconds = 60.0
     log: LogSettings = field(default_factory=LogSettings)
 
@@ -150,8 +150,12 @@
         Largest request body that is read, in bytes.
     receive_timeout_s : float
         Longest time for a caller to send its request, in seconds.
+    unready_wait_s : float
+        Time from the stop signal until no new connection is accepted, in seconds: the balancer
+        must have noticed by then that the router is not ready.
     drain_timeout_s : float
-        Longest time for streams in flight to end after a stop signal, in seconds.
+        Longest time for streams in flight to end after that, in seconds; no less than the longest
+        `timeout_s` of a pool is granted.
     burn_interval_s : float
         Length of the intervals in which answers are counted for the burn report, in seconds.
     burn_intervals : int
@@ -164,6 +168,7 @@
     fleet_key_file: str
     max_body_bytes: Annotated[int, Meta(gt=0)] = 1_048_576
     receive_timeout_s: Seconds = 10.0
+    unready_wait_s: Annotated[float, Meta(ge=0)] = 2.0
     drain_timeout_s: Seconds = 60.0
     burn_interval_s: Seconds = 60.0
     burn_intervals: Annotated[int, Meta(ge=1, le=10_000)] = 60
