Refuse keys outside of ASCII, type internal errors

Cause: an idempotency key such as 'é' passed admission, its intent was written, and sending it to the service raised: the caller got a bare 500 and the key stayed in doubt. Found by fuzzing (router.tests.test_bad_requests, 20 examples of 10 to 25 requests). Change: admission refuses such keys with 400 (a small edit in router/filters/admit.py); any other exception in the chain becomes a typed refusal, may have run once something was dispatched; the log names its type and place, not its message, which may hold a caller's text.

--- a/mulberrycleat/core/logs.py
+++ b/mulberrycleat/core/logs.py
@@ -4,15 +4,17 @@
 
 import logging
 import sys
+import traceback
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
+from pathlib import Path
 
 from pythonjsonlogger.json import JsonFormatter
 
 from mulberrycleat.settings.model import LogSettings
 
-__all__ = ["add_log_fields", "configure_logging", "log_fields"]
+__all__ = ["add_log_fields", "configure_logging", "log_fields", "origin_of"]
 
 _TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 _fields: ContextVar[dict[str, str] | None] = ContextVar("log_fields", default=None)
@@ -41,6 +43,22 @@
         current.update(fields)
 
 
+def origin_of(error: BaseException) -> str:
+    """Return type and place of an exception; its message may hold a caller's text or key.
+
+    >>> try:
+    ...     int("a secret")
+    ... except ValueError as error:
+    ...     origin_of(error).partition(" ")[0]
+    'ValueError'
+    """
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{Path(frames[-1].filename).name}:{frames[-1].lineno}" if frames else "nowhere"
+    return f"{type(error).__name__} at {place}"
+
+
 class ContextFilter(logging.Filter):
     """Adds the fields of :func:`log_fields` to records that do not have them."""
 
--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -11,8 +11,8 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.burn import INTERVALS_PATH, Recorder
-from mulberrycleat.core import Refusal, Served, Step, new_id
-from mulberrycleat.core.logs import log_fields
+from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step, new_id
+from mulberrycleat.core.logs import log_fields, origin_of
 from mulberrycleat.core.ports import Ports
 from mulberrycleat.router.answers import http_problem, problem_event, problem_reply
 from mulberrycleat.router.call import Call
@@ -133,10 +133,15 @@
 
     async def _run_chain(self, call: Call, responder: Responder) -> Reply | None:
         outcome: Result[Served, Refusal] | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_gone, responder, nursery.cancel_scope)
-            outcome = await self._chain.run(call)
-            nursery.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_when_gone, responder, nursery.cancel_scope)
+                outcome = await self._chain.run(call)
+                nursery.cancel_scope.cancel()
+        except Exception as error:
+            where = {"step": Step.RECEIVE.value, "peer": "", "why": origin_of(error)}
+            log.error("internal error", extra=where)
+            outcome = Err(_internal_error(call))
         self._note(outcome)
         if isinstance(outcome, Err):
             return await _refuse(call, responder, outcome.err_value)
@@ -172,6 +177,13 @@
         return Reply(200, generate_latest(self._registry), METRICS_TYPE)
 
 
+def _internal_error(call: Call) -> Refusal:
+    reason = "an internal error of the router"
+    if call.meter.dispatched:
+        return MayHaveRun(Step.RECEIVE, "", reason, 500, "internal")
+    return NotRun(Step.RECEIVE, "", reason, 500, None, "internal")
+
+
 async def _refuse(call: Call, responder: Responder, refusal: Refusal) -> Reply | None:
     """Answer with a problem, or end a stream that has begun with an error event.
 
--- a/mulberrycleat/router/filters/admit.py
+++ b/mulberrycleat/router/filters/admit.py
@@ -46,6 +46,8 @@
         key = call.request.headers.get(KEY_HEADER, "")
         if len(key) > MAX_KEY_CHARS:
             return Err(_bad(f"{KEY_HEADER}: longer than {MAX_KEY_CHARS} characters"))
+        if not (key.isascii() and key.isprintable()):
+            return Err(_bad(f"{KEY_HEADER}: only printable ASCII is allowed"))
         digest = hashlib.sha256(call.request.path.encode() + b"\0" + call.request.body).hexdigest()
         keyed = replace(call, idempotency_key=key, digest=digest)
         deadline = _deadline(call)
--- a/mulberrycleat/router/tests/test_bad_requests.py
+++ b/mulberrycleat/router/tests/test_bad_requests.py
@@ -107,6 +107,20 @@
         assert (answer.status, answer.problem["outcome"]) == (400, "not_run")
 
 
+async def test_internal_error_is_typed_by_whether_anything_was_dispatched():
+    async with in_process_fleet() as fleet:
+        chain = fleet.router(HOST)._chain
+        for dispatched, outcome in ((False, "not_run"), (True, "may_have_run")):
+
+            async def broken(call: Any, dispatched: bool = dispatched) -> Any:
+                call.meter.dispatched = dispatched
+                raise RuntimeError("a defect")
+
+            chain.run = broken
+            answer = await send(fleet, CHAT, json.dumps(GOOD).encode(), {})
+            assert (answer.status, answer.problem["outcome"]) == (500, outcome)
+
+
 async def test_wrong_and_missing_keys_are_refused_alike_and_run_nothing():
     async with in_process_fleet() as fleet:
         url = f"http://{fleet.address(HOST)}{CHAT}"
