--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from mulberrycleat.budget import Transfer
@@ -56,6 +58,15 @@
 ]
 
 
+LARGEST_COUNT = 10**15
+LONGEST_WAIT_S = 60.0
+
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=LARGEST_COUNT)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=LARGEST_COUNT)]
+WaitSeconds = Annotated[float, msgspec.Meta(ge=0, le=LONGEST_WAIT_S)]
+Status = Annotated[int, msgspec.Meta(ge=100, le=599)]
+
+
 class Ack(msgspec.Struct, frozen=True):
     """An empty answer."""
 
@@ -71,8 +82,8 @@
 
     router: str
     seen: int
-    wait_s: float
-    manifest_version: int = 0
+    wait_s: WaitSeconds
+    manifest_version: Count = 0
 
 
 class SyncReply(msgspec.Struct, frozen=True):
@@ -108,7 +119,7 @@
     router: str
     request: str
     budget: str
-    tokens: int
+    tokens: Tokens
 
 
 class ReserveReply(msgspec.Struct, frozen=True):
@@ -134,7 +145,7 @@
     """The actual cost of a request that had a reservation."""
 
     request: str
-    tokens: int
+    tokens: Tokens
 
 
 class SettleRequest(msgspec.Struct, frozen=True):
@@ -149,7 +160,7 @@
 
     receiver: str
     budget: str
-    tokens: int
+    tokens: Tokens
 
 
 class PullReply(msgspec.Struct, frozen=True):
@@ -196,7 +207,7 @@
 
     id: str
     key: str
-    status: int
+    status: Status
     content_type: str
     body: str
 
@@ -239,8 +250,8 @@
     """Ask the zone's reader for records from `offset` on, waiting up to `wait_s` seconds."""
 
     stream: str
-    offset: int
-    wait_s: float
+    offset: Count
+    wait_s: WaitSeconds
 
 
 class ReadStreamReply(msgspec.Struct, frozen=True):
@@ -256,7 +267,7 @@
 class CatchUpRequest(msgspec.Struct, frozen=True):
     """A host whose log is out of reach asks a peer for a manifest above `version`."""
 
-    version: int
+    version: Count
 
 
 class CatchUpReply(msgspec.Struct, frozen=True):
@@ -269,8 +280,8 @@
 class ConfirmRequest(msgspec.Struct, frozen=True):
     """Ask whether `version` is in force, waiting for it up to `wait_s` seconds."""
 
-    version: int
-    wait_s: float
+    version: Count
+    wait_s: WaitSeconds
 
 
 class HostVersion(msgspec.Struct, frozen=True):
