--- a/mulberrycleat/router/filters/admit.py
+++ b/mulberrycleat/router/filters/admit.py
@@ -63,7 +63,7 @@
         if len(key) > MAX_KEY_CHARS:
             return Err(_bad(f"{KEY_HEADER}: longer than {MAX_KEY_CHARS} characters"))
         if not (key.isascii() and key.isprintable()):
-            return Err(_bad(f"{KEY_HEADER}: only printable ASCII characters"))
+            return Err(_bad(f"{KEY_HEADER}: only printable ASCII is allowed"))
         keyed = replace(call, idempotency_key=key, digest=_digest(call))
         deadline = _deadline(call)
         if deadline is None:
--- a/mulberrycleat/settings/model.py
+++ b/mulberrycleat/settings/model.py
@@ -115,7 +115,7 @@
         Time between two settlements to the log, in seconds.
     drain_timeout_s : float
         Longest time for reservations to be settled after a stop signal, in seconds; not less than
-        the router's.
+        the router's, and than the longest `timeout_s` of a pool.
     checkpoint_every_s : float
         Time between two checkpoints of the ledger, in seconds; a fifth of the log's retention or
         less.
@@ -127,7 +127,7 @@
     fleet_key_file: str
     peers: tuple[Address, ...] = ()
     settle_every_s: Seconds = 0.5
-    drain_timeout_s: Seconds = 65.0
+    drain_timeout_s: Seconds = 130.0
     checkpoint_every_s: Seconds = 60.0
     log: LogSettings = field(default_factory=LogSettings)
 
