--- a/mulberrycleat/bench/budgets.py
+++ b/mulberrycleat/bench/budgets.py
@@ -94,6 +94,21 @@
         click.echo(f"{rule:<20}{numbers}")
 
 
+def _excess(cells: list[Cell]) -> dict[str, dict[str, float]]:
+    """Return refusals beyond those of the all-knowing dealer, as a part of requests."""
+    sums: dict[tuple[str, float], list[int]] = defaultdict(lambda: [0, 0])
+    for cell in cells:
+        found = sums[cell.rule, cell.tightness]
+        found[0] += cell.score.refused
+        found[1] += cell.score.requests
+    rates = {key: refused / max(1, requests) for key, (refused, requests) in sums.items()}
+    excess: dict[str, dict[str, float]] = defaultdict(dict)
+    for (rule, tightness), rate in rates.items():
+        least = rates["all_knowing", tightness]
+        excess[rule][str(tightness)] = round(rate - least, 6)
+    return excess
+
+
 def _summary(cells: list[Cell]) -> dict[str, object]:
     fleet = [cell for cell in cells if cell.rule in FLEET_RULES or cell.rule in OTHER_RULES]
     chosen = [cell.score for cell in cells if cell.rule == "chosen"]
@@ -109,5 +124,6 @@
             rule: {str(key): round(rate, 6) for key, rate in found.items()}
             for rule, found in rates.items()
         },
+        "excess_refusal_rate": _excess(cells),
         "appends_per_s": round(max(score.appends for score in chosen) / length_s, 2),
     }
--- a/mulberrycleat/budget/keeper.py
+++ b/mulberrycleat/budget/keeper.py
@@ -27,6 +27,7 @@
     tokens: int
     number: int
     router: str = ""
+    pool: str = ""
 
 
 class SliceKeeper:
@@ -168,7 +169,7 @@
         return True
 
     def reserve(
-        self, request: str, budget: str, tokens: int, router: str = ""
+        self, request: str, budget: str, tokens: int, router: str = "", pool: str = ""
     ) -> Reservation | None:
         """Set tokens aside for a request; return None when they are not free. Idempotent."""
         if found := self._reservations.get(request):
@@ -176,7 +177,7 @@
         if not self.can_reserve(budget, tokens):
             return None
         self._last_number += 1
-        found = Reservation(request, budget, tokens, self._last_number, router)
+        found = Reservation(request, budget, tokens, self._last_number, router, pool)
         self._reservations[request] = found
         self._slices[budget] = self._slice(budget).set_aside(tokens)
         return found
--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -10,6 +10,7 @@
 
 from mulberrycleat.controller import messages as m
 from mulberrycleat.controller.budget_closing import FenceRunner
+from mulberrycleat.controller.budget_orphans import OrphanSettler
 from mulberrycleat.controller.budget_peers import PeerTransfers
 from mulberrycleat.controller.budget_status import describe_budgets
 from mulberrycleat.controller.budgets import BudgetController
@@ -77,8 +78,9 @@
         )
         peers = [self._ports.connect_rpc(address, fleet_key) for address in settings.peers]
         fences = FenceRunner(self._holder, self._manifests, self._ports.http)
+        orphans = OrphanSettler(self._manifests, self._ports.http)
         self._budgets = BudgetController(
-            settings, self._holder, event_log, PeerTransfers(peers), fences
+            settings, self._holder, event_log, PeerTransfers(peers), fences, orphans
         )
         self._once = OnceController(self._holder, event_log)
 
@@ -138,6 +140,7 @@
         }
 
     async def _sync(self, request: m.SyncRequest) -> m.SyncReply:
+        self._budgets.hear_router(request.router)
         self._manifests.note_router(request)
         await self._changes.wait_until(
             lambda: self._changes.version != request.seen, request.wait_s
--- a/mulberrycleat/controller/budgets.py
+++ b/mulberrycleat/controller/budgets.py
@@ -17,6 +17,7 @@
 )
 from mulberrycleat.budget.restore import LedgerReader
 from mulberrycleat.controller.budget_closing import FenceRunner
+from mulberrycleat.controller.budget_orphans import OrphanSettler
 from mulberrycleat.controller.budget_peers import PeerTransfers
 from mulberrycleat.controller.budget_writer import LedgerWriter
 from mulberrycleat.controller.changes import Changes
@@ -60,6 +61,8 @@
         Way to the peers of the zone.
     fences : FenceRunner
         Closes the accounts of holders that are gone.
+    orphans : OrphanSettler
+        Settles what a dead router had reserved.
     """
 
     def __init__(
@@ -69,12 +72,14 @@
         event_log: EventLog,
         transfers: PeerTransfers,
         fences: FenceRunner,
+        orphans: OrphanSettler,
     ) -> None:
         self._settings = settings
         self._holder = holder
         self._event_log = event_log
         self._transfers = transfers
         self._fences = fences
+        self._orphans = orphans
         self._reader = LedgerReader()
         self._keeper = self._new_keeper()
         self._demand = DemandTracker()
@@ -102,9 +107,11 @@
             nursery.start_soon(self._deal_regularly)
             nursery.start_soon(self._writer.write_checkpoints, self._reader)
             nursery.start_soon(self._fences.run, self._reader, self._writer)
+            nursery.start_soon(self._orphans.run, lambda: self._keeper)
 
     async def reserve(self, request: ReserveRequest) -> ReserveReply:
         """Set tokens aside for a request, getting more of the budget if need be."""
+        self._orphans.hear(request.router)
         keeper = self._keeper
         known = request.request in keeper.reservations
         if not known:
@@ -128,6 +135,10 @@
             self._keeper.settle(settlement.request, cost)
         return Ack()
 
+    def hear_router(self, router: str) -> None:
+        """Note that a router of this host lives."""
+        self._orphans.hear(router)
+
     async def pull(self, request: PullRequest) -> PullReply:
         """Send tokens to a peer of the zone."""
         return self._transfers.send(self._keeper, request)
@@ -225,4 +236,6 @@
 
 
 def _reserve(keeper: SliceKeeper, request: ReserveRequest) -> Reservation | None:
-    return keeper.reserve(request.request, request.budget, request.tokens, request.router)
+    return keeper.reserve(
+        request.request, request.budget, request.tokens, request.router, request.pool
+    )
--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -107,6 +107,7 @@
     request: str
     budget: str
     tokens: int
+    pool: str = ""
 
 
 class ReserveReply(msgspec.Struct, frozen=True):
--- a/mulberrycleat/controller/tests/test_budgets.py
+++ b/mulberrycleat/controller/tests/test_budgets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import trio
@@ -39,7 +40,7 @@
 async def kill_in_flight(fleet: InProcessFleet, host: str) -> None:
     """Kill a host's processes while a request of it runs."""
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(fleet.chat, host, ACCOUNT, MODEL, "Is it open?")
+        nursery.start_soon(partial(fleet.chat, host, ACCOUNT, MODEL, "Open?", max_tokens=200))
         await trio.sleep(0.3)
         fleet.network.kill(f"router-{host}")
         fleet.network.kill(f"controller-{host}")
@@ -130,3 +131,19 @@
         budget = await budget_at(fleet, HOST)
         assert (budget["prepaid"], budget["spent"]) == (PREPAID, spent)
         assert fleet.controller(HOST).budgets.keeper.free(ACCOUNT) > 0
+
+
+async def test_reservations_of_a_dead_router_are_settled_by_the_engines_count(plan):
+    async with in_process_fleet(plan) as fleet:
+        await trio.sleep(5)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(fleet.chat, HOST, ACCOUNT, MODEL, "Open?", max_tokens=200))
+            await trio.sleep(0.3)
+            fleet.network.kill(f"router-{HOST}")
+        keeper = fleet.controller(HOST).budgets.keeper
+        assert len(keeper.reservations) == 1
+        await fleet.start(HOST)
+        await trio.sleep(30)
+        assert not keeper.reservations
+        budget = await budget_at(fleet, PEER)
+        assert 0 < budget["spent"] - await generated(fleet) < 20
--- a/mulberrycleat/router/filters/budget.py
+++ b/mulberrycleat/router/filters/budget.py
@@ -31,7 +31,9 @@
 
     async def handle(self, call: Call, proceed: Proceed) -> Result[Served, Refusal]:
         """Refuse with 402 a request that the budget does not cover."""
-        request = ReserveRequest(self._link.router, call.id, call.budget, call.reserve_tokens)
+        request = ReserveRequest(
+            self._link.router, call.id, call.budget, call.reserve_tokens, call.pool.name
+        )
         match await self._link.call(RESERVE, request, RESERVE_TIMEOUT_S):
             case Ok(ReserveReply(granted=True) as reply):
                 held = replace(call, holder=reply.holder, reservation=reply.number)
