--- a/mulberrycleat/budget/ledger.py
+++ b/mulberrycleat/budget/ledger.py
@@ -241,7 +241,8 @@
         for budget, state in list(self.budgets.items()):
             if share := state.shares.get(name):
                 most = max(0, limits.get(budget, 0) - share.spent)
-                self._change(name, budget, held=min(0, most - share.held))
+                if share.held > most:
+                    self._change(name, budget, held=most - share.held)
 
     def _close(self, names: Iterable[str]) -> None:
         for name in names:
