--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -17,6 +17,7 @@
 from mulberrycleat.controller.changes import Changes
 from mulberrycleat.controller.engines import HttpEngines
 from mulberrycleat.controller.hosts import HostController
+from mulberrycleat.controller.loads import LoadController
 from mulberrycleat.controller.manifests import ManifestController
 from mulberrycleat.controller.once import OnceController
 from mulberrycleat.controller.orders import OrderController
@@ -82,7 +83,13 @@
         self._budgets = BudgetController(
             settings, self._holder, event_log, PeerTransfers(peers), fences, orphans
         )
-        self._once = OnceController(self._holder, event_log)
+        self._once = OnceController(self._holder, event_log, settings.platform.checkpoint_every_s)
+        self._loads = LoadController(self._holder, self._manifests, self._hosts, self._ports)
+
+    @property
+    def loads(self) -> LoadController:
+        """Load reports."""
+        return self._loads
 
     @property
     def budgets(self) -> BudgetController:
@@ -114,6 +121,7 @@
                 self._orders,
                 self._budgets,
                 self._once,
+                self._loads,
             ):
                 await nursery.start(controller.run)
             await nursery.start(
@@ -133,6 +141,7 @@
             m.FINISH: self._once.finish,
             m.ABANDON: self._once.abandon,
             m.HEARTBEAT: self._hosts.heartbeat,
+            m.LOADS: self._loads.loads,
             m.READ_STREAM: self._read_stream,
             m.CATCH_UP: self._manifests.catch_up,
             m.CONFIRM: self._manifests.confirm,
--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -17,6 +17,7 @@
     "FINISH",
     "GUARD",
     "HEARTBEAT",
+    "LOADS",
     "PULL",
     "READ_STREAM",
     "RECALL",
@@ -28,6 +29,7 @@
     "Ack",
     "BeginReply",
     "BeginRequest",
+    "CacheNews",
     "CatchUpReply",
     "CatchUpRequest",
     "ConfirmReply",
@@ -38,6 +40,9 @@
     "Heartbeat",
     "HeartbeatReply",
     "HostVersion",
+    "LoadNews",
+    "LoadsReply",
+    "LoadsRequest",
     "PullReply",
     "PullRequest",
     "ReadStreamReply",
@@ -196,13 +201,17 @@
         ``won``: the asker may dispatch. ``done``: the answer is in the other fields. ``open``:
         another dispatch began and its outcome is not known. ``mismatch``: the key belongs to
         another request. ``unavailable``: the log cannot be reached; nothing was dispatched.
-        ``unknown``: the key has not been seen.
+        ``unknown``: the key has not been seen. ``expired``: the key tells a time outside of the
+        window in which keys are remembered; nothing was dispatched.
+    kept : bool
+        Whether the answer's body was kept.
     """
 
     state: str
     status: int = 0
     content_type: str = ""
-    body: str = ""
+    body: bytes = b""
+    kept: bool = True
 
 
 class FinishRequest(msgspec.Struct, frozen=True):
@@ -212,7 +221,7 @@
     key: str
     status: int
     content_type: str
-    body: str
+    body: bytes
 
 
 class AbandonRequest(msgspec.Struct, frozen=True):
@@ -318,6 +327,49 @@
     members: tuple[HostVersion, ...]
 
 
+class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint's load, `age_s` seconds old.
+
+    Attributes
+    ----------
+    requests, waiting : int
+        Requests there, and those of them that wait for a place in the batch.
+    prefill, decode : int
+        Prompt tokens still to be read, and the most tokens still to be generated.
+    """
+
+    endpoint: str
+    age_s: float
+    requests: int
+    waiting: int
+    prefill: int
+    decode: int
+
+
+class CacheNews(msgspec.Struct, frozen=True, array_like=True):
+    """Prefix keys that an endpoint has ``stored`` or ``evicted``."""
+
+    endpoint: str
+    kind: str
+    keys: tuple[int, ...]
+
+
+class LoadsRequest(msgspec.Struct, frozen=True):
+    """Ask for loads, and for cache news from number `seen`; peers ask for those polled there."""
+
+    asker: str
+    seen: int
+    own_only: bool = False
+
+
+class LoadsReply(msgspec.Struct, frozen=True):
+    """Loads and cache news; `next` is to be given as `seen` the next time."""
+
+    next: int
+    loads: tuple[LoadNews, ...] = ()
+    cache_news: tuple[CacheNews, ...] = ()
+
+
 class StatusRequest(msgspec.Struct, frozen=True):
     """Ask for a controller's state."""
 
@@ -339,6 +391,7 @@
 CONFIRM = Method("Confirm", ConfirmRequest, ConfirmReply)
 READ_STREAM = Method("ReadStream", ReadStreamRequest, ReadStreamReply)
 HEARTBEAT = Method("Heartbeat", Heartbeat, HeartbeatReply)
+LOADS = Method("Loads", LoadsRequest, LoadsReply)
 GUARD = Method("Guard", GuardRequest, GuardReply)
 PULL = Method("Pull", PullRequest, PullReply)
 STATUS = Method("Status", StatusRequest, StatusReply)
