--- a/mulberrycleat/bench/budgets.py
+++ b/mulberrycleat/bench/budgets.py
@@ -27,7 +27,7 @@
     "demand_no_recall": DealSettings(even_part=0.0, recall=False),
     "even": DealSettings(even_part=1.0),
     "quarter_even": DealSettings(even_part=0.25),
-    "three_quarters": DealSettings(even_part=0.75),
+    "half_even": DealSettings(even_part=0.5),
     "no_recall": DealSettings(recall=False),
     "slack_10": DealSettings(slack_part=0.1),
 }
@@ -46,11 +46,14 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--requests", default=2000, show_default=True, help="Requests in a trace.")
 @click.option("--scenario", "scenarios", multiple=True, type=click.Choice(SCENARIOS))
+@click.option("--turn/--no-turn", default=True, help="Whether demand turns round in the cut.")
 @click.option("--all-rules", is_flag=True, help="Measure the rules that lost, too.")
-def command(seed: int, requests: int, scenarios: tuple[str, ...], all_rules: bool) -> None:
+def command(
+    seed: int, requests: int, scenarios: tuple[str, ...], turn: bool, all_rules: bool
+) -> None:
     """Replay seeded traces with each dealing rule."""
     rules = {**FLEET_RULES, **(OTHER_RULES if all_rules else {})}
-    trace = make_trace(TraceSettings(requests=requests), seed)
+    trace = make_trace(TraceSettings(requests=requests, turns=turn), seed)
     cells = []
     for scenario in scenarios or SCENARIOS:
         found = list(_cells(scenario, trace, rules, seed))
@@ -94,6 +97,21 @@
         click.echo(f"{rule:<20}{numbers}")
 
 
+def _excess(cells: list[Cell]) -> dict[str, dict[str, float]]:
+    """Return refusals beyond those of the all-knowing dealer, as a part of requests."""
+    sums: dict[tuple[str, float], list[int]] = defaultdict(lambda: [0, 0])
+    for cell in cells:
+        found = sums[cell.rule, cell.tightness]
+        found[0] += cell.score.refused
+        found[1] += cell.score.requests
+    rates = {key: refused / max(1, requests) for key, (refused, requests) in sums.items()}
+    excess: dict[str, dict[str, float]] = defaultdict(dict)
+    for (rule, tightness), rate in rates.items():
+        least = rates["all_knowing", tightness]
+        excess[rule][str(tightness)] = round(rate - least, 6)
+    return excess
+
+
 def _summary(cells: list[Cell]) -> dict[str, object]:
     fleet = [cell for cell in cells if cell.rule in FLEET_RULES or cell.rule in OTHER_RULES]
     chosen = [cell.score for cell in cells if cell.rule == "chosen"]
@@ -109,5 +127,6 @@
             rule: {str(key): round(rate, 6) for key, rate in found.items()}
             for rule, found in rates.items()
         },
+        "excess_refusal_rate": _excess(cells),
         "appends_per_s": round(max(score.appends for score in chosen) / length_s, 2),
     }
--- a/mulberrycleat/budget/keeper.py
+++ b/mulberrycleat/budget/keeper.py
@@ -17,6 +17,7 @@
 __all__ = ["Reservation", "SliceKeeper"]
 
 HEADROOM_PART = 8
+HEADROOM_REQUESTS = 3
 
 
 class Reservation(NamedTuple):
@@ -27,6 +28,7 @@
     tokens: int
     number: int
     router: str = ""
+    pool: str = ""
 
 
 class SliceKeeper:
@@ -152,7 +154,8 @@
         free = self.free(budget)
         if free < tokens or self.headroom(budget) >= tokens:
             return None
-        return self._used(budget) + tokens + (free - tokens) // HEADROOM_PART
+        ahead = min((free - tokens) // HEADROOM_PART, HEADROOM_REQUESTS * tokens)
+        return self._used(budget) + tokens + ahead
 
     def raise_limit(self, peer: str, budget: str, limit: int) -> None:
         """Spend up to `limit` from now on, which `peer` has taken in."""
@@ -168,7 +171,7 @@
         return True
 
     def reserve(
-        self, request: str, budget: str, tokens: int, router: str = ""
+        self, request: str, budget: str, tokens: int, router: str = "", pool: str = ""
     ) -> Reservation | None:
         """Set tokens aside for a request; return None when they are not free. Idempotent."""
         if found := self._reservations.get(request):
@@ -176,7 +179,7 @@
         if not self.can_reserve(budget, tokens):
             return None
         self._last_number += 1
-        found = Reservation(request, budget, tokens, self._last_number, router)
+        found = Reservation(request, budget, tokens, self._last_number, router, pool)
         self._reservations[request] = found
         self._slices[budget] = self._slice(budget).set_aside(tokens)
         return found
--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -125,6 +125,7 @@
     request: str
     budget: str
     tokens: Tokens
+    pool: str = ""
 
 
 class ReserveReply(msgspec.Struct, frozen=True):
