--- a/mulberrycleat/endpoint/speed.py
+++ b/mulberrycleat/endpoint/speed.py
@@ -11,6 +11,7 @@
 FASTER_GAIN = 0.3
 SLOWER_GAIN = 0.03
 USUAL_GAIN = 0.1
+KEPT_PEAK = 0.98
 CHUNK_TOKENS = 384
 SLOWDOWN_PER_REQUEST = 0.03
 MIN_TOKENS = 4
@@ -31,12 +32,22 @@
         self._time_s = PRIOR_WEIGHT_TOKENS / PRIOR_PREFILL_TOKENS_PER_S
         self._alone_s = PRIOR_TOKEN_S
         self._usual_s = PRIOR_TOKEN_S
+        self._peak = PRIOR_PREFILL_TOKENS_PER_S
 
     @property
     def prefill_tokens_per_s(self) -> float:
         """Prompt tokens read a second."""
         return self._tokens / self._time_s
 
+    def hopeful(self) -> Speed:
+        """Return the speed at this endpoint's best of late, for one that was long not tried."""
+        speed = Speed()
+        speed._tokens = PRIOR_WEIGHT_TOKENS
+        speed._time_s = PRIOR_WEIGHT_TOKENS / max(self._peak, self.prefill_tokens_per_s)
+        speed._alone_s = self._alone_s
+        speed._usual_s = min(self._alone_s, self._usual_s)
+        return speed
+
     def token_s(self, running: float) -> float:
         """Return the usual time of one token with `running` requests at once, in seconds."""
         return self._usual_s * (1 + SLOWDOWN_PER_REQUEST * running)
@@ -53,6 +64,7 @@
         """Note that `tokens`, those ahead included, were read in `waited_s`."""
         self._tokens = self._tokens * KEPT_SHARE + tokens
         self._time_s = self._time_s * KEPT_SHARE + waited_s
+        self._peak = max(self._peak * KEPT_PEAK, self.prefill_tokens_per_s)
 
     def note_decode(self, tokens: int, time_s: float, running: float) -> None:
         """Note that `tokens` came in `time_s` while `running` requests ran."""
--- a/mulberrycleat/endpoint/state.py
+++ b/mulberrycleat/endpoint/state.py
@@ -19,6 +19,7 @@
 ANSWER_GAIN = 0.1
 TRUST_GAIN = 0.1
 STALE_REPORT_S = 10.0
+SILENCE_S = 30.0
 
 
 class LoadReport(NamedTuple):
@@ -111,6 +112,7 @@
         self._batch_limit = FIRST_BATCH_LIMIT
         self._answer_s = FIRST_ANSWER_S
         self._trust = 1.0
+        self._heard_at = 0.0
 
     @property
     def requests(self) -> int:
@@ -165,17 +167,19 @@
             Part of the places in the batch that are left to short requests.
         """
         priority = priority_of(demand)
-        rate = self.speed.prefill_tokens_per_s
+        silent = not self._flights and now - self._heard_at > SILENCE_S
+        speed = self.speed.hopeful() if silent else self.speed
+        rate = speed.prefill_tokens_per_s
         uncached = max(0, demand.prompt_tokens - int(believed * self._trust))
         running = self.requests + self._others_now(now).requests
         ahead = self._ahead_tokens(priority, urgent_share, now)
         queue_s = ahead / rate + self._place_wait_s(demand, running, urgent_share, reserve_share)
         queue_s = max(queue_s, self._longest_wait_s(priority, now))
         running = min(running, self._batch_limit)
-        first_s = queue_s + uncached / rate + self.speed.token_s(running)
+        first_s = queue_s + uncached / rate + speed.token_s(running)
         behind_s = self._ahead_tokens(LOWEST_PRIORITY, 1.0, now) / rate - queue_s
-        decode_s = self.speed.decode_s(generated, running, max(0.0, behind_s))
-        work_s = uncached / rate + generated * self.speed.token_s(running) / (running + 1)
+        decode_s = speed.decode_s(generated, running, max(0.0, behind_s))
+        work_s = uncached / rate + generated * speed.token_s(running) / (running + 1)
         return Estimate(queue_s, first_s, first_s + decode_s, work_s)
 
     def sent(
@@ -211,6 +215,7 @@
         flight = self._flights.pop(request_id, None)
         if flight is None:
             return
+        self._heard_at = now
         if flight.first_at is None:
             self._prefill[flight.priority] -= flight.uncached_tokens
         elif failed is False:
--- a/mulberrycleat/endpoint/tests/test_choice.py
+++ b/mulberrycleat/endpoint/tests/test_choice.py
@@ -194,3 +194,16 @@
             serve(chooser, endpoint, turn, 4.0 if slow else 0.5, 12.0 if slow else 2.0)
     chosen = {chooser.choose(pool, LONG, 50.0).endpoint.name for _ in range(50)}
     assert all(int(name[1:]) % 2 == 0 for name in chosen)
+
+
+def test_an_endpoint_that_was_slow_for_a_while_is_tried_again(endpoints):
+    chooser = make()
+    for number in range(10):
+        serve(chooser, endpoints[0], number, 0.4, 2.0, at=number * 3.0)
+        serve(chooser, endpoints[1], number, 1.0, 4.0, at=number * 3.0)
+    for number in range(3):
+        serve(chooser, endpoints[0], f"slow-{number}", 15.0, 18.0, at=30.0)
+    assert chooser.choose(endpoints[:2], LONG, 49.0).endpoint.name == "b"
+    assert chooser.choose(endpoints[:2], LONG, 90.0).endpoint.name == "a"
+    chooser.sent(endpoints[0], "trial", LONG, 90.0)
+    assert chooser.choose(endpoints[:2], LONG, 90.1).endpoint.name == "b"
--- a/mulberrycleat/router/endpoints.py
+++ b/mulberrycleat/router/endpoints.py
@@ -128,6 +128,7 @@
             return
         self._view = view
         self._pools = {endpoint.name: endpoint.pool for endpoint in view.manifest.endpoints}
+        self._paused = {n: until for n, until in self._paused.items() if n in self._pools}
         self._by_pool = {}
         for endpoint in view.manifest.endpoints:
             if endpoint.name not in view.leaving:
