--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -81,7 +81,7 @@
         self._budgets = BudgetController(
             settings, self._holder, event_log, PeerTransfers(peers), fences
         )
-        self._once = OnceController(self._holder, event_log)
+        self._once = OnceController(self._holder, event_log, settings.platform.checkpoint_every_s)
         self._loads = LoadController(self._holder, self._manifests, self._hosts, self._ports)
 
     @property
@@ -132,6 +132,7 @@
             m.SYNC: self._sync,
             m.RESERVE: self._budgets.reserve,
             m.SETTLE: self._budgets.settle,
+            m.GUARD: self._budgets.guard,
             m.PULL: self._budgets.pull,
             m.RECALL: self._once.recall,
             m.BEGIN: self._once.begin,
