--- a/mulberrycleat/router/app.py
+++ b/mulberrycleat/router/app.py
@@ -113,9 +113,9 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._link.run)
-            nursery.start_soon(self._recorder.run)
             nursery.start_soon(self._feed.run)
             nursery.start_soon(self._admission.run)
+            nursery.start_soon(self._recorder.run)
             nursery.start_soon(self._drain.run, stop, lambda: self._link.view.manifest)
             with self._drain.scope:
                 await self._ports.serve_http(
