--- a/mulberrycleat/controller/messages.py
+++ b/mulberrycleat/controller/messages.py
@@ -15,6 +15,7 @@
     "CATCH_UP",
     "CONFIRM",
     "FINISH",
+    "GUARD",
     "HEARTBEAT",
     "LOADS",
     "PULL",
@@ -34,6 +35,8 @@
     "ConfirmReply",
     "ConfirmRequest",
     "FinishRequest",
+    "GuardReply",
+    "GuardRequest",
     "Heartbeat",
     "HeartbeatReply",
     "HostVersion",
@@ -158,6 +161,21 @@
     transfer: Transfer | None = None
 
 
+class GuardRequest(msgspec.Struct, frozen=True):
+    """A holder asks a peer to take in what it may spend of a budget in all, at most."""
+
+    holder: str
+    budget: str
+    limit: int
+
+
+class GuardReply(msgspec.Struct, frozen=True):
+    """Whether the limit was taken in, and by which holder."""
+
+    taken_in: bool
+    holder: str = ""
+
+
 class RecallRequest(msgspec.Struct, frozen=True):
     """Ask what is known of an idempotency key."""
 
@@ -182,13 +200,17 @@
         ``won``: the asker may dispatch. ``done``: the answer is in the other fields. ``open``:
         another dispatch began and its outcome is not known. ``mismatch``: the key belongs to
         another request. ``unavailable``: the log cannot be reached; nothing was dispatched.
-        ``unknown``: the key has not been seen.
+        ``unknown``: the key has not been seen. ``expired``: the key tells a time outside of the
+        window in which keys are remembered; nothing was dispatched.
+    kept : bool
+        Whether the answer's body was kept.
     """
 
     state: str
     status: int = 0
     content_type: str = ""
-    body: str = ""
+    body: bytes = b""
+    kept: bool = True
 
 
 class FinishRequest(msgspec.Struct, frozen=True):
@@ -198,7 +220,7 @@
     key: str
     status: int
     content_type: str
-    body: str
+    body: bytes
 
 
 class AbandonRequest(msgspec.Struct, frozen=True):
@@ -369,5 +391,6 @@
 READ_STREAM = Method("ReadStream", ReadStreamRequest, ReadStreamReply)
 HEARTBEAT = Method("Heartbeat", Heartbeat, HeartbeatReply)
 LOADS = Method("Loads", LoadsRequest, LoadsReply)
+GUARD = Method("Guard", GuardRequest, GuardReply)
 PULL = Method("Pull", PullRequest, PullReply)
 STATUS = Method("Status", StatusRequest, StatusReply)
