Print the router's log when its stop ends with a fault

Change: the assertion prints the end of the router's log.

Its cause is not known; the test is flaky until it is.

--- a/mulberrycleat/router/tests/test_stops.py
+++ b/mulberrycleat/router/tests/test_stops.py
@@ -99,7 +99,7 @@
     process = fleet.terminate(ROUTER)
     for caller in callers:
         caller.join(60)
-    assert process.wait(30) == 0
+    assert process.wait(30) == 0, fleet.log_tail(ROUTER)
     faults = [fault for caller in callers for fault in caller.faults]
     assert faults == [], faults
     assert all(caller.whole for caller in callers)
--- a/mulberrycleat/testing/fleet.py
+++ b/mulberrycleat/testing/fleet.py
@@ -101,6 +101,10 @@
         """Return a manifest for this fleet as plain data."""
         return self._layout.manifest()
 
+    def log_tail(self, name: str, size: int = 4000) -> str:
+        """Return the last `size` characters that a member logged."""
+        return (self._directory / f"{name}.log").read_text(encoding="utf-8")[-size:]
+
     def start(self, name: str) -> None:
         """Start one member."""
         member = self.members[name]
