--- a/mulberrycleat/controller/tests/test_budgets.py
+++ b/mulberrycleat/controller/tests/test_budgets.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from mulberrycleat.budget import Release
+from mulberrycleat.cli import operations
 from mulberrycleat.controller.messages import ReserveRequest
 from mulberrycleat.testing import fixture
 from mulberrycleat.testing.inprocess import InProcessFleet, in_process_fleet
@@ -17,6 +19,7 @@
 MODEL = "survey-large"
 HOST, PEER = "zone-a-1", "zone-a-2"
 PREPAID = 200_000
+PROMPT_TOKENS = 2
 
 
 @fixture
@@ -147,3 +150,45 @@
         assert not keeper.reservations
         budget = await budget_at(fleet, PEER)
         assert 0 < budget["spent"] - await generated(fleet) < 20
+
+
+async def test_lost_answers_of_the_log_bill_each_request_once(plan):
+    async with in_process_fleet(plan) as fleet:
+        await trio.sleep(5)
+        await fleet.set_faults("log", lose_answers=30)
+        for _ in range(5):
+            answer = await fleet.chat(HOST, ACCOUNT, MODEL, "Open?", max_tokens=10)
+            assert answer.outcome == "served"
+        await trio.sleep(120)
+        budget = await budget_at(fleet, PEER)
+        assert budget["spent"] == await generated(fleet) + 5 * PROMPT_TOKENS
+        assert budget["held"] + budget["available"] + budget["spent"] == PREPAID
+
+
+async def test_tokens_paid_in_during_a_cut_reach_the_zone_after_it(plan):
+    async with in_process_fleet(plan) as fleet:
+        await trio.sleep(5)
+        fleet.network.cut("zone-a", "platform")
+        (await fleet.operator.top_up(ACCOUNT, 1000, "second")).unwrap()
+        await trio.sleep(60)
+        held = sum(fleet.controller(host).budgets.keeper.free(ACCOUNT) for host in (HOST, PEER))
+        assert held <= PREPAID
+        fleet.network.heal("zone-a", "platform")
+        await trio.sleep(30)
+        budget = await budget_at(fleet, HOST)
+        assert budget["prepaid"] == PREPAID + 1000
+        assert budget["held"] + budget["available"] == PREPAID + 1000
+
+
+async def test_operators_release_gives_back_what_was_not_spent(plan):
+    async with in_process_fleet(plan) as fleet:
+        await trio.sleep(5)
+        holder = fleet.controller(HOST).budgets.keeper.holder
+        await kill_in_flight(fleet, HOST)
+        await trio.sleep(5)
+        record = Release(holder, "ann", {ACCOUNT: 200})
+        (await operations.release(fleet.operator.event_log, record)).unwrap()
+        await trio.sleep(20)
+        budget = await budget_at(fleet, PEER)
+        assert (budget["spent"], budget["stranded"]) == (200, 0)
+        assert budget["held"] + budget["available"] == PREPAID - 200
