Let a host whose peers don't answer record its limits in the ledger

Cause: with every peer of the zone dead or frozen, a holder could raise no limit and refused what it held (test_host_goes_on_when_no_peer_of_its_zone_answers failed first). Random interleavings record limits too.

--- a/mulberrycleat/bench/budget_replay.py
+++ b/mulberrycleat/bench/budget_replay.py
@@ -275,8 +275,11 @@
                 self._score.turned_away(one.request)
                 continue
             budget = one.request.budget
-            if not one.keeper.is_wanting(budget):
-                one.keeper.want(budget, one.request.bound - one.keeper.free(budget))
+            missing = one.request.bound - one.keeper.free(budget)
+            if missing <= 0:
+                one.keeper.record_limit(budget)
+            elif not one.keeper.is_wanting(budget):
+                one.keeper.want(budget, missing)
             still.append(one)
         self._waiting = still
 
--- a/mulberrycleat/budget/keeper.py
+++ b/mulberrycleat/budget/keeper.py
@@ -162,6 +162,10 @@
         if self.open and self._is_peer(peer):
             self._limits[budget] = max(limit, self._limits.get(budget, 0))
 
+    def record_limit(self, budget: str) -> None:
+        """Raise the limit to all that is free by the next settlement, where no peer answers."""
+        self._draft.limits[budget] = self._used(budget) + self.free(budget)
+
     def guard(self, peer: str, budget: str, limit: int) -> bool:
         """Take in the limit of a peer; return False when it may not rise any more."""
         if not self.open or not self._is_peer(peer):
--- a/mulberrycleat/budget/tests/test_protocol.py
+++ b/mulberrycleat/budget/tests/test_protocol.py
@@ -42,6 +42,8 @@
             world.write(host)
         case "claim":
             rng.choice((host.keeper.claim, host.keeper.want))(BUDGET, rng.randint(1, 60))
+            if rng.random() < 0.1 and host.keeper.open:
+                host.keeper.record_limit(BUDGET)
         case "run":
             bound = rng.randint(1, 30)
             world.ask_peer(host, rng.choice(world.hosts), bound, rng.random() < 0.8)
--- a/mulberrycleat/controller/budgets.py
+++ b/mulberrycleat/controller/budgets.py
@@ -116,9 +116,11 @@
         known = request.request in keeper.reservations
         if not known:
             keeper.note_asked(request.budget, request.tokens)
-        found = _reserve(keeper, request) or await self._reserve_by_peers(keeper, request)
+        found = _reserve(keeper, request)
         if found is None:
-            found = await self._reserve_by_claim(keeper, request)
+            with trio.move_on_after(RESERVE_TIMEOUT_S):
+                found = await self._reserve_by_peers(keeper, request)
+                found = found or await self._reserve_by_claim(keeper, request)
         if found is None:
             return self._refusal(request)
         return ReserveReply(True, holder=keeper.holder, number=found.number)
@@ -201,19 +203,21 @@
     async def _reserve_by_claim(
         self, keeper: SliceKeeper, request: ReserveRequest
     ) -> Reservation | None:
-        with trio.move_on_after(RESERVE_TIMEOUT_S):
-            while self._may_hold(request):
-                missing = request.tokens - keeper.free(request.budget)
-                if missing > 0 and not keeper.is_wanting(request.budget):
-                    self._dealer.deal(keeper, self._demand)
-                    keeper.want(request.budget, missing)
-                    self._writer.hurry()
-                await self._transfers.raise_limit(keeper, request.budget, request.tokens)
-                if found := _reserve(keeper, request):
-                    return found
-                await self._changes.wait_until(
-                    lambda: keeper.can_reserve(request.budget, request.tokens), RETRY_EVERY_S
-                )
+        while self._may_hold(request):
+            missing = request.tokens - keeper.free(request.budget)
+            if missing > 0 and not keeper.is_wanting(request.budget):
+                self._dealer.deal(keeper, self._demand)
+                keeper.want(request.budget, missing)
+                self._writer.hurry()
+            await self._transfers.raise_limit(keeper, request.budget, request.tokens)
+            if found := _reserve(keeper, request):
+                return found
+            if missing <= 0:
+                keeper.record_limit(request.budget)
+                self._writer.hurry()
+            await self._changes.wait_until(
+                lambda: keeper.can_reserve(request.budget, request.tokens), RETRY_EVERY_S
+            )
         return _reserve(keeper, request)
 
     def _may_hold(self, request: ReserveRequest) -> bool:
--- a/mulberrycleat/controller/tests/test_budgets.py
+++ b/mulberrycleat/controller/tests/test_budgets.py
@@ -192,3 +192,12 @@
         budget = await budget_at(fleet, PEER)
         assert (budget["spent"], budget["stranded"]) == (200, 0)
         assert budget["held"] + budget["available"] == PREPAID - 200
+
+
+async def test_host_goes_on_when_no_peer_of_its_zone_answers(plan):
+    async with in_process_fleet(plan) as fleet:
+        await trio.sleep(5)
+        await kill_in_flight(fleet, PEER)
+        for _ in range(20):
+            answer = await fleet.chat(HOST, ACCOUNT, MODEL, "Open?", max_tokens=200)
+            assert answer.outcome == "served"
