--- a/mulberrycleat/cli/main.py
+++ b/mulberrycleat/cli/main.py
@@ -176,9 +176,11 @@
         return
     for name, progress in sorted(known.get("plans", {}).items()):
         click.echo(f"plan {name}: {progress}")
-    click.echo(f"{'budget':<24}{'prepaid':>12}{'spent':>12}{'held':>12}{'available':>12}")
+    click.echo(
+        f"{'budget':<24}{'prepaid':>12}{'spent':>12}{'held':>12}{'stranded':>12}{'available':>12}"
+    )
     for name, budget in sorted(known["budgets"].items()):
-        numbers = [budget[field] for field in ("prepaid", "spent", "held", "available")]
+        numbers = [budget[field] for field in ("prepaid", "spent", "held", "stranded", "available")]
         click.echo(f"{name:<24}" + "".join(f"{number:>12}" for number in numbers))
 
 
