Use idle endpoints while a pool is not full

Cause: a request was charged the endpoint's time shared with those that run beside it, which makes an idle endpoint look dear and a busy one cheap. At low load 35 of 40 requests sent at once from one router went to one of six idle engines, where the last expected 2.26 s for its answer against 1.37 s elsewhere, and the test of a swap under load failed, since the joined engine got none of them. Ruled out: the moved endpoint missing from the router's table; the chance among near-best ones.

--- a/mulberrycleat/endpoint/chooser.py
+++ b/mulberrycleat/endpoint/chooser.py
@@ -31,7 +31,7 @@
     other_zone_s : float
         What an endpoint of another availability zone must save, in seconds.
     work_weight : float
-        Weight of the endpoint's time that a request takes up, beside the request's own time.
+        Weight of the time that a request costs others, beside its own time.
     near_share, near_s : float
         Endpoints within this share and time (seconds) of the best are chosen among at random, so
         that routers with the same old report don't all choose the same one. When the best is in the
@@ -111,13 +111,16 @@
         states = self._sampled([s for s in states if s.endpoint.name not in tried], cached)
         generated = demand.max_tokens * self._generated_share
         share = self._share_before(demand)
+        fullness = sum(state.fullness(now) for state in states) / max(1, len(states))
         scored = []
         for state in states:
             tokens = min(cached.get(state.endpoint.name, 0), demand.prompt_tokens)
             estimate = state.estimate(
                 demand, tokens, generated, share, now, self._settings.reserve_share
             )
-            scored.append((self._score(state, estimate), Choice(state.endpoint, estimate, tokens)))
+            scored.append(
+                (self._score(state, estimate, fullness), Choice(state.endpoint, estimate, tokens))
+            )
         return self._pick(scored)
 
     def sent(self, endpoint: Endpoint, request_id: str, demand: Demand, now: float) -> None:
@@ -191,9 +194,15 @@
         others = [state for state in states if state.endpoint.name not in names]
         return holders + self._random.sample(others, size - len(holders))
 
-    def _score(self, state: EndpointState, estimate: Estimate) -> float:
+    def _score(self, state: EndpointState, estimate: Estimate, fullness: float) -> float:
+        """Return what a request costs: its own time, and that of others.
+
+        In a full pool the time of an endpoint counts, which a full batch uses best; in an empty one
+        only the delay of those that run there, so that idle endpoints are used.
+        """
         away = 0.0 if state.endpoint.zone == self._zone else self._settings.other_zone_s
-        return estimate.whole_s + self._settings.work_weight * estimate.work_s + away
+        others_s = fullness * estimate.work_s + (1 - fullness) * estimate.delay_s
+        return estimate.whole_s + self._settings.work_weight * others_s + away
 
     def _pick(self, scored: list[tuple[float, Choice]]) -> Choice | None:
         if not scored:
--- a/mulberrycleat/endpoint/state.py
+++ b/mulberrycleat/endpoint/state.py
@@ -52,13 +52,16 @@
     whole_s : float
         Until the whole answer.
     work_s : float
-        Time of the endpoint that it takes up.
+        Time of the endpoint that it takes up, shared with those that run beside it.
+    delay_s : float
+        Time by which it delays those that run there already, in sum.
     """
 
     queue_s: float
     first_s: float
     whole_s: float
     work_s: float
+    delay_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -144,6 +147,11 @@
         else:
             self._batch_limit = max(self._batch_limit, float(running))
 
+    def fullness(self, now: float) -> float:
+        """Return the part of the places in the batch that are taken, from 0 to 1."""
+        running = self.requests + self._others_now(now).requests
+        return min(1.0, running / self._batch_limit)
+
     def estimate(
         self,
         demand: Demand,
@@ -179,8 +187,11 @@
         first_s = queue_s + uncached / rate + speed.token_s(running)
         behind_s = self._ahead_tokens(LOWEST_PRIORITY, 1.0, now) / rate - queue_s
         decode_s = speed.decode_s(generated, running, max(0.0, behind_s))
-        work_s = uncached / rate + generated * speed.token_s(running) / (running + 1)
-        return Estimate(queue_s, first_s, first_s + decode_s, work_s)
+        reading_s = uncached / rate
+        work_s = reading_s + generated * speed.token_s(running) / (running + 1)
+        slower_s = speed.token_s(running + 1) - speed.token_s(running)
+        delay_s = reading_s + generated * slower_s * running
+        return Estimate(queue_s, first_s, first_s + decode_s, work_s, delay_s)
 
     def sent(
         self, request_id: str, demand: Demand, believed: int, urgent_share: float, now: float
