Let two flushes of settlements overlap

Cause: at a stop the router flushes its settlements while the regular flush may be under way; both had the same batch, and the second one's removal of a request that was gone raised KeyError and ended the process with status 1, after the streams had ended.

Change: the removal passes over what is gone. The controller takes a settlement twice as once.

--- a/mulberrycleat/router/link.py
+++ b/mulberrycleat/router/link.py
@@ -138,7 +138,7 @@
         match await self.call(SETTLE, message, SETTLE_TIMEOUT_S):
             case Ok(_):
                 for request in batch:
-                    del self._unsettled[request]
+                    self._unsettled.pop(request, None)
                 return True
             case Err(error):
                 log.warning("settlement failed", extra={"step": "settle", "peer": error.peer})
