Fence a dead holder at endpoints that have left the manifest too

Cause: a fence named the endpoints of the manifest at that moment, so work at an endpoint removed just before was not asked for, and its tokens were freed and could be spent again. Ruled out: remembering endpoints in the process, since the one that fences is always the newest. Change: before it fences, a host folds the manifest stream from the oldest checkpoint that the log holds and names every endpoint found; prices of pools that are gone come from there too. An endpoint that no longer answers keeps the tokens stranded until an operator's release. Not covered: an endpoint that left the manifest longer ago than the log's retention.

--- a/mulberrycleat/controller/app.py
+++ b/mulberrycleat/controller/app.py
@@ -78,7 +78,7 @@
             self._changes,
         )
         peers = [self._ports.connect_rpc(address, fleet_key) for address in settings.peers]
-        fences = FenceRunner(self._holder, self._manifests, self._ports.http)
+        fences = FenceRunner(self._holder, self._manifests, self._ports.http, event_log)
         orphans = OrphanSettler(self._manifests, self._ports.http)
         self._budgets = BudgetController(
             settings, self._holder, event_log, PeerTransfers(peers), fences, orphans
--- a/mulberrycleat/controller/budget_closing.py
+++ b/mulberrycleat/controller/budget_closing.py
@@ -14,7 +14,9 @@
 from mulberrycleat.controller.budget_writer import LedgerWriter
 from mulberrycleat.controller.manifests import ManifestController
 from mulberrycleat.core import Holder
+from mulberrycleat.eventlog import EventLog
 from mulberrycleat.manifest import Endpoint, Price
+from mulberrycleat.manifest.history import Retained, retained
 from mulberrycleat.web import BaseHttpClient
 
 __all__ = ["FenceRunner"]
@@ -54,12 +56,20 @@
         Endpoints and prices.
     client : BaseHttpClient
         Connections to endpoints.
+    event_log : EventLog
+        Tells the endpoints that earlier manifests had.
     """
 
     def __init__(
-        self, holder: Holder, manifests: ManifestController, client: BaseHttpClient
+        self,
+        holder: Holder,
+        manifests: ManifestController,
+        client: BaseHttpClient,
+        event_log: EventLog,
     ) -> None:
         self._holder = holder
+        self._event_log = event_log
+        self._known = Retained({}, {})
         self._manifests = manifests
         self._client = client
 
@@ -72,9 +82,24 @@
                 await self._confirm_fenced(reader.ledger, writer)
 
     async def _fence_earlier(self, ledger: Ledger, writer: LedgerWriter) -> None:
-        names = tuple(endpoint.name for endpoint in self._endpoints())
-        for holder in earlier_holders(ledger, self._holder.host):
-            await writer.append(Fence(holder, names))
+        """Fence at every endpoint that an earlier holder may have known.
+
+        It may have sent work to an endpoint that has left the manifest since.
+        """
+        holders = earlier_holders(ledger, self._holder.host)
+        if holders and await self._look_back():
+            for holder in holders:
+                await writer.append(Fence(holder, tuple(self._known.endpoints)))
+
+    async def _look_back(self) -> bool:
+        """Learn the endpoints of earlier manifests; return whether the log told them all."""
+        match await retained(self._event_log):
+            case Ok(found):
+                self._known = found
+                return True
+            case Err(error):
+                log.warning("earlier manifests not read", extra={"why": error.reason})
+                return False
 
     async def _confirm_fenced(self, ledger: Ledger, writer: LedgerWriter) -> None:
         for name, state in list(ledger.holders.items()):
@@ -106,11 +131,13 @@
         await writer.append(Confirm(holder, endpoint.name, bills, found.complete_from))
 
     def _endpoints(self) -> tuple[Endpoint, ...]:
-        return self._manifests.state.manifest.endpoints
+        current = {one.name: one for one in self._manifests.state.manifest.endpoints}
+        return tuple({**self._known.endpoints, **current}.values())
 
     def _price(self, endpoint: Endpoint) -> Price:
-        pools = self._manifests.state.manifest.pools
-        return next((pool.price for pool in pools if pool.name == endpoint.pool), Price())
+        current = {pool.name: pool for pool in self._manifests.state.manifest.pools}
+        pool = {**self._known.pools, **current}.get(endpoint.pool)
+        return pool.price if pool else Price()
 
 
 def earlier_holders(ledger: Ledger, host: str) -> list[str]:
--- a/mulberrycleat/controller/tests/test_budgets.py
+++ b/mulberrycleat/controller/tests/test_budgets.py
@@ -54,6 +54,11 @@
     return (await fleet.stats("pool-survey-large-zone-a-1"))["generated"]
 
 
+async def generated_at(fleet: InProcessFleet, endpoint: dict[str, Any]) -> int:
+    """Return the tokens that one engine generated."""
+    return (await fleet.stats(endpoint["name"]))["generated"]
+
+
 async def test_replaced_host_is_fenced_and_its_tokens_come_back(plan):
     async with in_process_fleet(plan) as fleet:
         await fleet.operator.publish_and_wait(fencing_manifest(fleet))
@@ -68,6 +73,27 @@
         assert budget["held"] + budget["available"] + budget["spent"] == PREPAID
 
 
+async def test_fence_reaches_an_endpoint_that_left_the_manifest(plan):
+    async with in_process_fleet(replace(plan, engines_per_zone=2)) as fleet:
+        manifest = fencing_manifest(fleet)
+        await fleet.operator.publish_and_wait(manifest)
+        await trio.sleep(5)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(partial(fleet.chat, HOST, ACCOUNT, MODEL, "Open?", max_tokens=200))
+            await trio.sleep(0.3)
+            at_work = [one for one in manifest["endpoints"] if await generated_at(fleet, one)]
+            others = [one for one in manifest["endpoints"] if one not in at_work]
+            fleet.network.kill(f"router-{HOST}")
+            fleet.network.kill(f"controller-{HOST}")
+        (await fleet.operator.publish({**manifest, "endpoints": others})).unwrap()
+        await fleet.start(HOST)
+        await fleet.wait_until_ready(HOST)
+        await trio.sleep(20)
+        budget = await budget_at(fleet, PEER)
+        assert budget["spent"] >= sum([await generated_at(fleet, one) for one in at_work]) > 0
+        assert budget["held"] + budget["available"] + budget["spent"] == PREPAID
+
+
 async def test_only_what_a_dead_host_may_have_spent_stays_stranded(plan):
     async with in_process_fleet(plan) as fleet:
         await trio.sleep(5)
--- a/mulberrycleat/manifest/history.py
+++ b/mulberrycleat/manifest/history.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 from result import Err, Ok, Result
@@ -21,13 +21,30 @@
     state_of,
 )
 from mulberrycleat.manifest.fold import STREAM, ManifestRecord, ManifestState
-
-__all__ = ["StreamFold", "load_checkpoint", "read_fold", "state_at", "write_checkpoint"]
+from mulberrycleat.manifest.model import Endpoint, Pool
+
+__all__ = [
+    "Retained",
+    "StreamFold",
+    "load_checkpoint",
+    "read_fold",
+    "retained",
+    "state_at",
+    "write_checkpoint",
+]
 
 log = logging.getLogger(__name__)
 
 APPEND_TRIES = 5
 
+
+class Retained(NamedTuple):
+    """Endpoints and pools by name, those that have left the manifest included."""
+
+    endpoints: dict[str, Endpoint]
+    pools: dict[str, Pool]
+
+
 Load = Callable[[Checkpoint], Awaitable[Result[ManifestState, PeerError]]]
 OnAccept = Callable[[ManifestRecord, ManifestState], None]
 
@@ -233,6 +250,26 @@
     return outcome.map(lambda _: found.get(version))
 
 
+async def retained(event_log: EventLog) -> Result[Retained, PeerError]:
+    """Return the endpoints and pools of every version that the log still tells, newest last."""
+    endpoints: dict[str, Endpoint] = {}
+    pools: dict[str, Pool] = {}
+
+    def collect(state: ManifestState) -> None:
+        endpoints.update(state.sections["endpoints"])
+        pools.update(state.sections["pools"])
+
+    async def load(checkpoint: Checkpoint) -> Result[ManifestState, PeerError]:
+        outcome = await load_checkpoint(event_log, checkpoint)
+        if isinstance(outcome, Ok):
+            collect(outcome.ok_value)
+        return outcome
+
+    fold = StreamFold(load, lambda record, state: collect(state), from_oldest=True)
+    outcome = await read_fold(event_log, fold)
+    return outcome.map(lambda _: Retained(endpoints, pools))
+
+
 async def _append(event_log: EventLog, stream: str, record: Any) -> Result[int, PeerError]:
     outcome: Result[int, PeerError] = Err(PeerError(Step.APPEND, stream, "not tried"))
     for _ in range(APPEND_TRIES):
