Take load reports from three peers a second instead of from all

Ruled out: heartbeats and the log's reader, whose calls don't grow with the hosts. Change: each host asks three peers by chance for every load that they know; a report reaches the zone in a few rounds. Cache news still come from the host that polled them, as they carry no number by which a copy could be told. The new test counts calls of 12 hosts; it fails when all peers are asked.

--- a/mulberrycleat/controller/loads.py
+++ b/mulberrycleat/controller/loads.py
@@ -5,6 +5,7 @@
 import itertools
 from collections import deque
 from collections.abc import Mapping
+from random import Random
 from typing import Any, NamedTuple
 
 import trio
@@ -29,6 +30,8 @@
 POLLS_TO_CACHE_POLL = 2
 POLL_TIMEOUT_S = 1.0
 RELAY_EVERY_S = 1.0
+RELAY_PEERS = 3
+SAME_REPORT_S = 0.1
 RELAY_TIMEOUT_S = 1.0
 MAX_AGE_S = 10.0
 KEPT_CACHE_NEWS = 2000
@@ -37,7 +40,6 @@
 
 class _Load(NamedTuple):
     at: float
-    own: bool
     news: LoadNews
 
 
@@ -48,7 +50,7 @@
 
 
 class LoadController:
-    """Poll this host's share of the endpoints and relay what peers of the zone have polled.
+    """Poll this host's share of the endpoints and take what peers of the zone know.
 
     The share goes by rendezvous hash over the controllers of the zone that answer, so that an
     endpoint is polled once a zone and another controller takes over when one is gone.
@@ -73,6 +75,7 @@
         ports: Ports,
     ) -> None:
         self._holder = holder
+        self._random = Random(holder.incarnation)
         self._manifests = manifests
         self._hosts = hosts
         self._http = ports.http
@@ -90,17 +93,17 @@
             task_status.started()
 
     async def loads(self, request: LoadsRequest) -> LoadsReply:
-        """Answer a router with everything, and a peer with what was polled here."""
+        """Answer with every load that is known; a peer gets the cache news polled here only."""
         now = trio.current_time()
         loads = tuple(
             _aged(load.news, now - load.at)
             for load in self._loads.values()
-            if now - load.at < MAX_AGE_S and (load.own or not request.own_only)
+            if now - load.at < MAX_AGE_S
         )
         news = tuple(
             one.news
             for one in self._cache_news
-            if one.number >= request.seen and (one.own or not request.own_only)
+            if one.number >= request.seen and (one.own or not request.own_cache_only)
         )
         return LoadsReply(self._next, loads, news)
 
@@ -139,7 +142,7 @@
                     _count(load, "prefill_tokens"),
                     _count(load, "decode_tokens"),
                 )
-                self._keep(news, trio.current_time() - float(age_s), own=True)
+                self._keep(news, trio.current_time() - float(age_s))
 
     async def _poll_cache(self, endpoint: Endpoint) -> None:
         first = self._cache_from.get(endpoint.name, 0)
@@ -156,13 +159,18 @@
     async def _relay_regularly(self) -> None:
         while True:
             async with trio.open_nursery() as nursery:
-                for member in self._hosts.members.usable(trio.current_time()):
-                    nursery.start_soon(self._relay, member.address)
+                for address in self._asked():
+                    nursery.start_soon(self._relay, address)
             await trio.sleep(RELAY_EVERY_S)
 
+    def _asked(self) -> list[str]:
+        """Return a few peers by chance: what one knows reaches all in a few rounds."""
+        usable = [m.address for m in self._hosts.members.usable(trio.current_time())]
+        return self._random.sample(usable, min(RELAY_PEERS, len(usable)))
+
     async def _relay(self, address: str) -> None:
         seen = self._peer_seen.get(address, 0)
-        request = LoadsRequest(str(self._holder), seen, own_only=True)
+        request = LoadsRequest(str(self._holder), seen, own_cache_only=True)
         match await self._hosts.call(address, LOADS, request, RELAY_TIMEOUT_S):
             case Ok(reply):
                 self._take(address, reply)
@@ -174,14 +182,14 @@
         self._peer_seen[address] = reply.next
         now = trio.current_time()
         for news in reply.loads:
-            self._keep(news, now - news.age_s, own=False)
+            self._keep(news, now - news.age_s)
         for news in reply.cache_news:
             self._add_cache_news(news, own=False)
 
-    def _keep(self, news: LoadNews, at: float, own: bool) -> None:
+    def _keep(self, news: LoadNews, at: float) -> None:
         known = self._loads.get(news.endpoint)
-        if known is None or at > known.at:
-            self._loads[news.endpoint] = _Load(at, own, news)
+        if known is None or at > known.at + SAME_REPORT_S:
+            self._loads[news.endpoint] = _Load(at, news)
 
     def _add_cache_news(self, news: CacheNews, own: bool) -> None:
         if news.keys:
--- a/mulberrycleat/controller/messages/peers.py
+++ b/mulberrycleat/controller/messages/peers.py
@@ -97,11 +97,11 @@
 
 
 class LoadsRequest(msgspec.Struct, frozen=True):
-    """Ask for loads, and for cache news from number `seen`; peers ask for those polled there."""
+    """Ask for loads, and for cache news from `seen` on; peers get those polled there only."""
 
     asker: str
     seen: int
-    own_only: bool = False
+    own_cache_only: bool = False
 
 
 class LoadsReply(msgspec.Struct, frozen=True):
--- a/mulberrycleat/router/tests/test_routing.py
+++ b/mulberrycleat/router/tests/test_routing.py
@@ -126,3 +126,26 @@
         assert stats["generated"] == 60 * outcomes["served"]
         assert all(a.status == 503 and int(a.headers["retry-after"]) >= 1 for a in refused)
         assert max(waits) < 0.1
+
+
+async def test_calls_for_loads_do_not_grow_with_the_hosts_and_loads_reach_them_all():
+    async with in_process_fleet(FleetPlan(zones=("zone-a",), hosts_per_zone=12)) as fleet:
+        hosts = [f"zone-a-{number}" for number in range(1, 13)]
+        await trio.sleep(10)
+        asked: Counter[str] = Counter()
+        for host in hosts:
+            loads = fleet.controller(host).loads
+            loads._relay = _counted(loads._relay, asked, host)
+        await trio.sleep(10)
+        assert all(count <= 3 * 11 for count in asked.values()), asked
+        for host in hosts:
+            known = (await loads_of(fleet, host)).loads
+            assert len(known) == 1 and known[0].age_s < 6.0, (host, known)
+
+
+def _counted(call, counts, name):
+    async def counted(address):
+        counts[name] += 1
+        await call(address)
+
+    return counted
