--- a/mulberrycleat/testing/run.py
+++ b/mulberrycleat/testing/run.py
@@ -7,6 +7,7 @@
 import time
 import unittest
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -19,18 +20,40 @@
 RED_FIELD = "test:"
 
 
+class TimedResult(unittest.TextTestResult):
+    """A result that keeps how long each test took."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.times: list[tuple[float, str]] = []
+        self._began = 0.0
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Note the start of a test."""
+        self._began = time.monotonic()
+        super().startTest(test)
+
+    def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Note the end of a test."""
+        super().stopTest(test)
+        self.times.append((time.monotonic() - self._began, test.id()))
+
+
 @click.command()
 @click.argument("pattern", default="")
 @click.option("--style-faults", default=0, help="Faults that formatter and linter found before.")
+@click.option("--slowest", default=0, help="Name so many of the slowest tests.")
 @click.option("--verbose", "-v", is_flag=True, help="Name each test.")
-def main(pattern: str, style_faults: int, verbose: bool) -> None:
+def main(pattern: str, style_faults: int, slowest: int, verbose: bool) -> None:
     """Run the tests whose dotted name contains PATTERN, and end with `N passed, N failed`."""
     logging.getLogger().addHandler(logging.NullHandler())
     suite = collect(pattern)
     suite.addTests(case for case in scenario_cases() if pattern in case.id())
     started = time.monotonic()
-    runner = unittest.TextTestRunner(verbosity=2 if verbose else 1)
+    runner = unittest.TextTestRunner(verbosity=2 if verbose else 1, resultclass=TimedResult)
     result = runner.run(suite)
+    for seconds, name in sorted(result.times, reverse=True)[:slowest]:
+        print(f"{seconds:7.2f} s  {name}")
     failed = [case.id() for case, _ in [*result.failures, *result.errors]]
     known = _known_red()
     passed_over = [name for name in failed if name in known]
