--- a/mulberrycleat/bench/capacity_rows.py
+++ b/mulberrycleat/bench/capacity_rows.py
@@ -22,13 +22,17 @@
     budgets: int = 230_000
     zones: int = 6
     changes_per_day: int = 6_000
+    choices_per_request: int = 2
     restarts_per_day: int = 450
+    records_per_restart: int = 510
+    checkpoint_every_s: float = 60.0
     seconds_per_day: int = 86_400
     shards: int = 64
     holders_per_budget: int = 6
     settle_every_s: float = 5.0
     rpc_per_s_batched: float = 5.0
     retained_keys: int = 200_000
+    bytes_per_mib: int = 1_048_576
     control_core: float = 0.025
     control_mb: float = 64.0
     control_kb_per_s: float = 25.0
@@ -124,7 +128,16 @@
         "size.tokens_per_s / size.nodes * stream.cpu_us_per_token / 1000000",
         "cores",
         None,
-        "events that arrive together are passed on together; data path, not control",
+        "one event at a time; a process has one core, so a host needs several routers: not built",
+    ),
+    Formula(
+        "router",
+        "choice of an endpoint among 127",
+        "size.requests_per_s / size.nodes * size.choices_per_request "
+        "* choice_cost.choice_us_127_endpoints / 1000000",
+        "cores",
+        None,
+        "at most 24 endpoints of a pool are compared; data path, not control",
     ),
     Formula(
         "router",
@@ -145,6 +158,54 @@
 )
 
 CONTROLLER = (
+    Formula(
+        "host",
+        "all control, idle, of 60 hosts in 3 zones",
+        "manifest.core_percent_idle / 100",
+        "cores",
+        SIZE.control_core,
+        "few calls a second whatever the number of hosts; reports from three peers a second",
+    ),
+    Formula(
+        "host",
+        "bytes to peers and platform, of 60 hosts in 3 zones",
+        "manifest.bytes_per_host_s / 1000",
+        "KB/s",
+        SIZE.control_kb_per_s,
+        "one reader of the log a zone; a record carries what changed",
+    ),
+    Formula(
+        "host",
+        "publish to in force, 60 hosts",
+        "manifest.in_force_s_max_many",
+        "s",
+        7.0,
+        "the reader tells its zone; others catch up by version",
+    ),
+    Formula(
+        "controller",
+        "manifest of every budget",
+        "manifest_size.resident_mib * size.bytes_per_mib / 1000000",
+        "MB",
+        SIZE.control_mb,
+        "would be sharded like the ledger; not built",
+    ),
+    Formula(
+        "controller",
+        "start from a checkpoint of the whole manifest",
+        "manifest_size.snapshot_decode_s",
+        "s",
+        None,
+        "450 restarts a day; a peer's state in place of the log's where one answers",
+    ),
+    Formula(
+        "controller",
+        "start from a checkpoint of the home shards' ledger",
+        "size.budgets / size.nodes * size.zones * slopes.ledger_us_per_record / 1000000",
+        "s",
+        None,
+        "450 restarts a day; checkpoints well inside the retention",
+    ),
     Formula(
         "controller",
         "memory at start",
@@ -239,6 +300,22 @@
         SIZE.control_core,
         "batched",
     ),
+    Formula(
+        "log",
+        "leaving and joining holders",
+        "size.restarts_per_day * size.records_per_restart / size.seconds_per_day",
+        "appends/s",
+        300.0,
+        "a holder joins, is fenced, and each endpoint of its fence confirms",
+    ),
+    Formula(
+        "log",
+        "checkpoints of the ledger",
+        "size.shards / size.checkpoint_every_s",
+        "appends/s",
+        300.0,
+        "one a shard and period, by whichever host first sees none",
+    ),
     Formula(
         "log",
         "manifest changes",
--- a/mulberrycleat/cli/operations.py
+++ b/mulberrycleat/cli/operations.py
@@ -25,28 +25,12 @@
 
 async def top_up(event_log: EventLog, record: TopUp) -> Result[None, PeerError]:
     """Prepay tokens; safe to repeat with the same record."""
-    error = PeerError(Step.APPEND, "log", "not tried")
-    for _ in range(TRIES):
-        match await event_log.append(LEDGER_STREAM, (msgspec.to_builtins(record),)):
-            case Ok(_):
-                return Ok(None)
-            case Err(failed):
-                error = failed
-        await trio.sleep(RETRY_EVERY_S)
-    return Err(error)
+    return await _append(event_log, record)
 
 
 async def release(event_log: EventLog, record: Release) -> Result[None, PeerError]:
     """State that a holder has ended for good; safe to repeat."""
-    error = PeerError(Step.APPEND, "log", "not tried")
-    for _ in range(TRIES):
-        match await event_log.append(LEDGER_STREAM, (msgspec.to_builtins(record),)):
-            case Ok(_):
-                return Ok(None)
-            case Err(failed):
-                error = failed
-        await trio.sleep(RETRY_EVERY_S)
-    return Err(error)
+    return await _append(event_log, record)
 
 
 async def read_statuses(
@@ -65,3 +49,15 @@
         for address in settings.controllers:
             nursery.start_soon(ask, address)
     return {address: found[address] for address in settings.controllers}
+
+
+async def _append(event_log: EventLog, record: TopUp | Release) -> Result[None, PeerError]:
+    error = PeerError(Step.APPEND, "log", "not tried")
+    for _ in range(TRIES):
+        match await event_log.append(LEDGER_STREAM, (msgspec.to_builtins(record),)):
+            case Ok(_):
+                return Ok(None)
+            case Err(failed):
+                error = failed
+        await trio.sleep(RETRY_EVERY_S)
+    return Err(error)
