Revert "Wake the writer of unwritten outcomes only when there are some"

The turns that cost are those of the calls between processes (59 of 121 a second are the asyncio loop's, 28 its sockets'): fewer calls, such as load reports carried by heartbeats, are the way.

--- a/mulberrycleat/controller/once.py
+++ b/mulberrycleat/controller/once.py
@@ -83,7 +83,6 @@
         self._history = OnceHistory(window_s)
         self._changes = Changes()
         self._unwritten: list[OnceRecord] = []
-        self._pending = trio.Event()
         self._writing = trio.Lock()
         self._refused_until = -math.inf
 
@@ -126,7 +125,7 @@
             while not self._state.seen(intent.id):
                 await self._append_and_wait(intent)
         if not self._state.seen(intent.id) or not self._history.complete:
-            self._keep(Abandon(intent.id, intent.key))
+            self._unwritten.append(Abandon(intent.id, intent.key))
             self._refused_until = trio.current_time() + REFUSE_AT_ONCE_S
             return BeginReply("unavailable")
         if known := self._known(request.key, request.digest, request.id):
@@ -143,7 +142,7 @@
         body = request.body if kept else b""
         status, content_type = request.status, request.content_type
         outcome = Outcome(request.id, request.key, status, content_type, body, kept)
-        self._keep(outcome)
+        self._unwritten.append(outcome)
         with trio.move_on_after(FINISH_WAIT_S):
             await self.flush()
         return Ack()
@@ -152,12 +151,12 @@
         """Record the answer of an idempotent request with the next write."""
         if len(self._unwritten) < MAX_UNWRITTEN and len(self._state) < MAX_ANSWER_KEYS:
             fields = msgspec.structs.asdict(request)
-            self._keep(Answer(holder=self._holder, **fields))
+            self._unwritten.append(Answer(holder=self._holder, **fields))
         return Ack()
 
     async def abandon(self, request: AbandonRequest) -> Ack:
         """Record that a claimed dispatch never happened."""
-        self._keep(Abandon(request.id, request.key))
+        self._unwritten.append(Abandon(request.id, request.key))
         with trio.move_on_after(FINISH_WAIT_S):
             await self.flush()
         return Ack()
@@ -200,16 +199,8 @@
     async def _append(self, *records: OnceRecord) -> Any:
         return await self._event_log.append(STREAM, tuple(map(msgspec.to_builtins, records)))
 
-    def _keep(self, record: OnceRecord) -> None:
-        """Note a record that has to be written until the log confirms it."""
-        self._unwritten.append(record)
-        self._pending.set()
-
     async def _write_regularly(self) -> None:
         while True:
-            if not self._unwritten:
-                self._pending = trio.Event()
-                await self._pending.wait()
             await trio.sleep(RETRY_EVERY_S)
             await self.flush()
 
