--- a/mulberrycleat/cli/main.py
+++ b/mulberrycleat/cli/main.py
@@ -88,7 +88,7 @@
     else:
         for fault in faults:
             click.echo(f"{file}: {fault}", err=True)
-        click.echo(f"{file}: {'ok' if not faults else f'{len(faults)} faults'}")
+        click.echo(f"{file}: {_summary(len(faults))}")
     sys.exit(EXIT_BAD_INPUT if faults else 0)
 
 
@@ -164,6 +164,12 @@
         sys.exit(EXIT_UNAVAILABLE)
 
 
+def _summary(faults: int) -> str:
+    if not faults:
+        return "ok"
+    return "1 fault" if faults == 1 else f"{faults} faults"
+
+
 def _print_status(hosts: dict[str, dict[str, Any]]) -> None:
     for address, state in hosts.items():
         if "error" in state:
