--- a/mulberrycleat/burn/main.py
+++ b/mulberrycleat/burn/main.py
@@ -18,6 +18,7 @@
 from mulberrycleat.burn.report import Report, as_data, as_text, make_report
 from mulberrycleat.cli.changes import current_state
 from mulberrycleat.cli.operations import read_statuses
+from mulberrycleat.cli.session import EXIT_BAD_INPUT, EXIT_UNAVAILABLE, settings_option
 from mulberrycleat.core.logs import configure_logging
 from mulberrycleat.core.process import settings_or_exit, value_or_exit
 from mulberrycleat.eventlog import HttpEventLog
@@ -28,8 +29,6 @@
 __all__ = ["main"]
 
 EXIT_ALERT = 1
-EXIT_BAD_INPUT = 2
-EXIT_UNAVAILABLE = 3
 
 
 class _Tool:
@@ -72,15 +71,7 @@
 
 
 @click.group()
-@click.option(
-    "--settings",
-    "settings_file",
-    type=click.Path(dir_okay=False, path_type=Path),
-    envvar="MULBERRYCLEAT_SETTINGS",
-    default="operator.toml",
-    show_default=True,
-    help="The operator's settings file; `routers` names the routers to ask.",
-)
+@settings_option
 @click.pass_context
 def main(context: click.Context, settings_file: Path) -> None:
     """Report how fast the error budgets of the manifest's objectives are used up.
--- a/mulberrycleat/cli/main.py
+++ b/mulberrycleat/cli/main.py
@@ -20,6 +20,7 @@
     fail,
     json_option,
     read_text,
+    settings_option,
 )
 from mulberrycleat.core import PeerError, new_id
 from mulberrycleat.eventlog import HttpEventLog
@@ -43,15 +44,7 @@
 
 
 @click.group()
-@click.option(
-    "--settings",
-    "settings_file",
-    type=click.Path(dir_okay=False, path_type=Path),
-    envvar="MULBERRYCLEAT_SETTINGS",
-    default="operator.toml",
-    show_default=True,
-    help="The operator's settings file.",
-)
+@settings_option
 @click.pass_context
 def main(context: click.Context, settings_file: Path) -> None:
     """Operate a mulberrycleat fleet.
--- a/mulberrycleat/cli/session.py
+++ b/mulberrycleat/cli/session.py
@@ -25,6 +25,7 @@
     "fail",
     "json_option",
     "read_text",
+    "settings_option",
     "timeout_option",
     "wait_option",
 ]
@@ -34,6 +35,15 @@
 EXIT_UNAVAILABLE = 3
 EXIT_NOT_CONFIRMED = 4
 
+settings_option = click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(dir_okay=False, path_type=Path),
+    envvar="MULBERRYCLEAT_SETTINGS",
+    default="operator.toml",
+    show_default=True,
+    help="The operator's settings file; it names the log, the controllers and the routers.",
+)
 json_option = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 wait_option = click.option("--wait", is_flag=True, help="Wait until every host has it in force.")
 timeout_option = click.option(
