--- /dev/null
+++ b/mulberrycleat/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host process: router and controllers in one event loop."""
--- /dev/null
+++ b/mulberrycleat/entry/app.py
@@ -0,0 +1,198 @@
+"""The entry host: callers in front, endpoints behind, the store and the other hosts beside."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import trio
+from hypercorn.config import Config
+from result import Result
+
+from mulberrycleat.core import Refusal, Served, new_id
+from mulberrycleat.entry.call import EntryCall
+from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.endpoints import EndpointBook
+from mulberrycleat.entry.feeds import DirectoryFeed, MapFeed
+from mulberrycleat.entry.filters import (
+    AccountFilter,
+    DeadlineFilter,
+    DispatchFilter,
+    PrepaidFilter,
+    RouteFilter,
+)
+from mulberrycleat.entry.front import Front
+from mulberrycleat.entry.metrics import EntryMetrics
+from mulberrycleat.entry.protocol import Dialect
+from mulberrycleat.entry.relay import RelayedStore, RelayServer
+from mulberrycleat.entry.repeats import RepeatBudget
+from mulberrycleat.entry.settings import EntrySettings
+from mulberrycleat.entry.slices import SliceController
+from mulberrycleat.entry.stopping import Stopping
+from mulberrycleat.entry.store import StateStore
+from mulberrycleat.prepaid import Allowance, AllowanceSettings
+from mulberrycleat.router.chain import FilterChain
+from mulberrycleat.routes import ClientLimits, RouteTable
+from mulberrycleat.web import App, HttpClient, Reply, Request, Responder, Route, serve_app
+from mulberrycleat.web.upstream import ConnectionPool
+
+__all__ = ["EntryHost"]
+
+SWEEP_EVERY_S = 1.0
+# A host that has not got its first slices after this time serves what needs none.
+SLICES_PATIENCE_S = 3.0
+# Longest time that the last record may take at the end of the process.
+LAST_RECORD_S = 0.5
+PEER_SILENCE_S = 1.0
+
+
+class EntryHost:
+    """One process on each entry host.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        The settings, whole.
+    dialect : Dialect
+        Headers of the platform.
+    store : StateStore
+        The platform's store.
+    decisions : DecisionLog
+        Where decisions are told.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        dialect: Dialect,
+        store: StateStore,
+        decisions: DecisionLog,
+    ) -> None:
+        self._settings = settings
+        self._decisions = decisions
+        self._limits = ClientLimits()
+        self._front_config: Config | None = None
+        self._started_at = float("inf")
+        random = Random(settings.host)
+        self._peer_http = HttpClient(PEER_SILENCE_S, silence_timeout_s=PEER_SILENCE_S)
+        self._stopping = Stopping(settings.bounds, settings.times)
+        self._book = EndpointBook(settings.zone, random)
+        self._repeats = RepeatBudget(settings.bounds)
+        self._connections = ConnectionPool()
+        self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
+        allowance = Allowance(AllowanceSettings(), settings.host, new_id(), settings.peers_listen)
+        self._slices = SliceController(allowance, self._store, settings.times, decisions, random)
+        self._maps = MapFeed(self._store, settings.times, decisions, self._take_table)
+        self._directory = DirectoryFeed(
+            self._store, self._book.directory, settings.times, decisions, self._take_directory
+        )
+        self._relay = RelayServer(self._store, self._maps.known, self._directory.known)
+        self._metrics = EntryMetrics()
+        self._chain = FilterChain(
+            (
+                RouteFilter(lambda: self._maps.table, random),
+                AccountFilter(),
+                DeadlineFilter(),
+                PrepaidFilter(self._slices, decisions, trio.current_time),
+                DispatchFilter(dialect, self._book, self._repeats, self._connections, decisions),
+            )
+        )
+        self._front = Front(
+            dialect, self._chain.run, lambda: self._limits, self._stopping, decisions, self._on_end
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers' connections are welcome."""
+        if self._stopping.stopping or self._maps.table is None or not self._directory.read:
+            return False
+        waited_s = trio.current_time() - self._started_at
+        return self._slices.ready or waited_s >= SLICES_PATIENCE_S
+
+    async def run(self, stop: trio.Event) -> None:
+        """Serve until `stop` is set and the requests in flight have ended."""
+        self._started_at = trio.current_time()
+        self._decisions.warn("started", host=self._settings.host, zone=self._settings.zone)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._maps.run)
+            nursery.start_soon(self._directory.run)
+            nursery.start_soon(self._run_slices)
+            nursery.start_soon(self._sweep)
+            nursery.start_soon(self._metrics.watch_loop)
+            nursery.start_soon(self._serve, self._readiness_app(), self._settings.readiness)
+            if self._settings.peers_listen:
+                nursery.start_soon(self._serve, self._peers_app(), self._settings.peers_listen)
+            if self._settings.metrics:
+                nursery.start_soon(self._serve, self._metrics_app(), self._settings.metrics)
+            nursery.start_soon(self._serve, self._front, self._settings.front, self._take_config)
+            await stop.wait()
+            self._decisions.warn("stopping", running=self._stopping.running)
+            await self._stopping.run()
+            with trio.move_on_after(LAST_RECORD_S):
+                await self._slices.end()
+            self._decisions.warn("stopped", running=self._stopping.running)
+            nursery.cancel_scope.cancel()
+
+    async def _serve(self, app: Any, address: str, on_config: Any = lambda config: None) -> None:
+        def tune(config: Config) -> None:
+            config.include_date_header = False
+            config.keep_alive_max_requests = 2**31
+            on_config(config)
+
+        await serve_app(app, address, trio.Event(), on_config=tune)
+
+    def _readiness_app(self) -> App:
+        return App((Route("GET", "/{path:path}", self._answer_readiness),))
+
+    def _peers_app(self) -> App:
+        return App(self._relay.routes())
+
+    def _metrics_app(self) -> App:
+        return App((Route("GET", "/metrics", self._answer_metrics),))
+
+    async def _answer_readiness(self, request: Request, responder: Responder) -> Reply:
+        return Reply(200 if self.ready else 503)
+
+    async def _answer_metrics(self, request: Request, responder: Responder) -> Reply:
+        now = trio.current_time()
+        self._metrics.map_age_s.set(now - self._maps.read_at)
+        self._metrics.directory_age_s.set(now - self._directory.read_at)
+        self._metrics.running.set(self._stopping.running)
+        self._metrics.connections_opened.set(self._connections.opened)
+        return self._metrics.reply()
+
+    async def _run_slices(self) -> None:
+        while self._maps.table is None:
+            await trio.sleep(0.02)
+        await self._slices.run()
+
+    async def _sweep(self) -> None:
+        while True:
+            await trio.sleep(SWEEP_EVERY_S)
+            self._connections.sweep(self._book.addresses())
+            self._repeats.set_hosts(self._slices.hosts())
+
+    def _peers(self) -> tuple[str, ...]:
+        known = {*self._slices.peers, *self._settings.seeds}
+        known.discard(self._settings.peers_listen)
+        return tuple(sorted(known))
+
+    def _take_table(self, table: RouteTable) -> None:
+        self._limits = table.map.limits
+        self._slices.take_table(table)
+        self._apply_limits()
+
+    def _take_config(self, config: Config) -> None:
+        self._front_config = config
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        if self._front_config is not None:
+            self._front_config.keep_alive_timeout = self._limits.idle_timeout_s
+            self._front_config.h11_max_incomplete_size = self._limits.max_header_bytes
+
+    def _take_directory(self) -> None:
+        self._book.retain()
+
+    def _on_end(self, call: EntryCall, outcome: Result[Served, Refusal] | None) -> None:
+        self._metrics.count(call, outcome)
--- /dev/null
+++ b/mulberrycleat/entry/decisions.py
@@ -0,0 +1,131 @@
+"""One log line for each decision, bounded in volume, written without ever blocking."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Callable
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+__all__ = ["DecisionLog", "LineWriter", "configure_decision_logging"]
+
+# Lines of one kind in one second; a host of the stated size serves about 100 requests a second.
+LINES_PER_S = 60
+URGENT_LINES_PER_S = 240
+# Unwritten bytes that are kept while the pipe is full.
+MAX_PENDING_BYTES = 262_144
+
+log = logging.getLogger("mulberrycleat.decisions")
+
+
+class LineWriter:
+    """Writes lines to a file descriptor; a full pipe drops lines and counts them.
+
+    Parameters
+    ----------
+    descriptor : int
+        Made non-blocking.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._pending = b""
+        self._dropped = 0
+        os.set_blocking(descriptor, False)
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were dropped so far."""
+        return self._dropped
+
+    def write(self, text: str) -> None:
+        """Write a line with its end, or drop it."""
+        data = text.encode("utf-8", "replace")
+        if len(self._pending) + len(data) > MAX_PENDING_BYTES:
+            self._dropped += 1
+            data = b""
+        self._pending += data
+        try:
+            while self._pending:
+                count = os.write(self._descriptor, self._pending)
+                self._pending = self._pending[count:]
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads; there is no other place to say so.
+            self._dropped += 1
+            self._pending = b""
+
+    def flush(self) -> None:
+        """Nothing is buffered beyond what the pipe did not take."""
+
+
+class DecisionLog:
+    """Lines for decisions, at most so many of each kind in a second.
+
+    Parameters
+    ----------
+    now : callable
+        Returns seconds of a steady clock.
+    lines_per_s, urgent_lines_per_s : int
+        Bound of each kind, and the bound of kinds that tell of refusals and faults.
+    """
+
+    def __init__(
+        self,
+        now: Callable[[], float],
+        lines_per_s: int = LINES_PER_S,
+        urgent_lines_per_s: int = URGENT_LINES_PER_S,
+    ) -> None:
+        self._now = now
+        self._bounds = {logging.INFO: lines_per_s, logging.WARNING: urgent_lines_per_s}
+        self._second = -1
+        self._counts: dict[tuple[str, int], int] = {}
+        self._left_out: dict[str, int] = {}
+
+    @property
+    def left_out(self) -> dict[str, int]:
+        """Lines left out so far, by kind."""
+        return self._left_out
+
+    def note(self, kind: str, **fields: Any) -> None:
+        """Log a decision."""
+        self._write(logging.INFO, kind, fields)
+
+    def warn(self, kind: str, **fields: Any) -> None:
+        """Log a refusal or a fault."""
+        self._write(logging.WARNING, kind, fields)
+
+    def _write(self, level: int, kind: str, fields: dict[str, Any]) -> None:
+        second = int(self._now())
+        if second != self._second:
+            self._second = second
+            self._counts.clear()
+        count = self._counts.get((kind, level), 0)
+        if count >= self._bounds[level]:
+            self._left_out[kind] = self._left_out.get(kind, 0) + 1
+            return
+        self._counts[kind, level] = count + 1
+        if count == 0 and self._left_out.get(kind):
+            fields = {**fields, "left_out": self._left_out[kind]}
+        log.log(level, kind, extra=fields)
+
+
+def configure_decision_logging(writer: LineWriter, **fixed: str) -> None:
+    """Send log records as JSON lines to `writer`; `fixed` fields are in every record."""
+    handler = logging.StreamHandler(writer)
+    handler.setFormatter(
+        JsonFormatter(
+            "%(levelname)s %(name)s %(message)s",
+            timestamp=True,
+            static_fields=fixed,
+            rename_fields={"levelname": "level", "name": "logger"},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+    for noisy in ("httpcore", "hypercorn", "hpack"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
--- /dev/null
+++ b/mulberrycleat/entry/endpoints.py
@@ -0,0 +1,68 @@
+"""The endpoints as this host sees them: who is there, and who gets a request."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from random import Random
+
+import trio
+
+from mulberrycleat.endpoint.directory import Directory
+from mulberrycleat.endpoint.placer import Placement, Placer, PlacerSettings, Work
+from mulberrycleat.entry.call import EntryCall
+from mulberrycleat.entry.protocol import RequestFacts
+
+__all__ = ["EndpointBook", "work_of"]
+
+
+class EndpointBook:
+    """Directory and placement of all pools.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this host.
+    random : Random
+        Source of the choice among equals.
+    settings : PlacerSettings, optional
+        How endpoints are compared.
+    """
+
+    def __init__(self, zone: str, random: Random, settings: PlacerSettings | None = None) -> None:
+        self._zone = zone
+        self._random = random
+        self._settings = settings or PlacerSettings()
+        self._directory = Directory()
+        self._placers: dict[str, Placer] = {}
+
+    @property
+    def directory(self) -> Directory:
+        """Endpoints by id."""
+        return self._directory
+
+    def choose(self, call: EntryCall, tried: Collection[str]) -> Placement | None:
+        """Return the endpoint for a request, leaving out those in `tried`."""
+        now = trio.current_time()
+        entries = self._directory.ready(call.pool.name, now)
+        return self.placer(call.pool.name).choose(entries, work_of(call.facts), now, tried)
+
+    def placer(self, pool: str) -> Placer:
+        """Return the placement of one pool."""
+        if pool not in self._placers:
+            self._placers[pool] = Placer(self._settings, self._zone, self._random)
+        return self._placers[pool]
+
+    def retain(self) -> None:
+        """Forget what is known of endpoints that are gone."""
+        for placer in self._placers.values():
+            placer.retain(self._directory.entries)
+
+    def addresses(self) -> set[str]:
+        """Return the addresses of all endpoints."""
+        return {entry.address for entry in self._directory.entries.values()}
+
+
+def work_of(facts: RequestFacts) -> Work:
+    """Return what a request asks of an endpoint; its own last part is shared with nobody."""
+    shared = facts.parts[:-1] if len(facts.parts) > 1 else facts.parts
+    return Work(facts.prompt_tokens, shared)
--- /dev/null
+++ b/mulberrycleat/entry/filters/__init__.py
@@ -0,0 +1,7 @@
+"""Filters of an entry host, in the order in which a request meets them."""
+
+from mulberrycleat.entry.filters.admit import AccountFilter, DeadlineFilter, RouteFilter
+from mulberrycleat.entry.filters.dispatch import DispatchFilter
+from mulberrycleat.entry.filters.prepaid import PrepaidFilter
+
+__all__ = ["AccountFilter", "DeadlineFilter", "DispatchFilter", "PrepaidFilter", "RouteFilter"]
--- /dev/null
+++ b/mulberrycleat/entry/filters/admit.py
@@ -0,0 +1,96 @@
+"""Filters that find a request's route, its client account and its deadline."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+import trio
+from result import Err, Result
+
+from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
+from mulberrycleat.entry.call import EntryCall
+from mulberrycleat.routes import PoolShare, RouteTable
+
+__all__ = ["AccountFilter", "DeadlineFilter", "RouteFilter"]
+
+Proceed = Callable[[EntryCall], "trio.Awaitable[Result[Served, Refusal]]"]
+
+# When to come back to a host that has not read the route map yet.
+NO_MAP_RETRY_S = 0.5
+# The answer to a request that runs out of time leaves this much before its limit.
+ANSWER_MARGIN_S = 0.02
+
+
+class RouteFilter:
+    """Find the route and the pool of a request.
+
+    Parameters
+    ----------
+    table : callable
+        Returns the route map in force, None before there is one.
+    random : Random
+        Source of the choice among a route's pools.
+    """
+
+    def __init__(self, table: Callable[[], RouteTable | None], random: Random) -> None:
+        self._table = table
+        self._random = random
+
+    async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
+        """Refuse with 400 what can't be read, and with 404 what no route takes."""
+        if call.facts.fault:
+            return Err(NotRun(Step.ADMIT, "", call.facts.fault, 400, None, "bad_request"))
+        if not call.facts.request_id:
+            return Err(NotRun(Step.ADMIT, "", "no request id", 400, None, "bad_request"))
+        table = self._table()
+        if table is None:
+            reason = "no route map has been read yet"
+            return Err(NotRun(Step.ADMIT, "", reason, 503, NO_MAP_RETRY_S, "no_route_map"))
+        route = table.find_route(call.host, call.path)
+        if route is None or not route.pools:
+            return Err(NotRun(Step.ADMIT, "", "no such route", 404, None, "unknown_route"))
+        pool = table.pool(self._pick(route.pools))
+        if pool is None:
+            return Err(NotRun(Step.ADMIT, "", "the route's pool is not known", 503, 1.0))
+        return await proceed(replace(call, table=table, route=route, pool=pool))
+
+    def _pick(self, shares: tuple[PoolShare, ...]) -> str:
+        if len(shares) == 1:
+            return shares[0].pool
+        weights = [share.weight for share in shares]
+        return self._random.choices(shares, weights)[0].pool
+
+
+class AccountFilter:
+    """Find the client account of a caller's key."""
+
+    async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
+        """Refuse a request without a known key with 401."""
+        if not call.table.has_accounts or call.route.anonymous:
+            return await proceed(call)
+        account = call.table.account_of(call.facts.api_key) if call.facts.api_key else None
+        if account is None:
+            reason = "the key is not known" if call.facts.api_key else "no key"
+            return Err(NotRun(Step.AUTHENTICATE, "", reason, 401, None, "unauthorized"))
+        return await proceed(replace(call, account=account))
+
+
+class DeadlineFilter:
+    """End a request at the caller's limit or at the route's, whichever comes first."""
+
+    async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
+        """Answer 504 when the request may have run, and 503 when it has not."""
+        limit_s = call.route.timeout_s
+        if call.facts.time_left_s is not None:
+            limit_s = min(limit_s, call.facts.time_left_s)
+        deadline = call.arrived + max(0.0, limit_s - ANSWER_MARGIN_S)
+        with trio.move_on_at(deadline):
+            return await proceed(replace(call, deadline=deadline))
+        progress = call.progress
+        if progress.runs:
+            reason = f"no whole answer in {limit_s:g} s"
+            return Err(MayHaveRun(Step.DISPATCH, progress.endpoint, reason, 504, "timeout"))
+        reason = f"no endpoint began in {limit_s:g} s"
+        return Err(NotRun(Step.CHOOSE, progress.endpoint, reason, 503, 1.0, "timeout"))
--- /dev/null
+++ b/mulberrycleat/entry/filters/prepaid.py
@@ -0,0 +1,86 @@
+"""Filter that reserves prepaid tokens before a request runs and settles them after."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+from result import Err, Result
+
+from mulberrycleat.core import NotRun, Refusal, Served, Step
+from mulberrycleat.entry.call import EntryCall
+from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.filters.admit import Proceed
+from mulberrycleat.entry.slices import SliceController
+from mulberrycleat.prepaid import Verdict
+from mulberrycleat.routes import RouteKind
+
+__all__ = ["PrepaidFilter"]
+
+EXHAUSTED_STATUS = 402
+# When to come back for tokens that other hosts or requests hold: they are settled by then.
+LACKING_RETRY_S = 1.0
+
+
+class PrepaidFilter:
+    """Reserve the largest cost of a request, and settle what was delivered.
+
+    Parameters
+    ----------
+    slices : SliceController
+        This host's slices of the prepaid totals.
+    decisions : DecisionLog
+        Where refusals are told.
+    now : callable
+        Returns seconds of trio's clock.
+    """
+
+    def __init__(
+        self, slices: SliceController, decisions: DecisionLog, now: Callable[[], float]
+    ) -> None:
+        self._slices = slices
+        self._decisions = decisions
+        self._now = now
+
+    async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
+        """Refuse with 402 what the total does not cover, with 503 what a slice does not."""
+        account, cost = call.account, call.facts.largest_cost
+        if account is None or account.prepaid_tokens is None or not cost:
+            return await proceed(call)
+        verdict = await self._slices.reserve(account.name, cost, call.deadline)
+        if verdict is not Verdict.GRANTED:
+            return Err(self._refusal(call, verdict, cost))
+        used = cost
+        try:
+            outcome = await proceed(call)
+            used = _used(call)
+            return outcome
+        except trio.Cancelled:
+            used = _used(call)
+            raise
+        finally:
+            self._slices.settle(account.name, cost, min(used, cost))
+
+    def _refusal(self, call: EntryCall, verdict: Verdict, cost: int) -> Refusal:
+        name = call.account.name
+        facts = self._slices.describe(name)
+        self._decisions.warn(
+            "budget refused", request=call.facts.request_id, account=name, cost=cost, **facts
+        )
+        if verdict is Verdict.EXHAUSTED:
+            reason = "the prepaid total does not cover the request"
+            return NotRun(Step.BUDGET, "", reason, EXHAUSTED_STATUS, None, "budget_exhausted")
+        reason = "the tokens left are held for other requests"
+        return NotRun(Step.BUDGET, "", reason, 503, LACKING_RETRY_S, "budget_held")
+
+
+def _used(call: EntryCall) -> int:
+    """Return the tokens to charge: the prompt once if it may have run, and what was delivered."""
+    progress = call.progress
+    if not progress.runs:
+        return 0
+    if call.route.kind is not RouteKind.STREAM:
+        return call.facts.largest_cost
+    per_event = call.pool.engine.tokens_per_event if call.pool.engine else 1
+    output = min(progress.delivered_events * per_event, call.facts.max_output_tokens)
+    return call.facts.prompt_tokens + output
--- /dev/null
+++ b/mulberrycleat/entry/front.py
@@ -0,0 +1,202 @@
+"""Callers' HTTP in front of the filter chain."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from result import Err, Ok, Result
+
+from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
+from mulberrycleat.core.logs import origin_of
+from mulberrycleat.entry.call import EntryCall
+from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.protocol import Dialect, RequestFacts
+from mulberrycleat.entry.stopping import Stopping
+from mulberrycleat.routes import ClientLimits
+from mulberrycleat.web.asgi import (
+    BodyTooLargeError,
+    Responder,
+    answer_lifespan,
+    read_body,
+    watch_disconnect,
+)
+
+__all__ = ["Front"]
+
+# Longest time that a body may take to arrive; callers of the platform send theirs at once.
+BODY_TIMEOUT_S = 10.0
+
+Run = Callable[[EntryCall], Awaitable[Result[Served, Refusal]]]
+
+
+class Front:
+    """ASGI application that runs each request through the chain.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Headers of the platform.
+    run : callable
+        Runs the filter chain.
+    limits : callable
+        Returns the limits in force.
+    stopping : Stopping
+        Stages of a planned stop.
+    decisions : DecisionLog
+        Where the end of each request is told.
+    on_end : callable
+        Gets each request with its outcome; None when the caller went away.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        run: Run,
+        limits: Callable[[], ClientLimits],
+        stopping: Stopping,
+        decisions: DecisionLog,
+        on_end: Callable[[EntryCall, Result[Served, Refusal] | None], None],
+    ) -> None:
+        self._dialect = dialect
+        self._run = run
+        self._limits = limits
+        self._stopping = stopping
+        self._decisions = decisions
+        self._on_end = on_end
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Handle one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+        elif scope["type"] == "http":
+            responder = Responder(self._stopping.closing(send))
+            with self._stopping.request():
+                await self._serve(scope, receive, responder)
+
+    async def _serve(self, scope: Any, receive: Any, responder: Responder) -> None:
+        arrived = trio.current_time()
+        headers = [(name.lower(), value) for name, value in scope["headers"]]
+        facts = self._dialect.read_request(headers)
+        call = _call(scope, headers, b"", arrived, facts, responder)
+        try:
+            with trio.fail_after(BODY_TIMEOUT_S):
+                body = await read_body(receive, self._limits().max_body_bytes)
+        except BodyTooLargeError:
+            await self._end(call, Err(_bad(413, "the body is larger than the limit")))
+            return
+        except trio.TooSlowError:
+            await self._end(call, Err(_bad(408, "the body took too long to arrive")))
+            return
+        if body is None:
+            return
+        await self._run_chain(_call(scope, headers, body, arrived, facts, responder), receive)
+
+    async def _run_chain(self, call: EntryCall, receive: Any) -> None:
+        outcome: Result[Served, Refusal] | None = None
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_when_gone, receive, call.responder, nursery)
+                outcome = await self._run(call)
+                nursery.cancel_scope.cancel()
+        except Exception as error:
+            self._decisions.warn(
+                "internal error", request=call.facts.request_id, why=origin_of(error)
+            )
+            outcome = Err(_internal_error(call))
+        await self._end(call, outcome)
+
+    async def _end(self, call: EntryCall, outcome: Result[Served, Refusal] | None) -> None:
+        self._tell(call, outcome)
+        self._on_end(call, outcome)
+        if isinstance(outcome, Err) and not call.responder.started:
+            await self._refuse(call, outcome.err_value)
+
+    async def _refuse(self, call: EntryCall, refusal: Refusal) -> None:
+        retry_s = refusal.retry_after_s if isinstance(refusal, NotRun) else None
+        headers = self._dialect.refusal_headers(call.facts.request_id, retry_s)
+        body = f"{refusal.code}: {refusal.reason}\n".encode()
+        pairs = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in headers]
+        pairs.append(("content-type", "text/plain; charset=utf-8"))
+        pairs.append(("content-length", str(len(body))))
+        if refusal.status in (408, 413):
+            pairs.append(("connection", "close"))
+        await call.responder.start(refusal.status, tuple(pairs))
+        await call.responder.finish(body)
+
+    def _tell(self, call: EntryCall, outcome: Result[Served, Refusal] | None) -> None:
+        progress, now = call.progress, trio.current_time()
+        fields: dict[str, Any] = {
+            "request": call.facts.request_id,
+            "route": call.route.name if call.route else "",
+            "account": call.account.name if call.account else "",
+            "map_version": call.table.version if call.table else -1,
+            "endpoint": progress.endpoint,
+            "sends": progress.sends,
+            "took_s": round(now - call.arrived, 4),
+        }
+        if math.isfinite(call.deadline):
+            fields["left_s"] = round(call.deadline - now, 3)
+        match outcome:
+            case Ok(_):
+                first_at = progress.first_at
+                first_s = None if first_at is None else round(first_at - call.arrived, 4)
+                self._decisions.note("served", first_s=first_s, **fields)
+            case Err(refusal):
+                retry_s = refusal.retry_after_s if isinstance(refusal, NotRun) else None
+                self._decisions.warn(
+                    "refused",
+                    step=refusal.step.value,
+                    code=refusal.code,
+                    status=refusal.status,
+                    ran=refusal.outcome,
+                    why=refusal.reason,
+                    retry_after_s=retry_s,
+                    broken_off=call.responder.started,
+                    **fields,
+                )
+            case None:
+                self._decisions.note("caller gone", **fields)
+
+
+def _call(
+    scope: Any,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+    arrived: float,
+    facts: RequestFacts,
+    responder: Responder,
+) -> EntryCall:
+    query = scope["query_string"]
+    raw_path = scope["raw_path"]
+    host = next((value.decode("latin-1") for name, value in headers if name == b"host"), "")
+    return EntryCall(
+        method=scope["method"],
+        target=raw_path + (b"?" + query if query else b""),
+        path=raw_path.decode("latin-1"),
+        host=host,
+        headers=headers,
+        body=body,
+        arrived=arrived,
+        facts=facts,
+        responder=responder,
+    )
+
+
+def _bad(status: int, reason: str) -> NotRun:
+    return NotRun(Step.RECEIVE, "", reason, status, None, "bad_request")
+
+
+def _internal_error(call: EntryCall) -> Refusal:
+    reason = "an internal error of the entry host"
+    if call.progress.runs:
+        return MayHaveRun(Step.RECEIVE, "", reason, 500, "internal")
+    return NotRun(Step.RECEIVE, "", reason, 500, None, "internal")
+
+
+async def _cancel_when_gone(receive: Any, responder: Responder, nursery: trio.Nursery) -> None:
+    await watch_disconnect(receive, responder)
+    if responder.gone.is_set():
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/mulberrycleat/entry/metrics.py
@@ -0,0 +1,86 @@
+"""Counters and latency histograms of an entry host."""
+
+from __future__ import annotations
+
+import trio
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from result import Err, Ok, Result
+
+from mulberrycleat.core import Refusal, Served
+from mulberrycleat.entry.call import EntryCall
+from mulberrycleat.web import Reply
+
+__all__ = ["EntryMetrics"]
+
+METRICS_TYPE = (("content-type", "text/plain; version=0.0.4"),)
+PREFIX = "mulberrycleat_entry_"
+TIME_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0)
+LOOP_CHECK_S = 0.25
+
+
+class EntryMetrics:
+    """Metrics of one process. Labels are names of routes and codes, which are bounded."""
+
+    def __init__(self) -> None:
+        registry = self._registry = CollectorRegistry()
+        self._requests = Counter(
+            f"{PREFIX}requests",
+            "Requests by outcome",
+            ["route", "outcome", "code"],
+            registry=registry,
+        )
+        self._sends = Counter(
+            f"{PREFIX}sends", "Sends to endpoints, repeats included", ["route"], registry=registry
+        )
+        self._first_s = Histogram(
+            f"{PREFIX}first_seconds",
+            "Time to the answer or the first event, in seconds",
+            ["route"],
+            buckets=TIME_BUCKETS_S,
+            registry=registry,
+        )
+        self._loop_s = Histogram(
+            f"{PREFIX}loop_delay_seconds",
+            "Delay of the event loop, in seconds",
+            buckets=TIME_BUCKETS_S,
+            registry=registry,
+        )
+        self.running = Gauge(f"{PREFIX}running", "Requests in flight", registry=registry)
+        self.map_age_s = Gauge(
+            f"{PREFIX}map_age_seconds",
+            "Since the route map was read, in seconds",
+            registry=registry,
+        )
+        self.directory_age_s = Gauge(
+            f"{PREFIX}directory_age_seconds",
+            "Since the directory was read, in seconds",
+            registry=registry,
+        )
+        self.connections_opened = Gauge(
+            f"{PREFIX}connections_opened", "Connections opened to endpoints", registry=registry
+        )
+
+    def count(self, call: EntryCall, outcome: Result[Served, Refusal] | None) -> None:
+        """Count the end of a request."""
+        route = call.route.name if call.route else ""
+        self._sends.labels(route).inc(call.progress.sends)
+        match outcome:
+            case Ok(_):
+                self._requests.labels(route, "served", "").inc()
+                first_at = call.progress.first_at or trio.current_time()
+                self._first_s.labels(route).observe(first_at - call.arrived)
+            case Err(refusal):
+                self._requests.labels(route, refusal.outcome, refusal.code).inc()
+            case None:
+                self._requests.labels(route, "gone", "").inc()
+
+    async def watch_loop(self) -> None:
+        """Measure the delay of the event loop, for ever."""
+        while True:
+            due = trio.current_time() + LOOP_CHECK_S
+            await trio.sleep_until(due)
+            self._loop_s.observe(trio.current_time() - due)
+
+    def reply(self) -> Reply:
+        """Return all metrics as text."""
+        return Reply(200, generate_latest(self._registry), METRICS_TYPE)
--- /dev/null
+++ b/mulberrycleat/entry/slices.py
@@ -0,0 +1,215 @@
+"""Controller of this host's slices of the prepaid totals."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import trio
+from result import Err, Ok
+
+from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.settings import EntryTimes
+from mulberrycleat.entry.store import StateStore
+from mulberrycleat.prepaid import Allowance, Verdict
+from mulberrycleat.routes import RouteTable
+
+__all__ = ["SliceController"]
+
+# Tries to append a record in a row, when other hosts append in between.
+APPEND_TRIES = 8
+CONFLICT_PAUSE_S = 0.01
+# A host is counted among those that share a budget until its record has not changed for so long.
+HOST_ACTIVE_S = 15.0
+# Between two reads of the ledger when nothing is to be written.
+IDLE_READ_S = 1.0
+
+
+class SliceController:
+    """Keeps the ledger up to date, and draws slices ahead of demand.
+
+    Parameters
+    ----------
+    allowance : Allowance
+        The decisions.
+    store : StateStore
+        Where records are kept.
+    times : EntryTimes
+        Times of the loop.
+    decisions : DecisionLog
+        Where changes are told.
+    random : Random
+        Spreads tries of hosts that append at the same time.
+    """
+
+    def __init__(
+        self,
+        allowance: Allowance,
+        store: StateStore,
+        times: EntryTimes,
+        decisions: DecisionLog,
+        random: Random,
+    ) -> None:
+        self._allowance = allowance
+        self._store = store
+        self._times = times
+        self._decisions = decisions
+        self._random = random
+        self._offset: int | None = None
+        self._kick = trio.Event()
+        self._changed = trio.Event()
+        self._in_touch = False
+        self._read_at = float("-inf")
+        self._written_at = float("-inf")
+        self._seen: dict[str, tuple[str, int, float]] = {}
+
+    @property
+    def in_touch(self) -> bool:
+        """Whether the store answered last."""
+        return self._in_touch
+
+    @property
+    def ready(self) -> bool:
+        """Whether this incarnation has slices."""
+        return self._allowance.joined
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Addresses of the hosts that have a record."""
+        records = self._allowance.ledger.records.values()
+        return tuple(r.peer_address for r in records if r.peer_address and not r.ended)
+
+    def hosts(self) -> int:
+        """Return the number of hosts that may share a budget with this one."""
+        now = trio.current_time()
+        return sum(1 for _, _, at in self._seen.values() if now - at < HOST_ACTIVE_S)
+
+    def take_table(self, table: RouteTable) -> None:
+        """Take the totals of a new route map."""
+        totals = {
+            name: account.prepaid_tokens
+            for name, account in table.accounts.items()
+            if account.prepaid_tokens is not None
+        }
+        self._allowance.take_totals(totals, table.version)
+        self._kick.set()
+
+    async def reserve(self, account: str, tokens: int, deadline: float) -> Verdict:
+        """Reserve tokens, waiting a short time for a larger slice when the store is in touch."""
+        verdict = self._allowance.reserve(account, tokens, trio.current_time())
+        if verdict is not Verdict.LACKING or not self._in_touch:
+            return verdict
+        self._allowance.want(account, tokens)
+        try:
+            with trio.move_on_at(min(deadline, trio.current_time() + self._times.slice_wait_s)):
+                while verdict is Verdict.LACKING and self._in_touch:
+                    self._kick.set()
+                    await self._changed.wait()
+                    verdict = self._allowance.reserve(account, tokens, trio.current_time())
+        finally:
+            self._allowance.want(account, -tokens)
+        return verdict
+
+    def settle(self, account: str, reserved: int, used: int) -> None:
+        """Give back what a request did not use."""
+        self._allowance.settle(account, reserved, used)
+
+    def describe(self, account: str) -> dict[str, Any]:
+        """Return the inputs of a decision about an account's tokens."""
+        ledger = self._allowance.ledger
+        return {
+            "free": self._allowance.free_tokens(account),
+            "committed": ledger.committed(account),
+            "surely_spent": ledger.surely_spent(account),
+            "ledger_end": ledger.end,
+            "ledger_age_s": round(trio.current_time() - self._read_at, 3),
+            "in_touch": self._in_touch,
+        }
+
+    async def run(self) -> None:
+        """Settle and draw slices, for ever."""
+        while True:
+            await self._cycle()
+            self._wake()
+            with trio.move_on_after(self._times.slices_every_s):
+                await self._kick.wait()
+            self._kick = trio.Event()
+
+    async def end(self) -> None:
+        """Write the last record, so that nothing is held for an incarnation that has ended."""
+        await self._write(ended=True)
+
+    async def _cycle(self) -> None:
+        if self._offset is None and not await self._read():
+            return
+        wrote = await self._write()
+        if not wrote and trio.current_time() - self._read_at >= IDLE_READ_S:
+            await self._read()
+
+    async def _write(self, ended: bool = False) -> bool:
+        """Append a record if one is needed; return whether it stands in the store."""
+        for _ in range(APPEND_TRIES):
+            now = trio.current_time()
+            due = now - self._written_at >= self._times.slices_due_s
+            record = self._allowance.draft(now, ended, due)
+            if record is None:
+                return False
+            match await self._store.append_slices(record, self._allowance.ledger.end):
+                case Ok(outcome) if outcome.done:
+                    self._allowance.written(record, outcome.offset)
+                    self._offset = self._allowance.ledger.end
+                    self._written_at = self._read_at = trio.current_time()
+                    self._note_touch(True, "")
+                    self._note_hosts()
+                    self._decisions.note("slices recorded", number=record.number)
+                    self._wake()
+                    return True
+                case Ok(_):
+                    self._allowance.refused(record)
+                    await trio.sleep(self._random.uniform(0, CONFLICT_PAUSE_S))
+                    if not await self._read():
+                        return False
+                case Err(error):
+                    if not error.sent:
+                        self._allowance.refused(record)
+                    self._note_touch(False, str(error))
+                    return False
+        self._decisions.warn("slices not recorded", tries=APPEND_TRIES)
+        return False
+
+    async def _read(self) -> bool:
+        match await self._store.read_slices(self._offset):
+            case Ok(news):
+                for fault in news.faults:
+                    self._decisions.warn("record unreadable", why=fault)
+                if news.next is not None:
+                    self._offset = news.next
+                    self._allowance.ledger.take(news.records, news.next, news.whole)
+                    self._allowance.take_ledger()
+                self._read_at = trio.current_time()
+                self._note_touch(True, "")
+                self._note_hosts()
+                self._wake()
+                return True
+            case Err(error):
+                self._note_touch(False, str(error))
+                return False
+
+    def _note_touch(self, in_touch: bool, why: str) -> None:
+        if in_touch != self._in_touch:
+            kind = "ledger regained" if in_touch else "ledger lost"
+            self._decisions.warn(kind, peer="store", why=why)
+        self._in_touch = in_touch
+
+    def _note_hosts(self) -> None:
+        now = trio.current_time()
+        for name, record in self._allowance.ledger.records.items():
+            mark = (record.incarnation, record.number)
+            if record.ended:
+                self._seen.pop(name, None)
+            elif self._seen.get(name, ("", 0, 0.0))[:2] != mark:
+                self._seen[name] = (*mark, now)
+
+    def _wake(self) -> None:
+        event, self._changed = self._changed, trio.Event()
+        event.set()
--- /dev/null
+++ b/mulberrycleat/platform/main.py
@@ -0,0 +1,84 @@
+"""The program that runs on each entry host of the platform."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import click
+import trio
+from result import Err, Ok
+
+from mulberrycleat.core.process import EXIT_BAD_SETTINGS
+from mulberrycleat.entry.app import EntryHost
+from mulberrycleat.entry.decisions import DecisionLog, LineWriter, configure_decision_logging
+from mulberrycleat.entry.settings import EntrySettings
+from mulberrycleat.platform.headers import PlatformDialect
+from mulberrycleat.platform.settings import BOOT_VARIABLE, read_boot_settings
+from mulberrycleat.platform.store import PlatformStore
+from mulberrycleat.web import HttpClient
+
+__all__ = ["main"]
+
+log = logging.getLogger(__name__)
+
+# The store answers within some milliseconds; longer means that it is out of reach.
+STORE_SILENCE_S = 0.6
+
+
+@click.command()
+@click.option("--metrics-port", default=0, help="Port to serve metrics at; 0 for none.")
+def main(metrics_port: int) -> None:
+    """Run the entry host with the settings file that MULBERRYCLEAT_BOOT names."""
+    path = Path(os.environ.get(BOOT_VARIABLE, ""))
+    match read_boot_settings(path):
+        case Err(faults):
+            for fault in faults:
+                print(f"{path}: {fault}", file=sys.stderr)
+            sys.exit(EXIT_BAD_SETTINGS)
+        case Ok(settings):
+            trio.run(_run, settings, metrics_port, path)
+
+
+async def _run(settings: EntrySettings, metrics_port: int, path: Path) -> None:
+    writer = LineWriter(sys.stdout.fileno())
+    configure_decision_logging(writer, host=settings.host, zone=settings.zone)
+    decisions = DecisionLog(trio.current_time)
+    times = settings.times
+    client = HttpClient(STORE_SILENCE_S, silence_timeout_s=STORE_SILENCE_S)
+    store = PlatformStore(settings.store, client, times.store_timeout_s)
+    if metrics_port:
+        settings = _with_metrics(settings, metrics_port)
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(_watch_signals, stop, decisions, path)
+        await EntryHost(settings, PlatformDialect(), store, decisions).run(stop)
+        nursery.cancel_scope.cancel()
+
+
+def _with_metrics(settings: EntrySettings, port: int) -> EntrySettings:
+    return replace(settings, metrics=f"{settings.ip}:{port}")
+
+
+async def _watch_signals(
+    stop: trio.Event, decisions: DecisionLog, path: Path, task_status: trio.TaskStatus
+) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        task_status.started()
+        async for number in signals:
+            if number == signal.SIGHUP:
+                match read_boot_settings(path):
+                    case Ok(_):
+                        decisions.warn("settings read again", path=str(path))
+                    case Err(faults):
+                        decisions.warn("settings unreadable", why="; ".join(map(str, faults)))
+            else:
+                stop.set()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mulberrycleat/prepaid/__init__.py
@@ -0,0 +1,18 @@
+"""Prepaid totals of client accounts, shared out to entry hosts as slices. Free of I/O.
+
+Each host keeps one record in the platform's store that says what it has spent of each account's
+total and the most that it may have spent. The sum of these limits over all hosts never passes the
+total, so that no host, cut off or dead, can lead to overspending.
+"""
+
+from mulberrycleat.prepaid.allowance import Allowance, AllowanceSettings, Verdict
+from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, SliceLedger
+
+__all__ = [
+    "AccountShare",
+    "Allowance",
+    "AllowanceSettings",
+    "HolderRecord",
+    "SliceLedger",
+    "Verdict",
+]
--- /dev/null
+++ b/mulberrycleat/prepaid/allowance.py
@@ -0,0 +1,280 @@
+"""One host's slices of the prepaid totals: reservations, settlements, and the next record."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, SliceLedger
+
+__all__ = ["Allowance", "AllowanceSettings", "Verdict"]
+
+RATE_KEPT_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceSettings:
+    """How large slices are.
+
+    Attributes
+    ----------
+    horizon_s : float
+        A slice covers what the host is expected to reserve in this time, so that it serves through
+        an outage of the store that lasts no longer, in seconds.
+    unspent_share : float
+        Largest part of the unspent total that all hosts together hold beyond what runs.
+    least_share : float
+        Part of the total that a host holds of each account without any demand, so that a first
+        request need not wait for the store.
+    change_share : float
+        A slice is drawn anew when it differs by more than this part from what it should be.
+    """
+
+    horizon_s: float = 10.0
+    unspent_share: float = 0.6
+    least_share: float = 0.003
+    change_share: float = 0.25
+
+
+class Verdict(Enum):
+    """Answer to a request for tokens.
+
+    ``LACKING``: the slice is too small, a larger one may be had. ``EXHAUSTED``: the total itself
+    does not cover the request.
+    """
+
+    GRANTED = "granted"
+    LACKING = "lacking"
+    EXHAUSTED = "exhausted"
+
+
+@dataclass(slots=True)
+class _Account:
+    past_limit: int = 0
+    past_spent: int = 0
+    spent: int = 0
+    reserved: int = 0
+    limit: int = 0
+    wanted: int = 0
+    rate: float = 0.0
+    rate_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Draft:
+    """A record that may reach the store at offset `at`, and nowhere else."""
+
+    record: HolderRecord
+    at: int
+
+
+class Allowance:
+    """Slices of one incarnation of one host.
+
+    A limit is raised only once its record is in the store, and lowered before the record is sent:
+    while a record is under way, or its answer was lost, the smaller limit counts. A record can
+    reach the store only at the offset that it was drafted for, so that it is out of the way once
+    the ledger has grown past that.
+
+    Parameters
+    ----------
+    settings : AllowanceSettings
+        How large slices are.
+    host, incarnation, peer_address : str
+        Written into each record.
+    """
+
+    def __init__(
+        self, settings: AllowanceSettings, host: str, incarnation: str, peer_address: str = ""
+    ) -> None:
+        self._settings = settings
+        self._host = host
+        self._incarnation = incarnation
+        self._peer_address = peer_address
+        self._accounts: dict[str, _Account] = {}
+        self._totals: dict[str, int] = {}
+        self._map_version = 0
+        self._number = 0
+        self._joined = False
+        self._drafts: list[_Draft] = []
+        self._ledger = SliceLedger()
+
+    @property
+    def ledger(self) -> SliceLedger:
+        """Records of all hosts as last read."""
+        return self._ledger
+
+    @property
+    def joined(self) -> bool:
+        """Whether a record of this incarnation is in the store."""
+        return self._joined
+
+    @property
+    def lacking(self) -> bool:
+        """Whether requests wait for a larger slice."""
+        return any(account.wanted for account in self._accounts.values())
+
+    def take_totals(self, totals: Mapping[str, int], map_version: int) -> None:
+        """Take the prepaid totals of a version of the route map."""
+        self._totals = dict(totals)
+        self._map_version = map_version
+
+    def take_ledger(self) -> None:
+        """Take note that the ledger has changed; recognise own records in it."""
+        self._drafts = [draft for draft in self._drafts if draft.at >= self._ledger.end]
+        record = self._ledger.records.get(self._host)
+        if record is None:
+            return
+        if record.incarnation != self._incarnation:
+            if not self._joined:
+                self._take_past(record)
+            return
+        self._joined = True
+        for name, share in record.shares.items():
+            self._account(name).limit = share.limit
+
+    def reserve(self, name: str, tokens: int, now: float) -> Verdict:
+        """Set tokens aside for a request."""
+        total = self._totals.get(name)
+        if total is None:
+            return Verdict.EXHAUSTED
+        account = self._account(name)
+        if not self._overcommitted(name, total) and self._fits(name, account, tokens):
+            account.reserved += tokens
+            self._note_rate(account, tokens, now)
+            return Verdict.GRANTED
+        sure = self._ledger.surely_spent(name, self._host) + account.past_spent + account.spent
+        return Verdict.EXHAUSTED if sure + tokens > total else Verdict.LACKING
+
+    def settle(self, name: str, reserved: int, used: int) -> None:
+        """Give back what a request did not use of its reservation."""
+        account = self._account(name)
+        account.reserved -= reserved
+        account.spent += used
+
+    def want(self, name: str, tokens: int) -> None:
+        """Count tokens that a waiting request lacks; negative when it waits no longer."""
+        self._account(name).wanted += tokens
+
+    def free_tokens(self, name: str) -> int:
+        """Return what is left of a slice."""
+        account = self._account(name)
+        return self._limit(name, account) - account.spent - account.reserved
+
+    def draft(self, now: float, ended: bool = False, due: bool = False) -> HolderRecord | None:
+        """Return the record to be appended at the ledger's end, or None when none is needed.
+
+        Parameters
+        ----------
+        ended : bool
+            The incarnation ends; its limits are what it has spent.
+        due : bool
+            The last record is old, so that any change is worth a new one.
+
+        None also while the ledger shows that other hosts drew their limits by a newer route map:
+        the totals known here may be too large.
+        """
+        if self._ledger.map_version > self._map_version and not ended:
+            return None
+        shares = {name: self._next_share(name, now, ended) for name in self._names()}
+        if not (ended or due) and self._joined and not self._differs(shares):
+            return None
+        self._number += 1
+        record = HolderRecord(
+            self._host,
+            self._incarnation,
+            self._number,
+            max(self._map_version, self._ledger.map_version),
+            self._peer_address,
+            shares,
+            ended,
+        )
+        self._drafts.append(_Draft(record, self._ledger.end))
+        return record
+
+    def written(self, record: HolderRecord, offset: int) -> None:
+        """Take note that a drafted record stands in the store."""
+        self._ledger.take([record], offset + 1)
+        self.take_ledger()
+
+    def refused(self, record: HolderRecord) -> None:
+        """Take note that a drafted record is surely not in the store and never will be."""
+        self._drafts = [draft for draft in self._drafts if draft.record is not record]
+
+    def _names(self) -> set[str]:
+        return set(self._totals) | set(self._accounts)
+
+    def _account(self, name: str) -> _Account:
+        if name not in self._accounts:
+            self._accounts[name] = _Account()
+        return self._accounts[name]
+
+    def _take_past(self, record: HolderRecord) -> None:
+        """Count an earlier incarnation of this host: it has ended, or this one would not run."""
+        for name, share in record.shares.items():
+            account = self._account(name)
+            account.past_limit = share.past_limit + (share.spent if record.ended else share.limit)
+            account.past_spent = share.past_spent + share.spent
+
+    def _limit(self, name: str, account: _Account) -> int:
+        limit = account.limit
+        for draft in self._drafts:
+            share = draft.record.shares.get(name)
+            if share is not None:
+                limit = min(limit, share.limit)
+        return limit
+
+    def _fits(self, name: str, account: _Account, tokens: int) -> bool:
+        return account.spent + account.reserved + tokens <= self._limit(name, account)
+
+    def _overcommitted(self, name: str, total: int) -> bool:
+        """Whether limits drawn before a cut of the total may pass it now."""
+        return self._ledger.committed(name) > total
+
+    def _next_share(self, name: str, now: float, ended: bool) -> AccountShare:
+        account = self._account(name)
+        total = self._totals.get(name, 0)
+        held = account.spent + account.reserved
+        rate = self._rate(account, now)
+        limit = held if ended else self._next_limit(name, account, total, held, rate)
+        return AccountShare(
+            account.past_limit, account.past_spent, account.spent, limit, round(rate, 1)
+        )
+
+    def _next_limit(self, name: str, account: _Account, total: int, held: int, rate: float) -> int:
+        settings = self._settings
+        others = self._ledger.committed(name, self._host) + account.past_limit
+        largest = total - others
+        if largest < held:
+            return held
+        spent_by_others = self._ledger.surely_spent(name, self._host)
+        unspent = max(0, total - spent_by_others - account.past_limit - held)
+        all_rates = self._ledger.rate(name, self._host) + rate
+        hosts = max(1, len(self._ledger.records))
+        share = max(rate / all_rates if all_rates > 0 else 0.0, 0.5 / hosts)
+        spare = max(rate * settings.horizon_s, settings.least_share * total)
+        spare = min(spare, settings.unspent_share * unspent * min(1.0, share))
+        return min(largest, held + account.wanted + int(spare))
+
+    def _differs(self, shares: dict[str, AccountShare]) -> bool:
+        """Whether a record would change slices, or settle tokens, by enough to be worth writing."""
+        record = self._ledger.records.get(self._host)
+        if record is None or record.map_version != self._map_version:
+            return True
+        for name, share in shares.items():
+            old = record.shares.get(name, AccountShare())
+            spare, wanted = old.limit - old.spent, share.limit - share.spent
+            if abs(wanted - spare) > self._settings.change_share * max(wanted, spare, 1):
+                return True
+            if share.spent - old.spent > self._settings.change_share * max(1, spare):
+                return True
+        return False
+
+    def _note_rate(self, account: _Account, tokens: int, now: float) -> None:
+        account.rate = self._rate(account, now) + tokens / RATE_KEPT_S
+        account.rate_at = now
+
+    def _rate(self, account: _Account, now: float) -> float:
+        age_s = max(0.0, now - account.rate_at)
+        return account.rate * 2.718281828 ** (-age_s / RATE_KEPT_S)
--- a/mulberrycleat/web/asgi.py
+++ b/mulberrycleat/web/asgi.py
@@ -12,7 +12,18 @@
 import msgspec
 import trio
 
-__all__ = ["App", "BodyTooLargeError", "Reply", "Request", "Responder", "Route", "json_reply"]
+__all__ = [
+    "App",
+    "BodyTooLargeError",
+    "Reply",
+    "Request",
+    "Responder",
+    "Route",
+    "answer_lifespan",
+    "json_reply",
+    "read_body",
+    "watch_disconnect",
+]
 
 log = logging.getLogger(__name__)
 
@@ -152,7 +163,7 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle one ASGI scope."""
         if scope["type"] == "lifespan":
-            await _answer_lifespan(receive, send)
+            await answer_lifespan(receive, send)
         elif scope["type"] == "http":
             await self._serve(scope, receive, Responder(send))
 
@@ -166,7 +177,7 @@
         route, params = found
         try:
             with trio.fail_after(self._receive_timeout_s):
-                body = await _read_body(receive, self._max_body_bytes)
+                body = await read_body(receive, self._max_body_bytes)
         except BodyTooLargeError:
             reason = f"the body is larger than {self._max_body_bytes} bytes"
             await responder.reply(self._problem(413, reason))
@@ -178,7 +189,7 @@
             return
         request = _request(scope, body, params)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_watch_disconnect, receive, responder)
+            nursery.start_soon(watch_disconnect, receive, responder)
             reply = await route.handler(request, responder)
             if reply is not None:
                 await responder.reply(reply)
@@ -211,7 +222,8 @@
     return Request(scope["method"], scope["path"], headers, query, body, params)
 
 
-async def _read_body(receive: Any, bound: int) -> bytes | None:
+async def read_body(receive: Any, bound: int) -> bytes | None:
+    """Return the whole body, or None when the caller went away; raises BodyTooLargeError."""
     chunks: list[bytes] = []
     size = 0
     while True:
@@ -227,7 +239,8 @@
             return b"".join(chunks)
 
 
-async def _watch_disconnect(receive: Any, responder: Responder) -> None:
+async def watch_disconnect(receive: Any, responder: Responder) -> None:
+    """Wait until the caller closes its connection or has its whole answer."""
     while True:
         event = await receive()
         if event["type"] == "http.disconnect":
@@ -236,7 +249,8 @@
             return
 
 
-async def _answer_lifespan(receive: Any, send: Any) -> None:
+async def answer_lifespan(receive: Any, send: Any) -> None:
+    """Answer the server's questions at its start and stop."""
     while True:
         event = await receive()
         await send({"type": f"{event['type']}.complete"})
--- a/mulberrycleat/web/client.py
+++ b/mulberrycleat/web/client.py
@@ -6,12 +6,15 @@
 
 from __future__ import annotations
 
+import math
+import socket
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any, NamedTuple
 
 import httpcore
 import msgspec
+import trio
 from result import Err, Ok, Result
 
 from mulberrycleat.core import PeerError, Step
@@ -87,6 +90,7 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = 5.0,
         step: Step = Step.CALL,
+        whole_s: float = math.inf,
     ) -> Result[HttpAnswer, PeerError]:
         """Send a request and read the whole answer.
 
@@ -94,11 +98,16 @@
         ----------
         timeout_s : float
             Longest wait for each read, in seconds.
+        whole_s : float
+            Longest time of the whole exchange, in seconds.
         """
         try:
-            async with self.stream(method, url, body, headers, timeout_s) as answer:
-                data = b"".join([chunk async for chunk in answer.chunks])
-                return Ok(HttpAnswer(answer.status, answer.headers, data))
+            with trio.fail_after(whole_s):
+                async with self.stream(method, url, body, headers, timeout_s) as answer:
+                    data = b"".join([chunk async for chunk in answer.chunks])
+                    return Ok(HttpAnswer(answer.status, answer.headers, data))
+        except trio.TooSlowError:
+            return Err(PeerError(step, _host(url), f"no whole answer in {whole_s:g} s"))
         except FAILURES as error:
             return Err(peer_error(error, step, url))
 
@@ -132,11 +141,21 @@
         Longest wait for a connection, in seconds.
     max_connections : int
         Connections to one peer.
+    silence_timeout_s : float
+        A connection is given up when sent data is not acknowledged for so long, in seconds; 0
+        leaves that to the operating system.
     """
 
-    def __init__(self, connect_timeout_s: float = 1.0, max_connections: int = 1000) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float = 1.0,
+        max_connections: int = 1000,
+        silence_timeout_s: float = 0.0,
+    ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._max_connections = max_connections
+        timeout_ms = round(silence_timeout_s * 1000)
+        self._socket_options = [(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)]
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def aclose(self) -> None:
@@ -180,6 +199,7 @@
                 max_connections=self._max_connections,
                 max_keepalive_connections=self._max_connections // 4,
                 keepalive_expiry=KEEP_ALIVE_S,
+                socket_options=self._socket_options,
             )
         return self._pools[host]
 
--- a/mulberrycleat/web/server.py
+++ b/mulberrycleat/web/server.py
@@ -27,6 +27,7 @@
     stop: trio.Event,
     drain_timeout_s: float = 5.0,
     send_timeout_s: float = _SEND_TIMEOUT_S,
+    on_config: Callable[[Config], None] = lambda config: None,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve `app` at ``ip:port`` until `stop` is set and the answers in flight have ended.
@@ -38,6 +39,9 @@
     send_timeout_s : float
         A connection is closed whose other side takes no data for so long, in seconds. Without it a
         caller who does not read would hold a stream, and the process at its end, for ever.
+    on_config : callable
+        Gets hypercorn's settings before the start; new connections and idle times follow what is
+        changed in them later.
     """
     listener = _listen(address, send_timeout_s)
     config = Config()
@@ -47,6 +51,7 @@
     config.errorlog = logging.getLogger("hypercorn.error")
     config.errorlog.setLevel(logging.WARNING)
     config.include_server_header = False
+    on_config(config)
     await serve(app, config, shutdown_trigger=stop.wait, task_status=task_status)
 
 
