--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -81,7 +81,9 @@
         self._connections = ConnectionPool()
         self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
         allowance = Allowance(AllowanceSettings(), settings.host, new_id(), settings.peers_listen)
-        self._slices = SliceController(allowance, self._store, settings.times, decisions, random)
+        self._slices = SliceController(
+            allowance, self._store, settings.times, decisions, self._peer_http, random
+        )
         self._maps = MapFeed(self._store, settings.times, decisions, self._take_table)
         self._directory = DirectoryFeed(
             self._store, self._book.directory, settings.times, decisions, self._take_directory
@@ -145,7 +147,7 @@
         return App((Route("GET", "/{path:path}", self._answer_readiness),))
 
     def _peers_app(self) -> App:
-        return App(self._relay.routes())
+        return App((*self._relay.routes(), *self._slices.routes()))
 
     def _metrics_app(self) -> App:
         return App((Route("GET", "/metrics", self._answer_metrics),))
--- a/mulberrycleat/entry/filters/prepaid.py
+++ b/mulberrycleat/entry/filters/prepaid.py
@@ -48,7 +48,7 @@
         if account is None or account.prepaid_tokens is None or not cost:
             return await proceed(call)
         verdict = await self._slices.reserve(account.name, cost, call.deadline)
-        if verdict is not Verdict.GRANTED:
+        if verdict not in (Verdict.GRANTED, Verdict.GIFTED):
             return Err(self._refusal(call, verdict, cost))
         used = cost
         try:
@@ -59,7 +59,8 @@
             used = _used(call)
             raise
         finally:
-            self._slices.settle(account.name, cost, min(used, cost))
+            gifted = verdict is Verdict.GIFTED
+            self._slices.settle(account.name, cost, min(used, cost), gifted)
 
     def _refusal(self, call: EntryCall, verdict: Verdict, cost: int) -> Refusal:
         name = call.account.name
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Any
 
+import msgspec
 import trio
 from result import Err, Ok
 
@@ -13,6 +14,8 @@
 from mulberrycleat.entry.store import StateStore
 from mulberrycleat.prepaid import Allowance, Verdict
 from mulberrycleat.routes import RouteTable
+from mulberrycleat.web import Reply, Request, Responder, Route
+from mulberrycleat.web.client import BaseHttpClient
 
 __all__ = ["SliceController"]
 
@@ -23,6 +26,23 @@
 HOST_ACTIVE_S = 15.0
 # Between two reads of the ledger when nothing is to be written.
 IDLE_READ_S = 1.0
+# Shortest time between two looks at the slices, so that claims of several requests go together.
+KICK_SPACING_S = 0.01
+# Looks at the slices that a request waits for; when they bring nothing, the store has nothing.
+SLICE_ROUNDS = 3
+# Other hosts that are asked for tokens for one request, and the longest wait for one of them.
+DONORS = 4
+GIFT_TIMEOUT_S = 0.25
+GIFT_PATH = "/tokens"
+
+
+class _GiftAsk(msgspec.Struct):
+    account: str
+    tokens: int
+
+
+class _Gift(msgspec.Struct):
+    tokens: int
 
 
 class SliceController:
@@ -38,6 +58,8 @@
         Times of the loop.
     decisions : DecisionLog
         Where changes are told.
+    client : BaseHttpClient
+        HTTP towards other hosts.
     random : Random
         Spreads tries of hosts that append at the same time.
     """
@@ -48,8 +70,10 @@
         store: StateStore,
         times: EntryTimes,
         decisions: DecisionLog,
+        client: BaseHttpClient,
         random: Random,
     ) -> None:
+        self._client = client
         self._allowance = allowance
         self._store = store
         self._times = times
@@ -97,12 +121,29 @@
     async def reserve(self, account: str, tokens: int, deadline: float) -> Verdict:
         """Reserve tokens, waiting a short time for a larger slice when the store is in touch."""
         verdict = self._allowance.reserve(account, tokens, trio.current_time())
-        if verdict is not Verdict.LACKING or not self._in_touch:
-            return verdict
+        if verdict is Verdict.LACKING and self._in_touch:
+            verdict = await self._reserve_later(account, tokens, deadline)
+        if verdict is Verdict.LACKING:
+            verdict = await self._reserve_gift(account, tokens, deadline)
+        return verdict
+
+    def settle(self, account: str, reserved: int, used: int, gifted: bool) -> None:
+        """Give back what a request did not use."""
+        self._allowance.settle(account, reserved, used, gifted)
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the routes for other hosts."""
+        return (Route("POST", GIFT_PATH, self._give),)
+
+    async def _reserve_later(self, account: str, tokens: int, deadline: float) -> Verdict:
+        """Wait for a larger slice from the store."""
+        verdict = Verdict.LACKING
         self._allowance.want(account, tokens)
         try:
             with trio.move_on_at(min(deadline, trio.current_time() + self._times.slice_wait_s)):
-                while verdict is Verdict.LACKING and self._in_touch:
+                for _ in range(SLICE_ROUNDS):
+                    if verdict is not Verdict.LACKING or not self._in_touch:
+                        break
                     self._kick.set()
                     await self._changed.wait()
                     verdict = self._allowance.reserve(account, tokens, trio.current_time())
@@ -110,9 +151,40 @@
             self._allowance.want(account, -tokens)
         return verdict
 
-    def settle(self, account: str, reserved: int, used: int) -> None:
-        """Give back what a request did not use."""
-        self._allowance.settle(account, reserved, used)
+    async def _reserve_gift(self, account: str, tokens: int, deadline: float) -> Verdict:
+        """Ask other hosts for tokens of their slices."""
+        body = msgspec.msgpack.encode(_GiftAsk(account, tokens))
+        for peer in self._allowance.donors(account)[:DONORS]:
+            timeout_s = min(GIFT_TIMEOUT_S, deadline - trio.current_time())
+            if timeout_s <= 0:
+                break
+            url = f"http://{peer}{GIFT_PATH}"
+            outcome = await self._client.request(
+                "POST", url, body, None, timeout_s, whole_s=timeout_s
+            )
+            match outcome:
+                case Ok(answer) if answer.status == 200:
+                    gift = msgspec.msgpack.decode(answer.body, type=_Gift).tokens
+                    self._decisions.note("tokens received", account=account, peer=peer, tokens=gift)
+                    self._allowance.take_gift(account, gift)
+                    verdict = self._allowance.reserve(account, tokens, trio.current_time())
+                    if verdict is not Verdict.LACKING:
+                        return verdict
+                case Ok(answer):
+                    self._decisions.note("no tokens", account=account, peer=peer, why=answer.status)
+                case Err(error):
+                    self._decisions.note("no tokens", account=account, peer=peer, why=str(error))
+        return Verdict.LACKING
+
+    async def _give(self, request: Request, responder: Responder) -> Reply:
+        try:
+            ask = msgspec.msgpack.decode(request.body, type=_GiftAsk)
+        except msgspec.DecodeError as error:
+            return Reply(400, str(error).encode())
+        given = self._allowance.give(ask.account, ask.tokens)
+        if given:
+            self._decisions.note("tokens given", account=ask.account, tokens=given)
+        return Reply(200, msgspec.msgpack.encode(_Gift(given)))
 
     def describe(self, account: str) -> dict[str, Any]:
         """Return the inputs of a decision about an account's tokens."""
@@ -131,6 +203,7 @@
         while True:
             await self._cycle()
             self._wake()
+            await trio.sleep(KICK_SPACING_S)
             with trio.move_on_after(self._times.slices_every_s):
                 await self._kick.wait()
             self._kick = trio.Event()
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -27,6 +27,8 @@
     least_share : float
         Part of the total that a host holds of each account without any demand, so that a first
         request need not wait for the store.
+    gift_share : float
+        Part of what is free that is given to a host that asks, if that is more than it needs.
     change_share : float
         A slice is drawn anew when it differs by more than this part from what it should be.
     """
@@ -34,17 +36,20 @@
     horizon_s: float = 10.0
     unspent_share: float = 0.6
     least_share: float = 0.003
+    gift_share: float = 0.3
     change_share: float = 0.25
 
 
 class Verdict(Enum):
     """Answer to a request for tokens.
 
+    ``GRANTED``: taken from the own slice. ``GIFTED``: taken from what other hosts gave.
     ``LACKING``: the slice is too small, a larger one may be had. ``EXHAUSTED``: the total itself
     does not cover the request.
     """
 
     GRANTED = "granted"
+    GIFTED = "gifted"
     LACKING = "lacking"
     EXHAUSTED = "exhausted"
 
@@ -55,6 +60,8 @@
     past_spent: int = 0
     spent: int = 0
     reserved: int = 0
+    given: int = 0
+    gift: int = 0
     limit: int = 0
     wanted: int = 0
     rate: float = 0.0
@@ -144,14 +151,46 @@
             account.reserved += tokens
             self._note_rate(account, tokens, now)
             return Verdict.GRANTED
+        if account.gift >= tokens:
+            account.gift -= tokens
+            return Verdict.GIFTED
         sure = self._ledger.surely_spent(name, self._host) + account.past_spent + account.spent
         return Verdict.EXHAUSTED if sure + tokens > total else Verdict.LACKING
 
-    def settle(self, name: str, reserved: int, used: int) -> None:
+    def settle(self, name: str, reserved: int, used: int, gifted: bool = False) -> None:
         """Give back what a request did not use of its reservation."""
         account = self._account(name)
-        account.reserved -= reserved
-        account.spent += used
+        if gifted:
+            account.gift += reserved - used
+        else:
+            account.reserved -= reserved
+            account.spent += used
+
+    def give(self, name: str, tokens: int) -> int:
+        """Give tokens of the own slice to another host; return how many, 0 for none.
+
+        What was given counts as gone from this slice for good, whether or not the other host uses
+        it or lives: the total is safe without any record of the gift.
+        """
+        total = self._totals.get(name)
+        free = self.free_tokens(name)
+        if total is None or free < tokens or self._overcommitted(name, total):
+            return 0
+        given = min(free, max(tokens, int(free * self._settings.gift_share)))
+        self._account(name).given += given
+        return given
+
+    def take_gift(self, name: str, tokens: int) -> None:
+        """Take tokens that another host gave."""
+        self._account(name).gift += tokens
+
+    def donors(self, name: str) -> tuple[str, ...]:
+        """Return the addresses of the other hosts, those that seemed to have most left first."""
+        records = self._ledger.records.values()
+        others = [r for r in records if r.host != self._host and r.peer_address and not r.ended]
+        shares = [(r.shares.get(name, AccountShare()), r.peer_address) for r in others]
+        ranked = sorted(shares, key=lambda found: found[0].spent - found[0].limit)
+        return tuple(address for _, address in ranked)
 
     def want(self, name: str, tokens: int) -> None:
         """Count tokens that a waiting request lacks; negative when it waits no longer."""
@@ -160,7 +199,8 @@
     def free_tokens(self, name: str) -> int:
         """Return what is left of a slice."""
         account = self._account(name)
-        return self._limit(name, account) - account.spent - account.reserved
+        held = account.spent + account.reserved + account.given
+        return self._limit(name, account) - held
 
     def draft(self, now: float, ended: bool = False, due: bool = False) -> HolderRecord | None:
         """Return the record to be appended at the ledger's end, or None when none is needed.
@@ -214,7 +254,7 @@
         """Count an earlier incarnation of this host: it has ended, or this one would not run."""
         for name, share in record.shares.items():
             account = self._account(name)
-            account.past_limit = share.past_limit + (share.spent if record.ended else share.limit)
+            account.past_limit = share.past_limit + share.limit
             account.past_spent = share.past_spent + share.spent
 
     def _limit(self, name: str, account: _Account) -> int:
@@ -226,7 +266,8 @@
         return limit
 
     def _fits(self, name: str, account: _Account, tokens: int) -> bool:
-        return account.spent + account.reserved + tokens <= self._limit(name, account)
+        held = account.spent + account.reserved + account.given
+        return held + tokens <= self._limit(name, account)
 
     def _overcommitted(self, name: str, total: int) -> bool:
         """Whether limits drawn before a cut of the total may pass it now."""
@@ -235,7 +276,7 @@
     def _next_share(self, name: str, now: float, ended: bool) -> AccountShare:
         account = self._account(name)
         total = self._totals.get(name, 0)
-        held = account.spent + account.reserved
+        held = account.spent + account.reserved + account.given
         rate = self._rate(account, now)
         limit = held if ended else self._next_limit(name, account, total, held, rate)
         return AccountShare(
