--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -27,7 +27,7 @@
 from mulberrycleat.entry.relay import RelayedStore, RelayServer
 from mulberrycleat.entry.repeats import RepeatBudget
 from mulberrycleat.entry.settings import EntrySettings
-from mulberrycleat.entry.slices import SliceController
+from mulberrycleat.entry.slices import Beats, SliceController
 from mulberrycleat.entry.stopping import Stopping
 from mulberrycleat.entry.store import StateStore
 from mulberrycleat.prepaid import Allowance, AllowanceSettings
@@ -82,7 +82,13 @@
         self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
         allowance = Allowance(AllowanceSettings(), settings.host, new_id(), settings.peers_listen)
         self._slices = SliceController(
-            allowance, self._store, settings.times, decisions, self._peer_http, random
+            allowance,
+            self._store,
+            settings.times,
+            decisions,
+            self._peer_http,
+            random,
+            self._count_beats,
         )
         self._maps = MapFeed(self._store, settings.times, decisions, self._take_table)
         self._directory = DirectoryFeed(
@@ -114,6 +120,7 @@
     async def run(self, stop: trio.Event) -> None:
         """Serve until `stop` is set and the requests in flight have ended."""
         self._started_at = trio.current_time()
+        self._slices.begin()
         self._decisions.warn("started", host=self._settings.host, zone=self._settings.zone)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._maps.run)
@@ -164,7 +171,7 @@
         return self._metrics.reply()
 
     async def _run_slices(self) -> None:
-        while self._maps.table is None:
+        while self._maps.table is None or not self._directory.read:
             await trio.sleep(0.02)
         await self._slices.run()
 
@@ -174,6 +181,10 @@
             self._connections.sweep(self._book.addresses())
             self._repeats.set_hosts(self._slices.hosts())
 
+    def _count_beats(self) -> Beats:
+        entries = self._book.directory.entries
+        return Beats(self._directory.beats, len(entries), self._settings.beat_s)
+
     def _peers(self) -> tuple[str, ...]:
         known = {*self._slices.peers, *self._settings.seeds}
         known.discard(self._settings.peers_listen)
--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -138,6 +138,11 @@
         """When the store last answered, in seconds of trio's clock."""
         return self._read_at
 
+    @property
+    def beats(self) -> int:
+        """Announcements that the store has taken so far."""
+        return self._offset or 0
+
     def known(self) -> EntryNews | None:
         """Return all entries as news for another host."""
         if not self._read:
--- a/mulberrycleat/entry/settings.py
+++ b/mulberrycleat/entry/settings.py
@@ -65,7 +65,7 @@
     map_wait_s: float = 1.5
     entries_every_s: float = 0.6
     slices_every_s: float = 0.5
-    slices_due_s: float = 2.0
+    slices_due_s: float = 1.0
     peer_every_s: float = 0.3
     store_timeout_s: float = 0.6
     slice_wait_s: float = 0.4
@@ -86,6 +86,8 @@
         The platform's store, as ``ip:port``.
     seeds : tuple of str
         Addresses of some other hosts, which may be stale.
+    beat_s : float
+        Time between two announcements of an endpoint, in seconds.
     metrics : str
         Address to serve metrics at; empty for none.
     """
@@ -98,6 +100,7 @@
     peers_listen: str
     store: str
     seeds: tuple[str, ...] = ()
+    beat_s: float = 1.0
     metrics: str = ""
     bounds: FleetBounds = field(default_factory=FleetBounds)
     times: EntryTimes = field(default_factory=EntryTimes)
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 import trio
@@ -12,7 +14,7 @@
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.settings import EntryTimes
 from mulberrycleat.entry.store import StateStore
-from mulberrycleat.prepaid import Allowance, Verdict
+from mulberrycleat.prepaid import Allowance, Moment, Verdict
 from mulberrycleat.routes import RouteTable
 from mulberrycleat.web import Reply, Request, Responder, Route
 from mulberrycleat.web.client import BaseHttpClient
@@ -36,6 +38,14 @@
 GIFT_PATH = "/tokens"
 
 
+class Beats(NamedTuple):
+    """Announcements of endpoints that the store has taken, and endpoints that make them."""
+
+    count: int
+    endpoints: int
+    every_s: float
+
+
 class _GiftAsk(msgspec.Struct):
     account: str
     tokens: int
@@ -62,6 +72,10 @@
         HTTP towards other hosts.
     random : Random
         Spreads tries of hosts that append at the same time.
+    beats : callable
+        Returns the announcements of endpoints, by which time is told beside the clock.
+    wall : callable
+        Returns the time of day, in seconds.
     """
 
     def __init__(
@@ -72,7 +86,12 @@
         decisions: DecisionLog,
         client: BaseHttpClient,
         random: Random,
+        beats: Callable[[], Beats],
+        wall: Callable[[], float] = time.time,
     ) -> None:
+        self._beats = beats
+        self._wall = wall
+        self._began = float("nan")
         self._client = client
         self._allowance = allowance
         self._store = store
@@ -181,7 +200,7 @@
             ask = msgspec.msgpack.decode(request.body, type=_GiftAsk)
         except msgspec.DecodeError as error:
             return Reply(400, str(error).encode())
-        given = self._allowance.give(ask.account, ask.tokens)
+        given = self._allowance.give(ask.account, ask.tokens, trio.current_time())
         if given:
             self._decisions.note("tokens given", account=ask.account, tokens=given)
         return Reply(200, msgspec.msgpack.encode(_Gift(given)))
@@ -190,7 +209,7 @@
         """Return the inputs of a decision about an account's tokens."""
         ledger = self._allowance.ledger
         return {
-            "free": self._allowance.free_tokens(account),
+            "free": self._allowance.free_tokens(account, trio.current_time()),
             "committed": ledger.committed(account),
             "surely_spent": ledger.surely_spent(account),
             "ledger_end": ledger.end,
@@ -198,6 +217,10 @@
             "in_touch": self._in_touch,
         }
 
+    def begin(self) -> None:
+        """Take note of the start of the process."""
+        self._began = trio.current_time()
+
     async def run(self) -> None:
         """Settle and draw slices, for ever."""
         while True:
@@ -224,12 +247,12 @@
         for _ in range(APPEND_TRIES):
             now = trio.current_time()
             due = now - self._written_at >= self._times.slices_due_s
-            record = self._allowance.draft(now, ended, due)
+            record = self._allowance.draft(now, self._moment(), ended, due)
             if record is None:
                 return False
             match await self._store.append_slices(record, self._allowance.ledger.end):
                 case Ok(outcome) if outcome.done:
-                    self._allowance.written(record, outcome.offset)
+                    self._allowance.written(record, outcome.offset, self._moment())
                     self._offset = self._allowance.ledger.end
                     self._written_at = self._read_at = trio.current_time()
                     self._note_touch(True, "")
@@ -258,7 +281,7 @@
                 if news.next is not None:
                     self._offset = news.next
                     self._allowance.ledger.take(news.records, news.next, news.whole)
-                    self._allowance.take_ledger()
+                    self._allowance.take_ledger(self._moment())
                 self._read_at = trio.current_time()
                 self._note_touch(True, "")
                 self._note_hosts()
@@ -268,6 +291,11 @@
                 self._note_touch(False, str(error))
                 return False
 
+    def _moment(self) -> Moment:
+        beats = self._beats()
+        uptime_s = trio.current_time() - self._began
+        return Moment(self._wall(), uptime_s, beats.count, beats.endpoints, beats.every_s)
+
     def _note_touch(self, in_touch: bool, why: str) -> None:
         if in_touch != self._in_touch:
             kind = "ledger regained" if in_touch else "ledger lost"
--- a/mulberrycleat/platform/settings.py
+++ b/mulberrycleat/platform/settings.py
@@ -50,6 +50,7 @@
     listen: _Listen
     platform: _Store
     seeds: list[str] = []
+    heartbeat_ms: float = 1000.0
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -89,6 +90,7 @@
             peers_listen=boot.listen.control,
             store=boot.platform.address,
             seeds=tuple(boot.seeds),
+            beat_s=boot.heartbeat_ms / 1000,
             bounds=FleetBounds(
                 grace_s=bounds.grace_s,
                 drain_s=bounds.drain_ms / 1000,
--- a/mulberrycleat/prepaid/__init__.py
+++ b/mulberrycleat/prepaid/__init__.py
@@ -6,13 +6,15 @@
 """
 
 from mulberrycleat.prepaid.allowance import Allowance, AllowanceSettings, Verdict
-from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, SliceLedger
+from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, Moment, SliceLedger, silence_s
 
 __all__ = [
     "AccountShare",
     "Allowance",
     "AllowanceSettings",
     "HolderRecord",
+    "Moment",
     "SliceLedger",
     "Verdict",
+    "silence_s",
 ]
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, SliceLedger
+from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, Moment, SliceLedger, silence_s
 
 __all__ = ["Allowance", "AllowanceSettings", "Verdict"]
 
-RATE_KEPT_S = 3.0
+RATE_KEPT_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,9 +19,14 @@
 
     Attributes
     ----------
+    ready_s : float
+        A slice covers at once what the host is expected to reserve in this time, in seconds. The
+        death of the host strands this, and what the slice has grown by.
+    growth_share : float
+        A slice grows by so many times the tokens that the host is expected to reserve.
     horizon_s : float
-        A slice covers what the host is expected to reserve in this time, so that it serves through
-        an outage of the store that lasts no longer, in seconds.
+        A slice grows for so long, so that the host serves through an outage of the store that lasts
+        no longer, in seconds.
     unspent_share : float
         Largest part of the unspent total that all hosts together hold beyond what runs.
     least_share : float
@@ -33,6 +38,8 @@
         A slice is drawn anew when it differs by more than this part from what it should be.
     """
 
+    ready_s: float = 1.0
+    growth_share: float = 1.3
     horizon_s: float = 10.0
     unspent_share: float = 0.6
     least_share: float = 0.003
@@ -62,7 +69,7 @@
     reserved: int = 0
     given: int = 0
     gift: int = 0
-    limit: int = 0
+    share: AccountShare = AccountShare()
     wanted: int = 0
     rate: float = 0.0
     rate_at: float = 0.0
@@ -74,6 +81,7 @@
 
     record: HolderRecord
     at: int
+    drafted_at: float
 
 
 class Allowance:
@@ -106,6 +114,8 @@
         self._joined = False
         self._drafts: list[_Draft] = []
         self._ledger = SliceLedger()
+        self._drafted_at = 0.0
+        self._drafted: dict[int, float] = {}
 
     @property
     def ledger(self) -> SliceLedger:
@@ -127,7 +137,7 @@
         self._totals = dict(totals)
         self._map_version = map_version
 
-    def take_ledger(self) -> None:
+    def take_ledger(self, now: Moment) -> None:
         """Take note that the ledger has changed; recognise own records in it."""
         self._drafts = [draft for draft in self._drafts if draft.at >= self._ledger.end]
         record = self._ledger.records.get(self._host)
@@ -135,11 +145,13 @@
             return
         if record.incarnation != self._incarnation:
             if not self._joined:
-                self._take_past(record)
+                self._take_past(record, silence_s(record, now))
             return
         self._joined = True
+        self._drafted_at = self._drafted.get(record.number, self._drafted_at)
+        self._drafted = {n: at for n, at in self._drafted.items() if n >= record.number}
         for name, share in record.shares.items():
-            self._account(name).limit = share.limit
+            self._account(name).share = share
 
     def reserve(self, name: str, tokens: int, now: float) -> Verdict:
         """Set tokens aside for a request."""
@@ -147,7 +159,7 @@
         if total is None:
             return Verdict.EXHAUSTED
         account = self._account(name)
-        if not self._overcommitted(name, total) and self._fits(name, account, tokens):
+        if not self._overcommitted(name, total) and self._free(name, account, now) >= tokens:
             account.reserved += tokens
             self._note_rate(account, tokens, now)
             return Verdict.GRANTED
@@ -166,14 +178,14 @@
             account.reserved -= reserved
             account.spent += used
 
-    def give(self, name: str, tokens: int) -> int:
+    def give(self, name: str, tokens: int, now: float) -> int:
         """Give tokens of the own slice to another host; return how many, 0 for none.
 
         What was given counts as gone from this slice for good, whether or not the other host uses
         it or lives: the total is safe without any record of the gift.
         """
         total = self._totals.get(name)
-        free = self.free_tokens(name)
+        free = self.free_tokens(name, now)
         if total is None or free < tokens or self._overcommitted(name, total):
             return 0
         given = min(free, max(tokens, int(free * self._settings.gift_share)))
@@ -189,20 +201,20 @@
         records = self._ledger.records.values()
         others = [r for r in records if r.host != self._host and r.peer_address and not r.ended]
         shares = [(r.shares.get(name, AccountShare()), r.peer_address) for r in others]
-        ranked = sorted(shares, key=lambda found: found[0].spent - found[0].limit)
+        ranked = sorted(shares, key=lambda found: found[0].spent - found[0].ceiling)
         return tuple(address for _, address in ranked)
 
     def want(self, name: str, tokens: int) -> None:
         """Count tokens that a waiting request lacks; negative when it waits no longer."""
         self._account(name).wanted += tokens
 
-    def free_tokens(self, name: str) -> int:
+    def free_tokens(self, name: str, now: float) -> int:
         """Return what is left of a slice."""
-        account = self._account(name)
-        held = account.spent + account.reserved + account.given
-        return self._limit(name, account) - held
+        return self._free(name, self._account(name), now)
 
-    def draft(self, now: float, ended: bool = False, due: bool = False) -> HolderRecord | None:
+    def draft(
+        self, now: float, moment: Moment, ended: bool = False, due: bool = False
+    ) -> HolderRecord | None:
         """Return the record to be appended at the ledger's end, or None when none is needed.
 
         Parameters
@@ -229,14 +241,18 @@
             self._peer_address,
             shares,
             ended,
+            moment.wall_s,
+            moment.beats,
+            moment.endpoints,
         )
-        self._drafts.append(_Draft(record, self._ledger.end))
+        self._drafts.append(_Draft(record, self._ledger.end, now))
+        self._drafted[record.number] = now
         return record
 
-    def written(self, record: HolderRecord, offset: int) -> None:
+    def written(self, record: HolderRecord, offset: int, now: Moment) -> None:
         """Take note that a drafted record stands in the store."""
         self._ledger.take([record], offset + 1)
-        self.take_ledger()
+        self.take_ledger(now)
 
     def refused(self, record: HolderRecord) -> None:
         """Take note that a drafted record is surely not in the store and never will be."""
@@ -250,24 +266,20 @@
             self._accounts[name] = _Account()
         return self._accounts[name]
 
-    def _take_past(self, record: HolderRecord) -> None:
+    def _take_past(self, record: HolderRecord, age_s: float) -> None:
         """Count an earlier incarnation of this host: it has ended, or this one would not run."""
         for name, share in record.shares.items():
             account = self._account(name)
-            account.past_limit = share.past_limit + share.limit
+            account.past_limit = share.past_limit + share.limit_after(age_s)
             account.past_spent = share.past_spent + share.spent
 
-    def _limit(self, name: str, account: _Account) -> int:
-        limit = account.limit
+    def _free(self, name: str, account: _Account, now: float) -> int:
+        limit = account.share.limit_after(now - self._drafted_at)
         for draft in self._drafts:
             share = draft.record.shares.get(name)
             if share is not None:
-                limit = min(limit, share.limit)
-        return limit
-
-    def _fits(self, name: str, account: _Account, tokens: int) -> bool:
-        held = account.spent + account.reserved + account.given
-        return held + tokens <= self._limit(name, account)
+                limit = min(limit, share.limit_after(now - draft.drafted_at))
+        return limit - account.spent - account.reserved - account.given
 
     def _overcommitted(self, name: str, total: int) -> bool:
         """Whether limits drawn before a cut of the total may pass it now."""
@@ -275,40 +287,51 @@
 
     def _next_share(self, name: str, now: float, ended: bool) -> AccountShare:
         account = self._account(name)
-        total = self._totals.get(name, 0)
         held = account.spent + account.reserved + account.given
         rate = self._rate(account, now)
-        limit = held if ended else self._next_limit(name, account, total, held, rate)
-        return AccountShare(
-            account.past_limit, account.past_spent, account.spent, limit, round(rate, 1)
-        )
-
-    def _next_limit(self, name: str, account: _Account, total: int, held: int, rate: float) -> int:
+        if ended:
+            limit, growth, ceiling = held, 0.0, held
+        else:
+            limit, growth, ceiling = self._next_limit(name, account, held, rate)
+        past = (account.past_limit, account.past_spent)
+        return AccountShare(*past, account.spent, limit, round(growth, 1), ceiling, round(rate, 1))
+
+    def _next_limit(
+        self, name: str, account: _Account, held: int, rate: float
+    ) -> tuple[int, float, int]:
+        """Return limit, growth and ceiling of the next record."""
         settings = self._settings
+        total = self._totals.get(name, 0)
         others = self._ledger.committed(name, self._host) + account.past_limit
         largest = total - others
         if largest < held:
-            return held
+            return held, 0.0, held
         spent_by_others = self._ledger.surely_spent(name, self._host)
         unspent = max(0, total - spent_by_others - account.past_limit - held)
         all_rates = self._ledger.rate(name, self._host) + rate
         hosts = max(1, len(self._ledger.records))
         share = max(rate / all_rates if all_rates > 0 else 0.0, 0.5 / hosts)
-        spare = max(rate * settings.horizon_s, settings.least_share * total)
-        spare = min(spare, settings.unspent_share * unspent * min(1.0, share))
-        return min(largest, held + account.wanted + int(spare))
+        least = settings.least_share * total
+        growth = max(settings.growth_share * rate, least / settings.horizon_s)
+        most = settings.unspent_share * unspent * min(1.0, share)
+        ceiling = min(largest, held + account.wanted + int(min(growth * settings.horizon_s, most)))
+        ready = held + account.wanted + int(max(rate * settings.ready_s, least))
+        return min(ready, ceiling), growth, ceiling
 
     def _differs(self, shares: dict[str, AccountShare]) -> bool:
         """Whether a record would change slices, or settle tokens, by enough to be worth writing."""
         record = self._ledger.records.get(self._host)
         if record is None or record.map_version != self._map_version:
             return True
+        bound = self._settings.change_share
         for name, share in shares.items():
             old = record.shares.get(name, AccountShare())
-            spare, wanted = old.limit - old.spent, share.limit - share.spent
-            if abs(wanted - spare) > self._settings.change_share * max(wanted, spare, 1):
+            if self._account(name).wanted:
+                return True
+            spare, wanted = old.ceiling - old.spent, share.ceiling - share.spent
+            if abs(wanted - spare) > bound * max(wanted, spare, 1):
                 return True
-            if share.spent - old.spent > self._settings.change_share * max(1, spare):
+            if share.spent - old.spent > bound * max(1, old.ceiling - old.spent):
                 return True
         return False
 
--- a/mulberrycleat/prepaid/ledger.py
+++ b/mulberrycleat/prepaid/ledger.py
@@ -3,10 +3,40 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import msgspec
 
-__all__ = ["AccountShare", "HolderRecord", "SliceLedger"]
+__all__ = ["AccountShare", "HolderRecord", "Moment", "SliceLedger", "silence_s"]
+
+# Added to the time for which a host that died had been silent, and the part by which endpoints may
+# announce themselves more slowly than they should.
+SILENCE_MARGIN_S = 0.5
+BEAT_MARGIN = 1.25
+
+
+class Moment(NamedTuple):
+    """A point in time, by two clocks that don't fail together.
+
+    Attributes
+    ----------
+    wall_s : float
+        Time of day of the host, in seconds; it may jump.
+    uptime_s : float
+        Time since the start of the process, in seconds.
+    beats : int
+        Announcements of endpoints that the store has taken so far; they stop while it is down.
+    endpoints : int
+        Endpoints that announce themselves.
+    beat_s : float
+        Time between two announcements of one endpoint, in seconds.
+    """
+
+    wall_s: float = 0.0
+    uptime_s: float = 0.0
+    beats: int = 0
+    endpoints: int = 0
+    beat_s: float = 1.0
 
 
 class AccountShare(msgspec.Struct, frozen=True, array_like=True):
@@ -19,7 +49,11 @@
     spent : int
         Spent by this incarnation, as of the record.
     limit : int
-        The most that this incarnation may have spent before its next record.
+        The most that this incarnation may have spent when the record was drafted.
+    growth : float
+        The limit grows by so many tokens a second from then on.
+    ceiling : int
+        The limit never grows past this.
     rate : float
         Tokens a second that the host lately reserved.
     """
@@ -28,8 +62,14 @@
     past_spent: int = 0
     spent: int = 0
     limit: int = 0
+    growth: float = 0.0
+    ceiling: int = 0
     rate: float = 0.0
 
+    def limit_after(self, age_s: float) -> int:
+        """Return the limit when the record is `age_s` old."""
+        return min(self.ceiling, self.limit + int(self.growth * max(0.0, age_s)))
+
 
 class HolderRecord(msgspec.Struct, frozen=True):
     """All that one host tells the others through the store.
@@ -47,7 +87,9 @@
     shares : mapping
         By name of the client account.
     ended : bool
-        The incarnation has ended and has spent exactly what the record says.
+        The incarnation has ended and its limits grow no more.
+    wall_s, beats, endpoints
+        When the record was drafted, see :class:`Moment`.
     """
 
     host: str
@@ -57,6 +99,9 @@
     peer_address: str = ""
     shares: dict[str, AccountShare] = {}
     ended: bool = False
+    wall_s: float = 0.0
+    beats: int = 0
+    endpoints: int = 0
 
 
 class SliceLedger:
@@ -70,7 +115,8 @@
     Examples
     --------
     >>> ledger = SliceLedger()
-    >>> ledger.take([HolderRecord("a", "1", 1, 7, shares={"huts": AccountShare(0, 0, 5, 30)})], 1)
+    >>> share = AccountShare(spent=5, limit=10, growth=4.0, ceiling=30)
+    >>> ledger.take([HolderRecord("a", "1", 1, 7, shares={"huts": share})], 1)
     >>> ledger.committed("huts"), ledger.surely_spent("huts"), ledger.map_version
     (30, 5, 7)
     """
@@ -100,7 +146,7 @@
     def committed(self, account: str, without: str = "") -> int:
         """Return the most that all hosts, but `without`, may have spent in all."""
         return sum(
-            share.past_limit + share.limit
+            share.past_limit + share.ceiling
             for host, share in self._shares(account)
             if host != without
         )
@@ -122,3 +168,18 @@
             share = record.shares.get(account)
             if share is not None:
                 yield host, share
+
+
+def silence_s(record: HolderRecord, now: Moment) -> float:
+    """Return the longest time that a host can have lived after its record, in seconds.
+
+    `now` is a moment of the process that succeeds it, so that the host had ended when that began.
+
+    >>> record = HolderRecord("a", "1", 1, 7, wall_s=100.0, beats=50, endpoints=12)
+    >>> silence_s(record, Moment(wall_s=102.0, uptime_s=0.5, beats=60, endpoints=12, beat_s=1.2))
+    2.0
+    """
+    by_wall_s = now.wall_s - record.wall_s
+    endpoints = max(1, min(record.endpoints, now.endpoints))
+    by_beats_s = (now.beats - record.beats) * now.beat_s * BEAT_MARGIN / endpoints
+    return max(by_wall_s, by_beats_s, now.uptime_s) - now.uptime_s + SILENCE_MARGIN_S
--- a/mulberrycleat/web/asgi.py
+++ b/mulberrycleat/web/asgi.py
@@ -76,11 +76,14 @@
     """The way back to the caller of one request.
 
     A handler either returns a :class:`Reply` or calls :meth:`start`, :meth:`write` and
-    :meth:`finish` itself and returns None.
+    :meth:`finish` itself and returns None. A message to the server is never cut off by a
+    cancellation: the server would take the answer for one that has not begun, or keep a connection
+    on which the end of an answer is missing. How long a message may take is bounded by the send
+    timeout of the connection.
     """
 
     def __init__(self, send: Callable[[dict[str, Any]], Awaitable[None]]) -> None:
-        self._send = send
+        self._send_message = send
         self._started = False
         self._finished = False
         self._gone = trio.Event()
@@ -115,6 +118,10 @@
         self._finished = True
         await self._send({"type": "http.response.body", "body": data, "more_body": False})
 
+    async def _send(self, message: dict[str, Any]) -> None:
+        with trio.CancelScope(shield=True):
+            await self._send_message(message)
+
     async def reply(self, reply: Reply) -> None:
         """Send a whole answer."""
         length = ("content-length", str(len(reply.body)))
