--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -80,7 +80,9 @@
         self._repeats = RepeatBudget(settings.bounds)
         self._connections = ConnectionPool()
         self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
-        allowance = Allowance(AllowanceSettings(), settings.host, new_id(), settings.peers_listen)
+        allowance = Allowance(
+            AllowanceSettings(), settings.host, new_id(), settings.peers_listen, settings.zone
+        )
         self._slices = SliceController(
             allowance,
             self._store,
@@ -126,6 +128,7 @@
             nursery.start_soon(self._maps.run)
             nursery.start_soon(self._directory.run)
             nursery.start_soon(self._run_slices)
+            nursery.start_soon(self._slices.run_uses)
             nursery.start_soon(self._sweep)
             nursery.start_soon(self._metrics.watch_loop)
             nursery.start_soon(self._serve, self._readiness_app(), self._settings.readiness)
@@ -182,8 +185,9 @@
             self._repeats.set_hosts(self._slices.hosts())
 
     def _count_beats(self) -> Beats:
-        entries = self._book.directory.entries
-        return Beats(self._directory.beats, len(entries), self._settings.beat_s)
+        count, beat_s = len(self._book.directory.entries), self._settings.beat_s
+        age_s = min(trio.current_time() - self._directory.read_at, beat_s)
+        return Beats(self._directory.beats + int(count * age_s / beat_s), count, beat_s)
 
     def _peers(self) -> tuple[str, ...]:
         known = {*self._slices.peers, *self._settings.seeds}
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from random import Random
 from typing import Any, NamedTuple
 
@@ -14,6 +14,7 @@
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.settings import EntryTimes
 from mulberrycleat.entry.store import StateStore
+from mulberrycleat.membership.rendezvous import first_by_rank
 from mulberrycleat.prepaid import Allowance, Moment, Verdict
 from mulberrycleat.routes import RouteTable
 from mulberrycleat.web import Reply, Request, Responder, Route
@@ -35,7 +36,14 @@
 # Other hosts that are asked for tokens for one request, and the longest wait for one of them.
 DONORS = 4
 GIFT_TIMEOUT_S = 0.25
+# Longest wait of another host's request for a larger slice here; below the wait for an answer.
+GIFT_WAIT_S = 0.15
+# A host that did not answer is not asked again for so long.
+AVOID_S = 1.0
 GIFT_PATH = "/tokens"
+USE_PATH = "/tokens/use"
+# Between two messages on what became of gifts.
+USE_EVERY_S = 0.3
 
 
 class Beats(NamedTuple):
@@ -55,6 +63,12 @@
     tokens: int
 
 
+class _Use(msgspec.Struct):
+    """What became of gifts, by account: tokens used, and tokens given back."""
+
+    uses: dict[str, tuple[int, int]]
+
+
 class SliceController:
     """Keeps the ledger up to date, and draws slices ahead of demand.
 
@@ -100,7 +114,10 @@
         self._random = random
         self._offset: int | None = None
         self._kick = trio.Event()
-        self._changed = trio.Event()
+        self._looked = trio.Event()
+        self._avoided: dict[str, float] = {}
+        self._gifted: set[str] = set()
+        self._used: dict[str, int] = {}
         self._in_touch = False
         self._read_at = float("-inf")
         self._written_at = float("-inf")
@@ -138,42 +155,98 @@
         self._kick.set()
 
     async def reserve(self, account: str, tokens: int, deadline: float) -> Verdict:
-        """Reserve tokens, waiting a short time for a larger slice when the store is in touch."""
+        """Reserve tokens of the own slice, of the account's home, of the store, or of any host.
+
+        Each account has a home among the hosts of a zone, where the zone's demand meets: one slice
+        for all of it is smaller than many slices for single large requests, hosts collide less at
+        the store, and a zone that is cut off goes on.
+        """
         verdict = self._allowance.reserve(account, tokens, trio.current_time())
+        home = self._home(account)
+        if verdict is Verdict.LACKING and home is not None:
+            verdict = await self._reserve_gift(account, tokens, deadline, (home,))
         if verdict is Verdict.LACKING and self._in_touch:
             verdict = await self._reserve_later(account, tokens, deadline)
         if verdict is Verdict.LACKING:
-            verdict = await self._reserve_gift(account, tokens, deadline)
+            donors = [d for d in self._allowance.donors(account) if d != home][:DONORS]
+            verdict = await self._reserve_gift(account, tokens, deadline, donors)
         return verdict
 
     def settle(self, account: str, reserved: int, used: int, gifted: bool) -> None:
         """Give back what a request did not use."""
         self._allowance.settle(account, reserved, used, gifted)
+        if gifted:
+            self._gifted.add(account)
+            self._used[account] = self._used.get(account, 0) + used
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes for other hosts."""
-        return (Route("POST", GIFT_PATH, self._give),)
+        return (
+            Route("POST", GIFT_PATH, self._give),
+            Route("POST", USE_PATH, self._take_use),
+        )
+
+    async def run_uses(self) -> None:
+        """Tell the accounts' homes what became of their gifts, for ever."""
+        while True:
+            await trio.sleep(USE_EVERY_S)
+            await self.tell_uses()
+
+    async def tell_uses(self) -> None:
+        """Tell the accounts' homes what became of their gifts.
+
+        A message whose answer is lost is not sent again: what it told stays counted as given.
+        """
+        by_home: dict[str, dict[str, tuple[int, int]]] = {}
+        for account in self._gifted:
+            home = self._home(account)
+            used = self._used.pop(account, 0)
+            unused = self._allowance.give_back(account)
+            if home is not None and (used or unused):
+                by_home.setdefault(home, {})[account] = (used, unused)
+            elif unused:
+                self._allowance.take_gift(account, unused)
+        self._gifted = set(self._used)
+        for home, uses in by_home.items():
+            body = msgspec.msgpack.encode(_Use(uses))
+            url = f"http://{home}{USE_PATH}"
+            match await self._client.request("POST", url, body, None, GIFT_TIMEOUT_S):
+                case Err(error):
+                    self._decisions.note("uses not told", peer=home, why=str(error))
 
     async def _reserve_later(self, account: str, tokens: int, deadline: float) -> Verdict:
         """Wait for a larger slice from the store."""
         verdict = Verdict.LACKING
+        bound = min(deadline, trio.current_time() + self._times.slice_wait_s)
+        async for _ in self._rounds(account, tokens, bound):
+            verdict = self._allowance.reserve(account, tokens, trio.current_time())
+            if verdict is not Verdict.LACKING:
+                break
+        return verdict
+
+    async def _rounds(self, account: str, tokens: int, bound: float) -> AsyncIterator[None]:
+        """Yield after each of some looks at the slices, while `tokens` are wanted."""
         self._allowance.want(account, tokens)
         try:
-            with trio.move_on_at(min(deadline, trio.current_time() + self._times.slice_wait_s)):
-                for _ in range(SLICE_ROUNDS):
-                    if verdict is not Verdict.LACKING or not self._in_touch:
-                        break
-                    self._kick.set()
-                    await self._changed.wait()
-                    verdict = self._allowance.reserve(account, tokens, trio.current_time())
+            for _ in range(SLICE_ROUNDS):
+                self._kick.set()
+                with trio.move_on_at(bound) as scope:
+                    await self._looked.wait()
+                if scope.cancelled_caught or not self._in_touch:
+                    return
+                yield
         finally:
             self._allowance.want(account, -tokens)
-        return verdict
 
-    async def _reserve_gift(self, account: str, tokens: int, deadline: float) -> Verdict:
+    async def _reserve_gift(
+        self, account: str, tokens: int, deadline: float, peers: Sequence[str]
+    ) -> Verdict:
         """Ask other hosts for tokens of their slices."""
-        body = msgspec.msgpack.encode(_GiftAsk(account, tokens))
-        for peer in self._allowance.donors(account)[:DONORS]:
+        lacking = max(1, tokens - self._allowance.gift(account))
+        body = msgspec.msgpack.encode(_GiftAsk(account, lacking))
+        for peer in peers:
+            if trio.current_time() < self._avoided.get(peer, 0.0):
+                continue
             timeout_s = min(GIFT_TIMEOUT_S, deadline - trio.current_time())
             if timeout_s <= 0:
                 break
@@ -186,12 +259,14 @@
                     gift = msgspec.msgpack.decode(answer.body, type=_Gift).tokens
                     self._decisions.note("tokens received", account=account, peer=peer, tokens=gift)
                     self._allowance.take_gift(account, gift)
+                    self._gifted.add(account)
                     verdict = self._allowance.reserve(account, tokens, trio.current_time())
                     if verdict is not Verdict.LACKING:
                         return verdict
                 case Ok(answer):
                     self._decisions.note("no tokens", account=account, peer=peer, why=answer.status)
                 case Err(error):
+                    self._avoided[peer] = trio.current_time() + AVOID_S
                     self._decisions.note("no tokens", account=account, peer=peer, why=str(error))
         return Verdict.LACKING
 
@@ -201,17 +276,34 @@
         except msgspec.DecodeError as error:
             return Reply(400, str(error).encode())
         given = self._allowance.give(ask.account, ask.tokens, trio.current_time())
+        if not given and self._in_touch:
+            bound = trio.current_time() + GIFT_WAIT_S
+            async for _ in self._rounds(ask.account, ask.tokens, bound):
+                given = self._allowance.give(ask.account, ask.tokens, trio.current_time())
+                if given:
+                    break
         if given:
             self._decisions.note("tokens given", account=ask.account, tokens=given)
+        else:
+            self._decisions.warn(
+                "no tokens to give", asked=ask.tokens, **self.describe(ask.account)
+            )
         return Reply(200, msgspec.msgpack.encode(_Gift(given)))
 
+    async def _take_use(self, request: Request, responder: Responder) -> Reply:
+        try:
+            told = msgspec.msgpack.decode(request.body, type=_Use)
+        except msgspec.DecodeError as error:
+            return Reply(400, str(error).encode())
+        for account, (used, unused) in told.uses.items():
+            self._allowance.take_use(account, used, unused)
+        return Reply(204)
+
     def describe(self, account: str) -> dict[str, Any]:
         """Return the inputs of a decision about an account's tokens."""
         ledger = self._allowance.ledger
         return {
-            "free": self._allowance.free_tokens(account, trio.current_time()),
-            "committed": ledger.committed(account),
-            "surely_spent": ledger.surely_spent(account),
+            **self._allowance.describe(account, trio.current_time()),
             "ledger_end": ledger.end,
             "ledger_age_s": round(trio.current_time() - self._read_at, 3),
             "in_touch": self._in_touch,
@@ -225,7 +317,8 @@
         """Settle and draw slices, for ever."""
         while True:
             await self._cycle()
-            self._wake()
+            event, self._looked = self._looked, trio.Event()
+            event.set()
             await trio.sleep(KICK_SPACING_S)
             with trio.move_on_after(self._times.slices_every_s):
                 await self._kick.wait()
@@ -233,6 +326,7 @@
 
     async def end(self) -> None:
         """Write the last record, so that nothing is held for an incarnation that has ended."""
+        await self.tell_uses()
         await self._write(ended=True)
 
     async def _cycle(self) -> None:
@@ -258,7 +352,6 @@
                     self._note_touch(True, "")
                     self._note_hosts()
                     self._decisions.note("slices recorded", number=record.number)
-                    self._wake()
                     return True
                 case Ok(_):
                     self._allowance.refused(record)
@@ -268,8 +361,10 @@
                 case Err(error):
                     if not error.sent:
                         self._allowance.refused(record)
-                    self._note_touch(False, str(error))
-                    return False
+                    # An answer may be lost though the store is there; then a read succeeds.
+                    if not error.sent or not await self._read():
+                        self._note_touch(False, str(error))
+                        return False
         self._decisions.warn("slices not recorded", tries=APPEND_TRIES)
         return False
 
@@ -285,12 +380,27 @@
                 self._read_at = trio.current_time()
                 self._note_touch(True, "")
                 self._note_hosts()
-                self._wake()
                 return True
             case Err(error):
                 self._note_touch(False, str(error))
                 return False
 
+    def _home(self, account: str) -> str | None:
+        """Return the address of an account's home in this zone, None when that is here."""
+        now = trio.current_time()
+        records = self._allowance.ledger.records
+        zone = self._allowance.zone
+        active = [
+            name
+            for name, (_, _, at) in self._seen.items()
+            if now - at < HOST_ACTIVE_S and records[name].zone == zone
+        ]
+        home = first_by_rank(account, active)
+        record = records.get(home) if home else None
+        if record is None or record.host == self._allowance.host:
+            return None
+        return record.peer_address or None
+
     def _moment(self) -> Moment:
         beats = self._beats()
         uptime_s = trio.current_time() - self._began
@@ -310,7 +420,3 @@
                 self._seen.pop(name, None)
             elif self._seen.get(name, ("", 0, 0.0))[:2] != mark:
                 self._seen[name] = (*mark, now)
-
-    def _wake(self) -> None:
-        event, self._changed = self._changed, trio.Event()
-        event.set()
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -11,6 +12,10 @@
 __all__ = ["Allowance", "AllowanceSettings", "Verdict"]
 
 RATE_KEPT_S = 5.0
+# Part of the largest reservation that is remembered from one reservation to the next.
+LARGEST_KEPT = 0.9
+# A rate below this is taken for none, in tokens a second.
+LEAST_RATE = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,28 +27,32 @@
     ready_s : float
         A slice covers at once what the host is expected to reserve in this time, in seconds. The
         death of the host strands this, and what the slice has grown by.
-    growth_share : float
-        A slice grows by so many times the tokens that the host is expected to reserve.
+    ready_lumps : float
+        A slice covers at once at least so many of the largest late reservations: few large requests
+        come unevenly.
     horizon_s : float
-        A slice grows for so long, so that the host serves through an outage of the store that lasts
-        no longer, in seconds.
+        The ceiling covers what the host is expected to reserve in this time, so that it serves
+        through an outage of the store that lasts no longer, in seconds.
+    horizon_lumps : float
+        The ceiling covers so many of the largest late reservations besides.
+    growth_s : float
+        An old slice grows to its ceiling in this time, in seconds.
     unspent_share : float
         Largest part of the unspent total that all hosts together hold beyond what runs.
     least_share : float
         Part of the total that a host holds of each account without any demand, so that a first
         request need not wait for the store.
-    gift_share : float
-        Part of what is free that is given to a host that asks, if that is more than it needs.
     change_share : float
         A slice is drawn anew when it differs by more than this part from what it should be.
     """
 
-    ready_s: float = 1.0
-    growth_share: float = 1.3
+    ready_s: float = 1.5
+    ready_lumps: float = 0.6
     horizon_s: float = 10.0
+    horizon_lumps: float = 1.5
+    growth_s: float = 2.5
     unspent_share: float = 0.6
-    least_share: float = 0.003
-    gift_share: float = 0.3
+    least_share: float = 0.001
     change_share: float = 0.25
 
 
@@ -73,6 +82,7 @@
     wanted: int = 0
     rate: float = 0.0
     rate_at: float = 0.0
+    largest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,13 +106,19 @@
     ----------
     settings : AllowanceSettings
         How large slices are.
-    host, incarnation, peer_address : str
+    host, incarnation, peer_address, zone : str
         Written into each record.
     """
 
     def __init__(
-        self, settings: AllowanceSettings, host: str, incarnation: str, peer_address: str = ""
+        self,
+        settings: AllowanceSettings,
+        host: str,
+        incarnation: str,
+        peer_address: str = "",
+        zone: str = "",
     ) -> None:
+        self._zone = zone
         self._settings = settings
         self._host = host
         self._incarnation = incarnation
@@ -117,6 +133,16 @@
         self._drafted_at = 0.0
         self._drafted: dict[int, float] = {}
 
+    @property
+    def host(self) -> str:
+        """Name of this host."""
+        return self._host
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of this host."""
+        return self._zone
+
     @property
     def ledger(self) -> SliceLedger:
         """Records of all hosts as last read."""
@@ -181,21 +207,52 @@
     def give(self, name: str, tokens: int, now: float) -> int:
         """Give tokens of the own slice to another host; return how many, 0 for none.
 
-        What was given counts as gone from this slice for good, whether or not the other host uses
-        it or lives: the total is safe without any record of the gift.
+        What was given counts as gone from this slice until the other host says what became of it,
+        so that the total is safe if that host dies, without any record of the gift.
         """
         total = self._totals.get(name)
         free = self.free_tokens(name, now)
         if total is None or free < tokens or self._overcommitted(name, total):
             return 0
-        given = min(free, max(tokens, int(free * self._settings.gift_share)))
-        self._account(name).given += given
-        return given
+        account = self._account(name)
+        account.given += tokens
+        self._note_rate(account, tokens, now)
+        return tokens
+
+    def take_use(self, name: str, used: int, unused: int) -> None:
+        """Take another host's word on tokens that it was given and now has used or gives back."""
+        account = self._account(name)
+        account.given -= min(account.given, used + unused)
+        account.spent += used
+
+    def give_back(self, name: str) -> int:
+        """Return, and let go of, what is left of other hosts' gifts."""
+        account = self._account(name)
+        left, account.gift = account.gift, 0
+        return left
+
+    def gift(self, name: str) -> int:
+        """Return what is left of other hosts' gifts."""
+        return self._account(name).gift
 
     def take_gift(self, name: str, tokens: int) -> None:
         """Take tokens that another host gave."""
         self._account(name).gift += tokens
 
+    def describe(self, name: str, now: float) -> dict[str, int]:
+        """Return the inputs of decisions about an account, in tokens."""
+        account, ledger = self._account(name), self._ledger
+        return {
+            "total": self._totals.get(name, -1),
+            "free": self._free(name, account, now),
+            "ceiling_free": account.share.ceiling - account.spent - account.reserved,
+            "reserved": account.reserved,
+            "given": account.given,
+            "committed": ledger.committed(name),
+            "surely_spent": ledger.surely_spent(name),
+            "stranded": ledger.stranded(name),
+        }
+
     def donors(self, name: str) -> tuple[str, ...]:
         """Return the addresses of the other hosts, those that seemed to have most left first."""
         records = self._ledger.records.values()
@@ -224,9 +281,14 @@
         due : bool
             The last record is old, so that any change is worth a new one.
 
+        A record whose fate is not known is returned again until the ledger has grown past its
+        place: another one there would hold the slices at their size of now.
+
         None also while the ledger shows that other hosts drew their limits by a newer route map:
         the totals known here may be too large.
         """
+        if self._drafts:
+            return self._drafts[-1].record
         if self._ledger.map_version > self._map_version and not ended:
             return None
         shares = {name: self._next_share(name, now, ended) for name in self._names()}
@@ -239,6 +301,7 @@
             self._number,
             max(self._map_version, self._ledger.map_version),
             self._peer_address,
+            self._zone,
             shares,
             ended,
             moment.wall_s,
@@ -312,11 +375,13 @@
         hosts = max(1, len(self._ledger.records))
         share = max(rate / all_rates if all_rates > 0 else 0.0, 0.5 / hosts)
         least = settings.least_share * total
-        growth = max(settings.growth_share * rate, least / settings.horizon_s)
-        most = settings.unspent_share * unspent * min(1.0, share)
-        ceiling = min(largest, held + account.wanted + int(min(growth * settings.horizon_s, most)))
-        ready = held + account.wanted + int(max(rate * settings.ready_s, least))
-        return min(ready, ceiling), growth, ceiling
+        lump = account.largest if rate > LEAST_RATE else 0
+        spare = rate * settings.horizon_s + lump * settings.horizon_lumps
+        spare = min(max(spare, least), settings.unspent_share * unspent * min(1.0, share))
+        ceiling = min(largest, held + account.wanted + int(spare))
+        ready_spare = max(rate * settings.ready_s, lump * settings.ready_lumps, least)
+        ready = min(ceiling, held + account.wanted + int(ready_spare))
+        return ready, (ceiling - ready) / settings.growth_s, ceiling
 
     def _differs(self, shares: dict[str, AccountShare]) -> bool:
         """Whether a record would change slices, or settle tokens, by enough to be worth writing."""
@@ -337,8 +402,9 @@
 
     def _note_rate(self, account: _Account, tokens: int, now: float) -> None:
         account.rate = self._rate(account, now) + tokens / RATE_KEPT_S
+        account.largest = max(tokens, int(account.largest * LARGEST_KEPT))
         account.rate_at = now
 
     def _rate(self, account: _Account, now: float) -> float:
         age_s = max(0.0, now - account.rate_at)
-        return account.rate * 2.718281828 ** (-age_s / RATE_KEPT_S)
+        return account.rate * math.exp(-age_s / RATE_KEPT_S)
--- a/mulberrycleat/prepaid/ledger.py
+++ b/mulberrycleat/prepaid/ledger.py
@@ -9,10 +9,11 @@
 
 __all__ = ["AccountShare", "HolderRecord", "Moment", "SliceLedger", "silence_s"]
 
-# Added to the time for which a host that died had been silent, and the part by which endpoints may
-# announce themselves more slowly than they should.
-SILENCE_MARGIN_S = 0.5
-BEAT_MARGIN = 1.25
+# Added to the time for which a host that died had been silent.
+SILENCE_MARGIN_S = 0.3
+# Limits begin to grow at this age of a record: hosts in touch with the store renew theirs in a
+# quarter of it, and a process that was killed is back by then.
+GROWTH_AFTER_S = 1.5
 
 
 class Moment(NamedTuple):
@@ -51,7 +52,7 @@
     limit : int
         The most that this incarnation may have spent when the record was drafted.
     growth : float
-        The limit grows by so many tokens a second from then on.
+        The limit grows by so many tokens a second once the record is old.
     ceiling : int
         The limit never grows past this.
     rate : float
@@ -67,8 +68,13 @@
     rate: float = 0.0
 
     def limit_after(self, age_s: float) -> int:
-        """Return the limit when the record is `age_s` old."""
-        return min(self.ceiling, self.limit + int(self.growth * max(0.0, age_s)))
+        """Return the limit when the record is `age_s` old.
+
+        >>> share = AccountShare(limit=100, growth=10.0, ceiling=150)
+        >>> [share.limit_after(age_s) for age_s in (1.0, 3.0, 60.0)]
+        [100, 110, 150]
+        """
+        return min(self.ceiling, self.limit + int(self.growth * max(0.0, age_s - GROWTH_AFTER_S)))
 
 
 class HolderRecord(msgspec.Struct, frozen=True):
@@ -84,6 +90,8 @@
         Version of the route map by which the limits were drawn.
     peer_address : str
         Where the other hosts can ask this one, as ``ip:port``.
+    zone : str
+        Availability zone of the host.
     shares : mapping
         By name of the client account.
     ended : bool
@@ -97,6 +105,7 @@
     number: int
     map_version: int
     peer_address: str = ""
+    zone: str = ""
     shares: dict[str, AccountShare] = {}
     ended: bool = False
     wall_s: float = 0.0
@@ -159,6 +168,10 @@
             if host != without
         )
 
+    def stranded(self, account: str) -> int:
+        """Return the tokens that may have been spent by incarnations that have ended, or not."""
+        return sum(share.past_limit - share.past_spent for _, share in self._shares(account))
+
     def rate(self, account: str, without: str = "") -> float:
         """Return the tokens a second that all hosts, but `without`, lately reserved."""
         return sum(s.rate for host, s in self._shares(account) if host != without)
@@ -177,9 +190,9 @@
 
     >>> record = HolderRecord("a", "1", 1, 7, wall_s=100.0, beats=50, endpoints=12)
     >>> silence_s(record, Moment(wall_s=102.0, uptime_s=0.5, beats=60, endpoints=12, beat_s=1.2))
-    2.0
+    1.8
     """
     by_wall_s = now.wall_s - record.wall_s
     endpoints = max(1, min(record.endpoints, now.endpoints))
-    by_beats_s = (now.beats - record.beats) * now.beat_s * BEAT_MARGIN / endpoints
+    by_beats_s = (now.beats - record.beats) * now.beat_s / endpoints
     return max(by_wall_s, by_beats_s, now.uptime_s) - now.uptime_s + SILENCE_MARGIN_S
