--- a/mulberrycleat/entry/filters/prepaid.py
+++ b/mulberrycleat/entry/filters/prepaid.py
@@ -18,8 +18,8 @@
 __all__ = ["PrepaidFilter"]
 
 EXHAUSTED_STATUS = 402
-# When to come back for tokens that other hosts or requests hold: they are settled by then.
-LACKING_RETRY_S = 1.0
+# When to come back for tokens that other hosts or requests hold: some will have been settled.
+LACKING_RETRY_S = 0.3
 
 
 class PrepaidFilter:
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -46,8 +46,8 @@
         A slice is drawn anew when it differs by more than this part from what it should be.
     """
 
-    ready_s: float = 1.5
-    ready_lumps: float = 0.6
+    ready_s: float = 0.8
+    ready_lumps: float = 0.4
     horizon_s: float = 10.0
     horizon_lumps: float = 1.5
     growth_s: float = 2.5
@@ -391,7 +391,7 @@
         bound = self._settings.change_share
         for name, share in shares.items():
             old = record.shares.get(name, AccountShare())
-            if self._account(name).wanted:
+            if self._account(name).wanted and share.limit > old.limit:
                 return True
             spare, wanted = old.ceiling - old.spent, share.ceiling - share.spent
             if abs(wanted - spare) > bound * max(wanted, spare, 1):
