--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -33,10 +36,19 @@
 from mulberrycleat.prepaid import Allowance, AllowanceSettings
 from mulberrycleat.router.chain import FilterChain
 from mulberrycleat.routes import ClientLimits, RouteTable
-from mulberrycleat.web import App, HttpClient, Reply, Request, Responder, Route, serve_app
-from mulberrycleat.web.upstream import ConnectionPool
+from mulberrycleat.web import (
+    App,
+    BaseHttpClient,
+    HttpClient,
+    Reply,
+    Request,
+    Responder,
+    Route,
+    serve_app,
+)
+from mulberrycleat.web.upstream import ConnectionPool, ConnectionSettings, Pipe, open_pipe
 
-__all__ = ["EntryHost"]
+__all__ = ["EntryHost", "EntryPorts"]
 
 SWEEP_EVERY_S = 1.0
 # A host that has not got its first slices after this time serves what needs none.
@@ -46,6 +58,30 @@
 PEER_SILENCE_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class EntryPorts:
+    """Ways out of and into the process; tests give others.
+
+    Attributes
+    ----------
+    peer_http : BaseHttpClient
+        HTTP towards other hosts.
+    connect : callable
+        Opens a pipe to an endpoint.
+    serve_http : callable
+        Takes the arguments of :func:`~mulberrycleat.web.serve_app`.
+    wall : callable
+        Returns the time of day, in seconds.
+    """
+
+    peer_http: BaseHttpClient = field(
+        default_factory=lambda: HttpClient(PEER_SILENCE_S, silence_timeout_s=PEER_SILENCE_S)
+    )
+    connect: Callable[[str, ConnectionSettings], Awaitable[Pipe]] = open_pipe
+    serve_http: Callable[..., Awaitable[None]] = serve_app
+    wall: Callable[[], float] = time.time
+
+
 class EntryHost:
     """One process on each entry host.
 
@@ -59,6 +95,8 @@
         The platform's store.
     decisions : DecisionLog
         Where decisions are told.
+    ports : EntryPorts, optional
+        Ways out of and into the process.
     """
 
     def __init__(
@@ -67,18 +105,21 @@
         dialect: Dialect,
         store: StateStore,
         decisions: DecisionLog,
+        ports: EntryPorts | None = None,
     ) -> None:
+        ports = ports or EntryPorts()
+        self._ports = ports
         self._settings = settings
         self._decisions = decisions
         self._limits = ClientLimits()
         self._front_config: Config | None = None
         self._started_at = float("inf")
         random = Random(settings.host)
-        self._peer_http = HttpClient(PEER_SILENCE_S, silence_timeout_s=PEER_SILENCE_S)
+        self._peer_http = ports.peer_http
         self._stopping = Stopping(settings.bounds, settings.times)
         self._book = EndpointBook(settings.zone, random)
         self._repeats = RepeatBudget(settings.bounds)
-        self._connections = ConnectionPool()
+        self._connections = ConnectionPool(connect=ports.connect)
         self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
         allowance = Allowance(
             AllowanceSettings(), settings.host, new_id(), settings.peers_listen, settings.zone
@@ -91,6 +132,7 @@
             self._peer_http,
             random,
             self._count_beats,
+            ports.wall,
         )
         self._maps = MapFeed(self._store, settings.times, decisions, self._take_table)
         self._directory = DirectoryFeed(
@@ -111,6 +153,16 @@
             dialect, self._chain.run, lambda: self._limits, self._stopping, decisions, self._on_end
         )
 
+    @property
+    def front(self) -> Front:
+        """The application that serves callers."""
+        return self._front
+
+    @property
+    def peers_app(self) -> App:
+        """The application that serves the other hosts."""
+        return App((*self._relay.routes(), *self._slices.routes()))
+
     @property
     def ready(self) -> bool:
         """Whether callers' connections are welcome."""
@@ -133,7 +185,7 @@
             nursery.start_soon(self._metrics.watch_loop)
             nursery.start_soon(self._serve, self._readiness_app(), self._settings.readiness)
             if self._settings.peers_listen:
-                nursery.start_soon(self._serve, self._peers_app(), self._settings.peers_listen)
+                nursery.start_soon(self._serve, self.peers_app, self._settings.peers_listen)
             if self._settings.metrics:
                 nursery.start_soon(self._serve, self._metrics_app(), self._settings.metrics)
             nursery.start_soon(self._serve, self._front, self._settings.front, self._take_config)
@@ -151,14 +203,11 @@
             config.keep_alive_max_requests = 2**31
             on_config(config)
 
-        await serve_app(app, address, trio.Event(), on_config=tune)
+        await self._ports.serve_http(app, address, trio.Event(), on_config=tune)
 
     def _readiness_app(self) -> App:
         return App((Route("GET", "/{path:path}", self._answer_readiness),))
 
-    def _peers_app(self) -> App:
-        return App((*self._relay.routes(), *self._slices.routes()))
-
     def _metrics_app(self) -> App:
         return App((Route("GET", "/metrics", self._answer_metrics),))
 
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -359,7 +359,9 @@
                     if not await self._read():
                         return False
                 case Err(error):
-                    if not error.sent:
+                    if error.sent:
+                        self._allowance.lost(record)
+                    else:
                         self._allowance.refused(record)
                     # An answer may be lost though the store is there; then a read succeeds.
                     if not error.sent or not await self._read():
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -14,6 +14,8 @@
 RATE_KEPT_S = 5.0
 # Part of the largest reservation that is remembered from one reservation to the next.
 LARGEST_KEPT = 0.9
+# A mean rate of less than this time is not trusted to be higher.
+LEAST_KNOWN_S = 1.5
 # A rate below this is taken for none, in tokens a second.
 LEAST_RATE = 1.0
 
@@ -81,17 +83,22 @@
     share: AccountShare = AccountShare()
     wanted: int = 0
     rate: float = 0.0
-    rate_at: float = 0.0
+    rate_at: float = float("-inf")
+    rate_since: float = 0.0
     largest: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Draft:
-    """A record that may reach the store at offset `at`, and nowhere else."""
+    """A record that may reach the store at offset `at`, and nowhere else.
+
+    It is undecided once an answer to it was lost; what is said of a later try changes that no more.
+    """
 
     record: HolderRecord
     at: int
     drafted_at: float
+    undecided: bool = False
 
 
 class Allowance:
@@ -318,8 +325,14 @@
         self.take_ledger(now)
 
     def refused(self, record: HolderRecord) -> None:
-        """Take note that a drafted record is surely not in the store and never will be."""
-        self._drafts = [draft for draft in self._drafts if draft.record is not record]
+        """Take note that this try to append a record did not and will not succeed."""
+        self._drafts = [d for d in self._drafts if d.record is not record or d.undecided]
+
+    def lost(self, record: HolderRecord) -> None:
+        """Take note that nothing is known of this try to append a record."""
+        for draft in self._drafts:
+            if draft.record is record:
+                draft.undecided = True
 
     def _names(self) -> set[str]:
         return set(self._totals) | set(self._accounts)
@@ -401,10 +414,18 @@
         return False
 
     def _note_rate(self, account: _Account, tokens: int, now: float) -> None:
-        account.rate = self._rate(account, now) + tokens / RATE_KEPT_S
+        if account.rate_at == float("-inf"):
+            account.rate_since = account.rate_at = now
+        kept = math.exp(-max(0.0, now - account.rate_at) / RATE_KEPT_S)
+        account.rate = account.rate * kept + tokens / RATE_KEPT_S
         account.largest = max(tokens, int(account.largest * LARGEST_KEPT))
         account.rate_at = now
 
     def _rate(self, account: _Account, now: float) -> float:
+        """Return the tokens a second lately reserved, also before a mean could settle."""
+        if account.rate_at == float("-inf"):
+            return 0.0
         age_s = max(0.0, now - account.rate_at)
-        return account.rate * math.exp(-age_s / RATE_KEPT_S)
+        known_s = max(LEAST_KNOWN_S, now - account.rate_since)
+        seen = 1 - math.exp(-known_s / RATE_KEPT_S)
+        return account.rate * math.exp(-age_s / RATE_KEPT_S) / seen
--- a/mulberrycleat/prepaid/ledger.py
+++ b/mulberrycleat/prepaid/ledger.py
@@ -72,7 +72,7 @@
 
         >>> share = AccountShare(limit=100, growth=10.0, ceiling=150)
         >>> [share.limit_after(age_s) for age_s in (1.0, 3.0, 60.0)]
-        [100, 110, 150]
+        [100, 115, 150]
         """
         return min(self.ceiling, self.limit + int(self.growth * max(0.0, age_s - GROWTH_AFTER_S)))
 
--- /dev/null
+++ b/mulberrycleat/prepaid/tests/test_allowance.py
@@ -0,0 +1,300 @@
+"""Slices of prepaid totals: what one host may spend, and what its death costs."""
+
+from __future__ import annotations
+
+from random import Random
+
+from mulberrycleat.prepaid import (
+    Allowance,
+    AllowanceSettings,
+    Moment,
+    SliceLedger,
+    Verdict,
+    silence_s,
+)
+from mulberrycleat.testing import fixture
+
+TOTAL = 100_000
+
+
+class Log:
+    """The store's log of records, appended under a condition."""
+
+    def __init__(self):
+        self.records = []
+
+    def append(self, record, at):
+        if at != len(self.records):
+            return False
+        self.records.append(record)
+        return True
+
+
+def new_host(log, name="a", incarnation="1", total=TOTAL, at=0.0):
+    host = Allowance(AllowanceSettings(), name, incarnation, f"{name}:1", "z")
+    host.take_totals({"huts": total}, 1)
+    read(host, log, at)
+    return host
+
+
+def read(host, log, at=0.0):
+    host.ledger.take(log.records, len(log.records), whole=True)
+    host.take_ledger(Moment(wall_s=at))
+
+
+def write(host, log, at=0.0, **how):
+    """Append the host's next record; return whether there was one and it was appended."""
+    record = host.draft(at, Moment(wall_s=at), **how)
+    if record is None:
+        return False
+    if log.append(record, host.ledger.end):
+        host.written(record, len(log.records) - 1, Moment(wall_s=at))
+        return True
+    host.refused(record)
+    return False
+
+
+def reserve(host, log, tokens, at=0.0):
+    """Reserve, with the help of the store when the slice is too small."""
+    verdict = host.reserve("huts", tokens, at)
+    if verdict is Verdict.LACKING:
+        host.want("huts", tokens)
+        read(host, log, at)
+        write(host, log, at)
+        host.want("huts", -tokens)
+        verdict = host.reserve("huts", tokens, at)
+    return verdict
+
+
+@fixture
+def log():
+    return Log()
+
+
+def test_nothing_is_granted_before_a_record_stands_in_the_store(log):
+    host = new_host(log)
+    assert host.reserve("huts", 50, 0.0) is Verdict.LACKING
+    assert write(host, log)
+    assert host.reserve("huts", 50, 0.0) is Verdict.GRANTED
+
+
+def test_the_last_token_can_be_reserved_but_no_more(log):
+    host = new_host(log)
+    assert reserve(host, log, TOTAL) is Verdict.GRANTED
+    assert reserve(host, log, 1) is Verdict.LACKING
+    host.settle("huts", TOTAL, TOTAL)
+    assert reserve(host, log, 1) is Verdict.EXHAUSTED
+
+
+def test_two_hosts_share_a_total(log):
+    hosts = [new_host(log, name) for name in "ab"]
+    granted = 0
+    for number in range(300):
+        host = hosts[number % 2]
+        granted += reserve(host, log, 1000, number * 0.01) is Verdict.GRANTED
+    assert 97 <= granted <= 100
+
+
+def test_a_raise_counts_only_when_its_record_is_in_the_store(log):
+    host = new_host(log)
+    write(host, log)
+    host.want("huts", 5000)
+    record = host.draft(1.0, Moment())
+    assert host.reserve("huts", 5000, 1.0) is Verdict.LACKING
+    host.lost(record)
+    assert host.reserve("huts", 5000, 1.0) is Verdict.LACKING
+
+
+def test_an_undecided_record_is_sent_again_and_holds_its_limits(log):
+    host = new_host(log)
+    reserve(host, log, 20_000)
+    host.settle("huts", 20_000, 0)
+    record = host.draft(0.1, Moment(), due=True)
+    host.lost(record)
+    assert host.draft(0.2, Moment(), due=True) is record
+    host.refused(record)
+    assert host.draft(0.3, Moment(), due=True) is record
+    assert host.free_tokens("huts", 0.3) <= record.shares["huts"].limit
+
+
+def test_an_undecided_record_is_out_of_the_way_once_another_stands_in_its_place(log):
+    host, other = new_host(log, "a"), new_host(log, "b")
+    write(host, log)
+    record = host.draft(0.1, Moment(), due=True)
+    host.lost(record)
+    read(other, log)
+    write(other, log)
+    read(host, log)
+    assert not log.append(record, 1)
+    assert host.draft(0.2, Moment(), due=True) is not record
+
+
+def test_a_slice_grows_while_its_record_is_old(log):
+    host = new_host(log)
+    for number in range(30):
+        reserve(host, log, 400, number * 0.1)
+        host.settle("huts", 400, 400)
+    write(host, log, 3.0, due=True)
+    free = [host.free_tokens("huts", 3.0 + age_s) for age_s in (0.0, 1.0, 4.0, 60.0)]
+    assert free[0] == free[1] < free[2] == free[3]
+    assert free[2] > 9 * 4000
+
+
+def test_a_death_in_touch_with_the_store_strands_little(log):
+    """Of a total that lasts 53 s, as on the sheets, less than three in a hundred is stranded."""
+    host = new_host(log)
+    for number in range(60):
+        reserve(host, log, 190, number * 0.1)
+        host.settle("huts", 190, 190)
+        write(host, log, number * 0.1, due=number % 5 == 0)
+    successor = new_host(log, incarnation="2", at=7.0)
+    write(successor, log, 7.0)
+    share = log.records[-1].shares["huts"]
+    assert 60 * 190 <= share.past_limit < 60 * 190 + 0.03 * TOTAL
+
+
+def test_a_death_after_long_silence_is_charged_up_to_the_ceiling(log):
+    host = new_host(log)
+    for number in range(30):
+        reserve(host, log, 400, number * 0.1)
+        host.settle("huts", 400, 400)
+    write(host, log, 3.0, due=True)
+    ceiling = log.records[-1].shares["huts"].ceiling
+    successor = new_host(log, incarnation="2", at=30.0)
+    write(successor, log, 30.0)
+    assert log.records[-1].shares["huts"].past_limit == ceiling
+
+
+def test_silence_is_told_by_the_clock_that_shows_more():
+    log = Log()
+    write(new_host(log), log, 100.0)
+    back = Moment(wall_s=95.0, uptime_s=0.5, beats=40, endpoints=10, beat_s=1.0)
+    record = log.records[0].__class__("a", "1", 1, 1, wall_s=100.0, beats=10, endpoints=10)
+    assert silence_s(record, back) >= 2.5
+
+
+def test_a_planned_end_strands_nothing(log):
+    host = new_host(log)
+    reserve(host, log, 700)
+    host.settle("huts", 700, 650)
+    write(host, log, 1.0, ended=True)
+    successor = new_host(log, incarnation="2", at=60.0)
+    write(successor, log, 60.0)
+    assert log.records[-1].shares["huts"].past_limit == 650
+
+
+def test_a_total_that_is_cut_stops_every_host_until_slices_are_drawn_anew(log):
+    hosts = [new_host(log, name) for name in "ab"]
+    for host in hosts:
+        reserve(host, log, 30_000)
+    for host in hosts:
+        host.settle("huts", 30_000, 10_000)
+        read(host, log)
+        host.take_totals({"huts": 40_000}, 2)
+    assert [host.reserve("huts", 100, 1.0) for host in hosts] == [Verdict.LACKING] * 2
+    for host in hosts:
+        read(host, log)
+        write(host, log, 1.0)
+        read(host, log)
+    granted = sum(reserve(host, log, 9_000, 1.0) is Verdict.GRANTED for host in hosts * 2)
+    assert 1 <= granted <= 2
+
+
+def test_limits_are_not_drawn_by_an_older_route_map_than_another_host_has(log):
+    host, other = new_host(log, "a"), new_host(log, "b")
+    other.take_totals({"huts": 500}, 2)
+    write(other, log)
+    read(host, log)
+    assert not write(host, log)
+    host.take_totals({"huts": 500}, 2)
+    assert write(host, log)
+
+
+def test_a_gift_moves_tokens_without_a_record(log):
+    giver, taker = new_host(log, "a"), new_host(log, "b")
+    write(giver, log)
+    giver.want("huts", 3000)
+    write(giver, log)
+    given = giver.give("huts", 2000, 0.0)
+    taker.take_gift("huts", given)
+    assert given == 2000
+    assert taker.reserve("huts", 2000, 0.0) is Verdict.GIFTED
+    taker.settle("huts", 2000, 1500, gifted=True)
+    assert taker.give_back("huts") == 500
+    free = giver.free_tokens("huts", 0.0)
+    giver.take_use("huts", 1500, 500)
+    assert giver.free_tokens("huts", 0.0) == free + 500
+
+
+def test_no_history_of_deaths_cuts_and_lost_answers_overspends():
+    totals = []
+    for seed in range(60):
+        random, log = Random(seed), Log()
+        hosts = {name: new_host(log, name) for name in "abc"}
+        spent, running, births, late = 0, {name: [] for name in "abc"}, 3, []
+        now = 0.0
+        for _ in range(400):
+            now += random.expovariate(20.0)
+            name = random.choice("abc")
+            host = hosts[name]
+            match random.randrange(9):
+                case 0 | 1 | 2 | 3:
+                    tokens = random.choice((100, 900, 4000))
+                    verdict = host.reserve("huts", tokens, now)
+                    if verdict is Verdict.LACKING:
+                        host.want("huts", tokens)
+                        read_and_write(host, log, now, random, late)
+                        host.want("huts", -tokens)
+                        verdict = host.reserve("huts", tokens, now)
+                    if verdict in (Verdict.GRANTED, Verdict.GIFTED):
+                        running[name].append((tokens, verdict is Verdict.GIFTED))
+                        spent += tokens
+                case 4 if running[name]:
+                    tokens, gifted = running[name].pop()
+                    host.settle("huts", tokens, tokens, gifted)
+                case 5:
+                    read_and_write(host, log, now, random, late)
+                case 6:
+                    other = hosts[random.choice("abc")]
+                    if other is not host:
+                        host.take_gift("huts", other.give("huts", 500, now))
+                case 7 if random.random() < 0.2:
+                    births += 1
+                    running[name].clear()
+                    now += random.choice((0.3, 1.0, 5.0))
+                    hosts[name] = new_host(log, name, str(births), at=now)
+                case 8 if late and random.random() < 0.5:
+                    log.append(*late.pop())
+            assert spent <= TOTAL, f"seed {seed}"
+        totals.append(spent)
+    assert sum(totals) > 0.5 * TOTAL * len(totals)
+
+
+def read_and_write(host, log, now, random, late):
+    """Read and append; now and then the answer is lost, or the append comes late."""
+    read(host, log, now)
+    record = host.draft(now, Moment(wall_s=now), due=True)
+    if record is None:
+        return
+    at, fate = host.ledger.end, random.random()
+    if fate < 0.15:
+        late.append((record, at))
+        host.lost(record)
+    elif fate < 0.3:
+        log.append(record, at)
+        host.lost(record)
+    elif log.append(record, at):
+        host.written(record, at, Moment(wall_s=now))
+    else:
+        host.refused(record)
+
+
+def test_sums_over_hosts():
+    ledger = SliceLedger()
+    log = Log()
+    for name in "ab":
+        host = new_host(log, name)
+        write(host, log)
+    ledger.take(log.records, 2)
+    assert ledger.committed("huts") == ledger.committed("huts", "a") * 2
+    assert ledger.surely_spent("huts") == ledger.stranded("huts") == 0
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -9,17 +9,30 @@
 
 import socket
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import h11
 import trio
 
-__all__ = ["AnswerHead", "ConnectError", "Connection", "ConnectionPool", "ExchangeError"]
+__all__ = [
+    "AnswerHead",
+    "ConnectError",
+    "Connection",
+    "ConnectionPool",
+    "ConnectionSettings",
+    "ExchangeError",
+    "Pipe",
+    "RawHeaders",
+    "open_pipe",
+]
 
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+# Part of an endpoint's own idle limit after which a connection is not used again; the endpoint
+# counts from when it sent its answer, so that its close may already be on its way.
+IDLE_SHARE = 0.5
 RawHeaders = list[tuple[bytes, bytes]]
 
 
@@ -67,11 +80,66 @@
     keep_idle_count: int = 8
 
 
+class Pipe(Protocol):
+    """Bytes to and from one endpoint; failures are trio's ``BrokenResourceError``."""
+
+    async def send_all(self, data: bytes) -> None:
+        """Send all of `data`."""
+        ...
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return the next bytes, empty at the end."""
+        ...
+
+    def is_readable(self) -> bool:
+        """Whether bytes, the end or a reset have come."""
+        ...
+
+    def close(self) -> None:
+        """Close at once."""
+        ...
+
+
+class SocketPipe:
+    """A pipe over TCP."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self.send_all = stream.send_all
+        self.receive_some = stream.receive_some
+
+    def is_readable(self) -> bool:
+        """Whether bytes, the end or a reset have come."""
+        return self._stream.socket.is_readable()
+
+    def close(self) -> None:
+        """Close at once."""
+        self._stream.socket.close()
+
+
+async def open_pipe(address: str, settings: ConnectionSettings) -> Pipe:
+    """Connect to ``ip:port``; raises :class:`ConnectError`."""
+    host, _, port = address.rpartition(":")
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        timeout_ms = round(settings.silence_timeout_s * 1000)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+        with trio.fail_after(settings.connect_timeout_s):
+            await sock.connect((host, int(port)))
+    except (OSError, ValueError, trio.TooSlowError) as error:
+        sock.close()
+        raise ConnectError(f"connect {address}: {error or type(error).__name__}") from error
+    except BaseException:
+        sock.close()
+        raise
+    return SocketPipe(trio.SocketStream(sock))
+
+
 class Connection:
     """One connection to one endpoint."""
 
-    def __init__(self, stream: trio.SocketStream, address: str) -> None:
-        self._stream = stream
+    def __init__(self, pipe: Pipe, address: str) -> None:
+        self._pipe = pipe
         self._address = address
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._idle_since = 0.0
@@ -88,30 +156,12 @@
         """Whether an earlier exchange used this connection."""
         return self._exchanges > 1
 
-    @classmethod
-    async def open(cls, address: str, settings: ConnectionSettings) -> Connection:
-        """Connect; raises :class:`ConnectError`."""
-        host, _, port = address.rpartition(":")
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            timeout_ms = round(settings.silence_timeout_s * 1000)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
-            with trio.fail_after(settings.connect_timeout_s):
-                await sock.connect((host, int(port)))
-        except (OSError, ValueError, trio.TooSlowError) as error:
-            sock.close()
-            raise ConnectError(f"connect {address}: {error or type(error).__name__}") from error
-        except BaseException:
-            sock.close()
-            raise
-        return cls(trio.SocketStream(sock), address)
-
     def is_usable(self, now: float, keep_idle_s: float) -> bool:
         """Whether an idle connection is neither too old, nor closed, nor has unasked bytes."""
         idle_s = now - self._idle_since
         if idle_s > min(keep_idle_s, self._idle_limit_s):
             return False
-        return not self._stream.socket.is_readable()
+        return not self._pipe.is_readable()
 
     async def send(self, method: bytes, target: bytes, headers: RawHeaders, body: bytes) -> None:
         """Send a whole request; raises :class:`ExchangeError`.
@@ -126,9 +176,9 @@
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
         try:
-            await self._stream.send_all(data)
+            await self._pipe.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            if not self._stream.socket.is_readable():
+            if not self._pipe.is_readable():
                 raise ExchangeError(f"send {self._address}: {error}") from error
 
     async def head(self) -> AnswerHead:
@@ -159,7 +209,7 @@
 
     def close(self) -> None:
         """Close at once."""
-        self._stream.socket.close()
+        self._pipe.close()
 
     async def _next_event(self) -> h11.Event:
         try:
@@ -167,7 +217,7 @@
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._pipe.receive_some(RECEIVE_BYTES)
                 self._http.receive_data(bytes(data))
         except (h11.RemoteProtocolError, trio.BrokenResourceError, trio.ClosedResourceError) as e:
             raise ExchangeError(f"receive {self._address}: {e or type(e).__name__}") from e
@@ -181,11 +231,6 @@
                         self._idle_limit_s = int(seconds) * IDLE_SHARE
 
 
-# Part of an endpoint's own idle limit after which a connection is not used again; the endpoint
-# counts from when it sent its answer, so that its close may already be on its way.
-IDLE_SHARE = 0.5
-
-
 class ConnectionPool:
     """Idle connections to endpoints, the most recently used first.
 
@@ -193,10 +238,17 @@
     ----------
     settings : ConnectionSettings, optional
         Bounds.
+    connect : callable, optional
+        Opens a pipe to an address within these bounds.
     """
 
-    def __init__(self, settings: ConnectionSettings | None = None) -> None:
+    def __init__(
+        self,
+        settings: ConnectionSettings | None = None,
+        connect: Callable[[str, ConnectionSettings], Awaitable[Pipe]] = open_pipe,
+    ) -> None:
         self._settings = settings or ConnectionSettings()
+        self._connect = connect
         self._idle: dict[str, deque[Connection]] = {}
         self._opened = 0
 
@@ -226,7 +278,7 @@
                 return connection
             connection.close()
         self._opened += 1
-        return await Connection.open(address, self._settings)
+        return Connection(await self._connect(address, self._settings), address)
 
     def give_back(self, connection: Connection) -> None:
         """Keep a connection whose exchange is complete, or close it."""
