--- a/mulberrycleat/endpoint/placer.py
+++ b/mulberrycleat/endpoint/placer.py
@@ -61,8 +61,8 @@
         What an endpoint of another availability zone must save.
     failure_s : float
         Time that a failure costs the caller.
-    outcome_half_s : float
-        Outcomes count half after this time.
+    outcome_half_s, slowness_half_s : float
+        Outcomes, and the slowness of an endpoint that gets no work, count half after this time.
     load_fresh_s : float
         An endpoint's word on its load counts for so long.
     silence_s : float
@@ -81,6 +81,7 @@
     other_zone_s: float = 0.003
     failure_s: float = 1.0
     outcome_half_s: float = 4.0
+    slowness_half_s: float = 10.0
     load_fresh_s: float = 1.0
     silence_s: float = 1.0
     eject_s: float = 1.0
@@ -100,12 +101,15 @@
         Prompt tokens that the endpoint is believed to hold.
     candidates : int
         Number of endpoints compared.
+    slowness : float
+        Expected time relative to that of an endpoint of usual speed.
     """
 
     entry: Entry
     expected_s: float
     cached_tokens: int
     candidates: int
+    slowness: float = 1.0
 
 
 @dataclass(slots=True)
@@ -113,6 +117,7 @@
     sent_at: float
     expected_s: float
     unread_tokens: int
+    slowness: float
     first_at: float | None = None
 
 
@@ -135,6 +140,27 @@
     cold_until: float = 0.0
 
 
+@dataclass(slots=True)
+class _Cut:
+    """Silence of endpoints of another availability zone."""
+
+    silent: dict[str, float] = field(default_factory=dict)
+    times: int = 0
+    until: float = float("-inf")
+
+    def note(self, entry_id: str, now: float, settings: PlacerSettings) -> None:
+        """Note that an endpoint did not answer at all."""
+        self.silent = {i: at for i, at in self.silent.items() if now - at < CUT_WITHIN_S}
+        self.silent[entry_id] = now
+        if now - self.until > settings.longest_eject_s:
+            self.times = 0
+        if len(self.silent) >= CUT_ENDPOINTS and now >= self.until:
+            self.until = now + min(settings.eject_s * 2**self.times, settings.longest_eject_s)
+            self.times += 1
+
+
+# So many endpoints of a zone that are silent within this time mean that the zone is cut off.
+CUT_ENDPOINTS, CUT_WITHIN_S = 2, 1.5
 MAX_PARTS = 2000
 SLOWNESS_GAIN = 0.15
 LEAST_SLOWNESS, MOST_SLOWNESS = 0.3, 20.0
@@ -161,6 +187,7 @@
         self._zone = zone
         self._random = random
         self._states: dict[str, _State] = {}
+        self._cuts: dict[str, _Cut] = {}
 
     def choose(
         self, entries: Sequence[Entry], work: Work, now: float, tried: Collection[str] = ()
@@ -177,11 +204,14 @@
         if not states:
             return None
         home = _home(work, [state.entry.id for state in states])
+        best = min(state.slowness for state in states)
         scored = []
         for state in states:
             cached = self._cached_tokens(state, work, now, state.entry.id == home)
-            expected_s, score = self._score(state, work, cached, now)
-            scored.append((score, Placement(state.entry, expected_s, cached, len(states))))
+            slowness = self._slowness(state, now, best)
+            expected_s, score = self._score(state, work, cached, now, slowness)
+            placement = Placement(state.entry, expected_s, cached, len(states), slowness)
+            scored.append((score, placement))
         best = min(score for score, _ in scored)
         near = [found for score, found in scored if score <= best + self._settings.near_s]
         return self._random.choice(near)
@@ -192,7 +222,7 @@
         if not state.flights:
             state.heard_at = now
         unread = max(0, work.prompt_tokens - placement.cached_tokens)
-        state.flights[request_id] = _Flight(now, placement.expected_s, unread)
+        state.flights[request_id] = _Flight(now, placement.expected_s, unread, placement.slowness)
         chain = ""
         for part in work.parts:
             chain = f"{chain}/{part.id}"
@@ -211,9 +241,8 @@
         if flight is not None and flight.first_at is None:
             flight.first_at = now
             ratio = (now - flight.sent_at) / max(0.005, flight.expected_s)
-            seen = state.slowness * ratio
-            gain = SLOWNESS_GAIN
-            slowness = state.slowness + gain * (min(seen, MOST_SLOWNESS) - state.slowness)
+            seen = min(flight.slowness * ratio, MOST_SLOWNESS)
+            slowness = flight.slowness + SLOWNESS_GAIN * (seen - flight.slowness)
             state.slowness = min(max(slowness, LEAST_SLOWNESS), MOST_SLOWNESS)
 
     def take_load(self, entry_id: str, running: int, waiting: int, now: float) -> None:
@@ -236,10 +265,17 @@
             state.ejections = 0
             state.heard_at = now
 
-    def unreachable(self, entry_id: str, now: float) -> None:
-        """Note that no connection could be opened."""
+    def unreachable(self, entry_id: str, now: float, silent: bool = False) -> None:
+        """Note that no connection could be opened; `silent` when there was no answer at all.
+
+        Silence of two endpoints of another availability zone is taken for a cut of the zone.
+        """
         state = self._states.get(entry_id)
-        if state is None or now < state.ejected_until:
+        if state is None:
+            return
+        if silent and state.entry.zone != self._zone:
+            self._cuts.setdefault(state.entry.zone, _Cut()).note(entry_id, now, self._settings)
+        if now < state.ejected_until:
             return
         pause_s = self._settings.eject_s * 2**state.ejections
         state.ejected_until = now + min(pause_s, self._settings.longest_eject_s)
@@ -271,6 +307,9 @@
 
     def _usable(self, states: list[_State], now: float) -> list[_State]:
         """Leave out endpoints that can't be reached or are silent, unless most would be out."""
+        cut = {zone for zone, found in self._cuts.items() if now < found.until}
+        near = [s for s in states if s.entry.zone not in cut]
+        states = near or states
         good = [s for s in states if now >= s.ejected_until and not self._is_silent(s, now)]
         if len(good) >= len(states) * (1 - MAX_EJECTED_SHARE):
             return good
@@ -294,10 +333,20 @@
             tokens += part.tokens
         return tokens
 
-    def _score(self, state: _State, work: Work, cached: int, now: float) -> tuple[float, float]:
+    def _slowness(self, state: _State, now: float, best: float) -> float:
+        """Return the slowness to expect.
+
+        What was learned of an endpoint fades while it gets no work, so that it is tried again.
+        """
+        known = 0.5 ** (max(0.0, now - state.heard_at) / self._settings.slowness_half_s)
+        slowness = best + known * (state.slowness - best)
+        return slowness * (COLD_SLOWNESS if now < state.cold_until else 1.0)
+
+    def _score(
+        self, state: _State, work: Work, cached: int, now: float, slowness: float
+    ) -> tuple[float, float]:
         """Return the expected time and the figure to be compared, in seconds."""
         settings = self._settings
-        slowness = state.slowness * (COLD_SLOWNESS if now < state.cold_until else 1.0)
         waiting = sum(f.unread_tokens for f in state.flights.values() if f.first_at is None)
         others = state.others if now - state.others_at < settings.load_fresh_s else 0.0
         busy = len(state.flights) + others
--- a/mulberrycleat/entry/decisions.py
+++ b/mulberrycleat/entry/decisions.py
@@ -40,6 +40,11 @@
         """Lines that were dropped so far."""
         return self._dropped
 
+    @property
+    def pending(self) -> int:
+        """Bytes that the pipe has not taken yet."""
+        return len(self._pending)
+
     def write(self, text: str) -> None:
         """Write a line with its end, or drop it."""
         data = text.encode("utf-8", "replace")
--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -35,6 +35,7 @@
     """No connection could be opened: the request has not arrived."""
 
     reason: str
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +118,7 @@
             try:
                 connection = await self._connections.take(placement.entry.address, max_idle_s)
             except ConnectError as error:
-                return Unreached(str(error))
+                return Unreached(str(error), error.silent)
             kept = False
             try:
                 outcome = await self._exchange(call, placement, connection, first, pause_s)
@@ -131,7 +132,7 @@
                 else:
                     connection.close()
         if call.progress.sends == sends_before:
-            return Unreached("no connection in time")
+            return Unreached("no connection in time", silent=True)
         return Broken("silent")
 
     async def _exchange(
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -110,7 +110,7 @@
                 case Turned() as turned:
                     tries.last = f"turned away with {turned.status}"
                     tries.retry_after_s = turned.retry_after_s
-                case Unreached(reason):
+                case Unreached(reason=reason):
                     tries.last = reason
                 case Broken(reason):
                     tries.last = reason
@@ -203,8 +203,8 @@
                 failed = isinstance(outcome, Whole) and outcome.head.status >= SERVER_ERROR
             case Broken():
                 failed = True
-            case Unreached():
-                placer.unreachable(entry_id, now)
+            case Unreached(silent=silent):
+                placer.unreachable(entry_id, now, silent)
             case Turned(other_endpoint=False):
                 placer.full(entry_id, now, FULL_PAUSE_S)
             case Turned():
@@ -217,7 +217,7 @@
             "events": call.progress.delivered_events,
         }
         match outcome:
-            case Broken(reason) | Unreached(reason):
+            case Broken(reason=reason) | Unreached(reason=reason):
                 self._decisions.warn("send failed", why=reason, **fields)
             case Turned(status):
                 self._decisions.warn("turned away", status=status, **fields)
--- /dev/null
+++ b/mulberrycleat/entry/tests/test_decisions.py
@@ -0,0 +1,78 @@
+"""The decision log: bounded, never blocking."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+
+from mulberrycleat.entry.decisions import DecisionLog, LineWriter
+from mulberrycleat.testing import fixture
+
+
+class Records(logging.Handler):
+    """Keeps records."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        """Keep a record."""
+        self.records.append(record)
+
+
+@fixture
+def records():
+    handler, log = Records(), logging.getLogger("mulberrycleat.decisions")
+    log.addHandler(handler)
+    before, log.level = log.level, logging.INFO
+    yield handler.records
+    log.removeHandler(handler)
+    log.setLevel(before)
+
+
+def test_a_kind_has_so_many_lines_a_second_and_the_rest_is_counted(records):
+    now = [0.0]
+    decisions = DecisionLog(lambda: now[0], lines_per_s=5, urgent_lines_per_s=8)
+    for _ in range(20):
+        decisions.note("sent", request="r1")
+        decisions.warn("refused", request="r1")
+    assert decisions.left_out == {"sent": 15, "refused": 12}
+    now[0] = 1.0
+    decisions.note("sent", request="r2")
+    assert records[-1].left_out == 15
+
+
+def test_a_full_pipe_drops_lines_and_never_blocks():
+    reader, writer_end = os.pipe()
+    try:
+        writer = LineWriter(writer_end)
+        for number in range(20_000):
+            writer.write(json.dumps({"number": number, "text": "x" * 40}) + "\n")
+        assert writer.dropped > 0
+        os.set_blocking(reader, False)
+        data = b""
+        while True:
+            try:
+                data += os.read(reader, 65_536)
+            except BlockingIOError:
+                if not writer.pending:
+                    break
+                writer.write("")
+        lines = [json.loads(line) for line in data.decode().splitlines()]
+        numbers = [line["number"] for line in lines]
+        assert numbers == sorted(numbers)
+        assert len(numbers) + writer.dropped == 20_000
+    finally:
+        os.close(reader)
+        os.close(writer_end)
+
+
+def test_a_pipe_that_nobody_reads_any_more_is_no_fault():
+    reader, writer_end = os.pipe()
+    writer = LineWriter(writer_end)
+    os.close(reader)
+    writer.write("line\n")
+    os.close(writer_end)
+    assert writer.dropped == 1
--- /dev/null
+++ b/mulberrycleat/platform/tests/test_decoding.py
@@ -0,0 +1,109 @@
+"""Decoding of settings, configurations, entries and headers."""
+
+from __future__ import annotations
+
+import msgspec
+
+from mulberrycleat.entry.protocol import Forwarded
+from mulberrycleat.platform.config import decode_config, decode_entry
+from mulberrycleat.platform.headers import PlatformDialect
+from mulberrycleat.platform.settings import load_boot_settings
+from mulberrycleat.platform.tests.fixtures import CONFIG
+from mulberrycleat.web.upstream import AnswerHead
+
+SETTINGS = """
+node_name = "a1"
+ip = "10.0.0.1"
+zone = "z-a"
+heartbeat_ms = 1200
+a_new_field = 3
+seeds = ["10.0.0.1:3"]
+[listen]
+front = "10.0.0.1:1"
+readiness = "10.0.0.1:2"
+control = "10.0.0.1:3"
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+[platform]
+address = "10.9.0.1:4"
+"""
+
+
+def test_settings_are_read_and_new_fields_are_left_alone():
+    settings = load_boot_settings(SETTINGS).ok_value
+    assert (settings.host, settings.zone, settings.beat_s) == ("a1", "z-a", 1.2)
+    assert settings.bounds.repeat_share == 0.2
+
+
+def test_faults_of_settings_name_field_and_line():
+    faults = load_boot_settings(SETTINGS.replace('"z-a"', "7")).err_value
+    assert "zone" in str(faults[0])
+    assert faults[0].line == 4
+    assert load_boot_settings("= 3").err_value[0].line == 1
+    assert "platform" in str(load_boot_settings(SETTINGS.rpartition("[platform]")[0]).err_value[0])
+
+
+def test_a_config_is_decoded_into_the_projects_units():
+    route_map = decode_config(msgspec.json.encode(CONFIG)).ok_value
+    ask, book, _ = route_map.routes
+    assert (ask.timeout_s, ask.target_s, ask.pause_s, ask.resumable) == (5.0, 0.6, 0.5, True)
+    assert (book.max_attempts, book.repeatable) == (1, False)
+    assert route_map.accounts[0].prepaid_tokens == 100_000
+    assert route_map.limits.idle_timeout_s == 15.0
+
+
+def test_faults_of_a_config_name_the_field():
+    without = {key: value for key, value in CONFIG.items() if key != "routes"}
+    assert "routes" in decode_config(msgspec.json.encode(without)).err_value
+    odd = {**CONFIG, "routes": [{**CONFIG["routes"][0], "kind": "odd"}]}
+    assert "'odd'" in decode_config(msgspec.json.encode(odd)).err_value
+
+
+def test_weights_of_a_split_route_are_kept():
+    split = [{"service": "huts", "weight": 90}, {"service": "engines", "weight": 10}]
+    route = {**CONFIG["routes"][1], "traffic_split": split}
+    del route["service"]
+    found = decode_config(msgspec.json.encode({**CONFIG, "routes": [route]})).ok_value
+    assert [(s.pool, s.weight) for s in found.routes[0].pools] == [("huts", 90), ("engines", 10)]
+
+
+def test_entries_that_name_no_server_are_told_apart():
+    good = {"service": "huts", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}
+    assert decode_entry("e1", msgspec.json.encode(good)).ok_value.pool == "huts"
+    for change in ({"state": "odd"}, {"address": "nowhere"}, {"service": None}, {"zone": 3}):
+        assert decode_entry("e1", msgspec.json.encode({**good, **change})).is_err()
+    assert decode_entry("e1", b"\xff").is_err()
+
+
+def test_a_header_named_in_connection_does_not_hide_the_request():
+    headers = [(b"attempt-id", b"r1"), (b"x-mine", b"1"), (b"connection", b"x-mine, attempt-id")]
+    sent = PlatformDialect().request_headers(headers, Forwarded("e1", "", 1.0, 5, None))
+    names = [name for name, _ in sent]
+    assert b"attempt-id" in names
+    assert b"x-mine" not in names
+
+
+def test_a_resumed_stream_names_the_last_event_once():
+    headers = [(b"attempt-id", b"r1"), (b"last-event-id", b"3")]
+    sent = PlatformDialect().request_headers(headers, Forwarded("e1", "", 1.0, 5, 9))
+    assert [value for name, value in sent if name == b"last-event-id"] == [b"9"]
+
+
+def test_only_a_statement_of_the_server_proves_that_nothing_ran():
+    dialect = PlatformDialect()
+    heads = [
+        AnswerHead(503, [(b"not-executed", b"1")]),
+        AnswerHead(421, []),
+        AnswerHead(503, []),
+        AnswerHead(504, [(b"response-seal", b"s")]),
+    ]
+    assert [dialect.read_answer(head).not_run for head in heads] == [True, True, False, False]
+
+
+def test_load_that_can_not_be_read_is_none():
+    loads = [b"3,0,8", b"3,0", b"a,b,c", b""]
+    dialect = PlatformDialect()
+    found = [dialect.read_answer(AnswerHead(200, [(b"server-load", load)])).load for load in loads]
+    assert found[0].running == 3
+    assert found[1:] == [None] * 3
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -37,7 +37,11 @@
 
 
 class ConnectError(Exception):
-    """No connection could be opened; nothing was sent."""
+    """No connection could be opened; nothing was sent. `silent` when there was no answer at all."""
+
+    def __init__(self, reason: str, silent: bool = False) -> None:
+        super().__init__(reason)
+        self.silent = silent
 
 
 class ExchangeError(Exception):
@@ -74,7 +78,7 @@
         Idle connections that are kept to one endpoint.
     """
 
-    connect_timeout_s: float = 0.5
+    connect_timeout_s: float = 0.25
     silence_timeout_s: float = 1.0
     keep_idle_s: float = 4.0
     keep_idle_count: int = 8
@@ -128,7 +132,9 @@
             await sock.connect((host, int(port)))
     except (OSError, ValueError, trio.TooSlowError) as error:
         sock.close()
-        raise ConnectError(f"connect {address}: {error or type(error).__name__}") from error
+        silent = isinstance(error, trio.TooSlowError)
+        reason = f"connect {address}: {'no answer' if silent else error}"
+        raise ConnectError(reason, silent) from error
     except BaseException:
         sock.close()
         raise
