--- a/mulberrycleat/entry/filters/prepaid.py
+++ b/mulberrycleat/entry/filters/prepaid.py
@@ -47,9 +47,9 @@
         account, cost = call.account, call.facts.largest_cost
         if account is None or account.prepaid_tokens is None or not cost:
             return await proceed(call)
-        verdict = await self._slices.reserve(account.name, cost, call.deadline)
-        if verdict not in (Verdict.GRANTED, Verdict.GIFTED):
-            return Err(self._refusal(call, verdict, cost))
+        grant = await self._slices.reserve(account.name, cost, call.deadline)
+        if grant.verdict is not Verdict.GRANTED:
+            return Err(self._refusal(call, grant.verdict, cost))
         used = cost
         try:
             outcome = await proceed(call)
@@ -59,8 +59,7 @@
             used = _used(call)
             raise
         finally:
-            gifted = verdict is Verdict.GIFTED
-            self._slices.settle(account.name, cost, min(used, cost), gifted)
+            self._slices.settle(account.name, grant, min(used, cost))
 
     def _refusal(self, call: EntryCall, verdict: Verdict, cost: int) -> Refusal:
         name = call.account.name
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -15,7 +15,7 @@
 from mulberrycleat.entry.settings import EntryTimes
 from mulberrycleat.entry.store import StateStore
 from mulberrycleat.membership.rendezvous import first_by_rank
-from mulberrycleat.prepaid import Allowance, Moment, Verdict
+from mulberrycleat.prepaid import Allowance, Giver, Grant, Moment, Use, Verdict
 from mulberrycleat.routes import RouteTable
 from mulberrycleat.web import Reply, Request, Responder, Route
 from mulberrycleat.web.client import BaseHttpClient
@@ -61,12 +61,14 @@
 
 class _Gift(msgspec.Struct):
     tokens: int
+    incarnation: str
 
 
-class _Use(msgspec.Struct):
-    """What became of gifts, by account: tokens used, and tokens given back."""
+class _Uses(msgspec.Struct):
+    """What became of the gifts of one incarnation of the host that is told."""
 
-    uses: dict[str, tuple[int, int]]
+    incarnation: str
+    uses: list[Use]
 
 
 class SliceController:
@@ -116,8 +118,6 @@
         self._kick = trio.Event()
         self._looked = trio.Event()
         self._avoided: dict[str, float] = {}
-        self._gifted: set[str] = set()
-        self._used: dict[str, int] = {}
         self._in_touch = False
         self._read_at = float("-inf")
         self._written_at = float("-inf")
@@ -154,30 +154,27 @@
         self._allowance.take_totals(totals, table.version)
         self._kick.set()
 
-    async def reserve(self, account: str, tokens: int, deadline: float) -> Verdict:
+    async def reserve(self, account: str, tokens: int, deadline: float) -> Grant:
         """Reserve tokens of the own slice, of the account's home, of the store, or of any host.
 
         Each account has a home among the hosts of a zone, where the zone's demand meets: one slice
         for all of it is smaller than many slices for single large requests, hosts collide less at
         the store, and a zone that is cut off goes on.
         """
-        verdict = self._allowance.reserve(account, tokens, trio.current_time())
+        grant = self._allowance.reserve(account, tokens, trio.current_time())
         home = self._home(account)
-        if verdict is Verdict.LACKING and home is not None:
-            verdict = await self._reserve_gift(account, tokens, deadline, (home,))
-        if verdict is Verdict.LACKING and self._in_touch:
-            verdict = await self._reserve_later(account, tokens, deadline)
-        if verdict is Verdict.LACKING:
+        if grant.verdict is Verdict.LACKING and home is not None:
+            grant = await self._reserve_gift(account, tokens, deadline, (home,))
+        if grant.verdict is Verdict.LACKING and self._in_touch:
+            grant = await self._reserve_later(account, tokens, deadline)
+        if grant.verdict is Verdict.LACKING:
             donors = [d for d in self._allowance.donors(account) if d != home][:DONORS]
-            verdict = await self._reserve_gift(account, tokens, deadline, donors)
-        return verdict
+            grant = await self._reserve_gift(account, tokens, deadline, donors)
+        return grant
 
-    def settle(self, account: str, reserved: int, used: int, gifted: bool) -> None:
+    def settle(self, account: str, grant: Grant, used: int) -> None:
         """Give back what a request did not use."""
-        self._allowance.settle(account, reserved, used, gifted)
-        if gifted:
-            self._gifted.add(account)
-            self._used[account] = self._used.get(account, 0) + used
+        self._allowance.settle(account, grant, used)
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes for other hosts."""
@@ -187,42 +184,35 @@
         )
 
     async def run_uses(self) -> None:
-        """Tell the accounts' homes what became of their gifts, for ever."""
+        """Tell the hosts that gave tokens what became of them, for ever."""
         while True:
             await trio.sleep(USE_EVERY_S)
             await self.tell_uses()
 
     async def tell_uses(self) -> None:
-        """Tell the accounts' homes what became of their gifts.
+        """Tell the hosts that gave tokens what became of them.
 
         A message whose answer is lost is not sent again: what it told stays counted as given.
         """
-        by_home: dict[str, dict[str, tuple[int, int]]] = {}
-        for account in self._gifted:
-            home = self._home(account)
-            used = self._used.pop(account, 0)
-            unused = self._allowance.give_back(account)
-            if home is not None and (used or unused):
-                by_home.setdefault(home, {})[account] = (used, unused)
-            elif unused:
-                self._allowance.take_gift(account, unused)
-        self._gifted = set(self._used)
-        for home, uses in by_home.items():
-            body = msgspec.msgpack.encode(_Use(uses))
-            url = f"http://{home}{USE_PATH}"
-            match await self._client.request("POST", url, body, None, GIFT_TIMEOUT_S):
-                case Err(error):
-                    self._decisions.note("uses not told", peer=home, why=str(error))
+        for giver, uses in self._allowance.let_go().items():
+            body = msgspec.msgpack.encode(_Uses(giver.incarnation, uses))
+            url = f"http://{giver.address}{USE_PATH}"
+            outcome = await self._client.request(
+                "POST", url, body, None, GIFT_TIMEOUT_S, whole_s=GIFT_TIMEOUT_S
+            )
+            if isinstance(outcome, Err):
+                why = str(outcome.err_value)
+                self._decisions.note("uses not told", peer=giver.address, why=why)
 
-    async def _reserve_later(self, account: str, tokens: int, deadline: float) -> Verdict:
+    async def _reserve_later(self, account: str, tokens: int, deadline: float) -> Grant:
         """Wait for a larger slice from the store."""
-        verdict = Verdict.LACKING
+        grant = Grant(Verdict.LACKING)
         bound = min(deadline, trio.current_time() + self._times.slice_wait_s)
         async for _ in self._rounds(account, tokens, bound):
-            verdict = self._allowance.reserve(account, tokens, trio.current_time())
-            if verdict is not Verdict.LACKING:
+            grant = self._allowance.reserve(account, tokens, trio.current_time())
+            if grant.verdict is not Verdict.LACKING:
                 break
-        return verdict
+        return grant
 
     async def _rounds(self, account: str, tokens: int, bound: float) -> AsyncIterator[None]:
         """Yield after each of some looks at the slices, while `tokens` are wanted."""
@@ -240,11 +230,11 @@
 
     async def _reserve_gift(
         self, account: str, tokens: int, deadline: float, peers: Sequence[str]
-    ) -> Verdict:
+    ) -> Grant:
         """Ask other hosts for tokens of their slices."""
-        lacking = max(1, tokens - self._allowance.gift(account))
-        body = msgspec.msgpack.encode(_GiftAsk(account, lacking))
         for peer in peers:
+            lacking = max(1, tokens - self._allowance.gift(account, peer))
+            body = msgspec.msgpack.encode(_GiftAsk(account, lacking))
             if trio.current_time() < self._avoided.get(peer, 0.0):
                 continue
             timeout_s = min(GIFT_TIMEOUT_S, deadline - trio.current_time())
@@ -256,19 +246,22 @@
             )
             match outcome:
                 case Ok(answer) if answer.status == 200:
-                    gift = msgspec.msgpack.decode(answer.body, type=_Gift).tokens
-                    self._decisions.note("tokens received", account=account, peer=peer, tokens=gift)
-                    self._allowance.take_gift(account, gift)
-                    self._gifted.add(account)
-                    verdict = self._allowance.reserve(account, tokens, trio.current_time())
-                    if verdict is not Verdict.LACKING:
-                        return verdict
+                    gift = msgspec.msgpack.decode(answer.body, type=_Gift)
+                    self._decisions.note(
+                        "tokens received", account=account, peer=peer, tokens=gift.tokens
+                    )
+                    if gift.tokens:
+                        giver = Giver(peer, gift.incarnation)
+                        self._allowance.take_gift(account, gift.tokens, giver)
+                    grant = self._allowance.reserve(account, tokens, trio.current_time())
+                    if grant.verdict is not Verdict.LACKING:
+                        return grant
                 case Ok(answer):
                     self._decisions.note("no tokens", account=account, peer=peer, why=answer.status)
                 case Err(error):
                     self._avoided[peer] = trio.current_time() + AVOID_S
                     self._decisions.note("no tokens", account=account, peer=peer, why=str(error))
-        return Verdict.LACKING
+        return Grant(Verdict.LACKING)
 
     async def _give(self, request: Request, responder: Responder) -> Reply:
         try:
@@ -288,15 +281,16 @@
             self._decisions.warn(
                 "no tokens to give", asked=ask.tokens, **self.describe(ask.account)
             )
-        return Reply(200, msgspec.msgpack.encode(_Gift(given)))
+        gift = _Gift(given, self._allowance.incarnation)
+        return Reply(200, msgspec.msgpack.encode(gift))
 
     async def _take_use(self, request: Request, responder: Responder) -> Reply:
         try:
-            told = msgspec.msgpack.decode(request.body, type=_Use)
+            told = msgspec.msgpack.decode(request.body, type=_Uses)
         except msgspec.DecodeError as error:
             return Reply(400, str(error).encode())
-        for account, (used, unused) in told.uses.items():
-            self._allowance.take_use(account, used, unused)
+        for use in told.uses:
+            self._allowance.take_use(use, told.incarnation)
         return Reply(204)
 
     def describe(self, account: str) -> dict[str, Any]:
@@ -326,8 +320,9 @@
 
     async def end(self) -> None:
         """Write the last record, so that nothing is held for an incarnation that has ended."""
-        await self.tell_uses()
-        await self._write(ended=True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.tell_uses)
+            await self._write(ended=True)
 
     async def _cycle(self) -> None:
         if self._offset is None and not await self._read():
--- a/mulberrycleat/prepaid/__init__.py
+++ b/mulberrycleat/prepaid/__init__.py
@@ -5,16 +5,26 @@
 total, so that no host, cut off or dead, can lead to overspending.
 """
 
-from mulberrycleat.prepaid.allowance import Allowance, AllowanceSettings, Verdict
+from mulberrycleat.prepaid.allowance import (
+    Allowance,
+    AllowanceSettings,
+    Giver,
+    Grant,
+    Use,
+    Verdict,
+)
 from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, Moment, SliceLedger, silence_s
 
 __all__ = [
     "AccountShare",
     "Allowance",
     "AllowanceSettings",
+    "Giver",
+    "Grant",
     "HolderRecord",
     "Moment",
     "SliceLedger",
+    "Use",
     "Verdict",
     "silence_s",
 ]
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -4,12 +4,13 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, Moment, SliceLedger, silence_s
 
-__all__ = ["Allowance", "AllowanceSettings", "Verdict"]
+__all__ = ["Allowance", "AllowanceSettings", "Giver", "Grant", "Use", "Verdict"]
 
 RATE_KEPT_S = 5.0
 # Part of the largest reservation that is remembered from one reservation to the next.
@@ -29,14 +30,15 @@
     ready_s : float
         A slice covers at once what the host is expected to reserve in this time, in seconds. The
         death of the host strands this, and what the slice has grown by.
-    ready_lumps : float
-        A slice covers at once at least so many of the largest late reservations: few large requests
-        come unevenly.
     horizon_s : float
         The ceiling covers what the host is expected to reserve in this time, so that it serves
         through an outage of the store that lasts no longer, in seconds.
     horizon_lumps : float
-        The ceiling covers so many of the largest late reservations besides.
+        The ceiling covers so many of the largest late reservations besides: few large requests come
+        unevenly.
+    ceiling_share : float
+        Largest part of the total that the ceiling covers beyond what runs, so that the death of one
+        host in a long outage strands no more.
     growth_s : float
         An old slice grows to its ceiling in this time, in seconds.
     unspent_share : float
@@ -49,9 +51,9 @@
     """
 
     ready_s: float = 0.8
-    ready_lumps: float = 0.4
-    horizon_s: float = 10.0
+    horizon_s: float = 12.0
     horizon_lumps: float = 1.5
+    ceiling_share: float = 0.08
     growth_s: float = 2.5
     unspent_share: float = 0.6
     least_share: float = 0.001
@@ -61,17 +63,38 @@
 class Verdict(Enum):
     """Answer to a request for tokens.
 
-    ``GRANTED``: taken from the own slice. ``GIFTED``: taken from what other hosts gave.
-    ``LACKING``: the slice is too small, a larger one may be had. ``EXHAUSTED``: the total itself
-    does not cover the request.
+    ``GRANTED``: set aside, from the own slice or from another host's gift. ``LACKING``: the slice is
+    too small, a larger one may be had. ``EXHAUSTED``: the total itself does not cover the request.
     """
 
     GRANTED = "granted"
-    GIFTED = "gifted"
     LACKING = "lacking"
     EXHAUSTED = "exhausted"
 
 
+class Giver(NamedTuple):
+    """The incarnation of a host that gave tokens, with its address."""
+
+    address: str
+    incarnation: str
+
+
+class Grant(NamedTuple):
+    """Tokens set aside for a request, or why there are none; `giver` is None for the own slice."""
+
+    verdict: Verdict
+    tokens: int = 0
+    giver: Giver | None = None
+
+
+class Use(NamedTuple):
+    """What became of one giver's tokens of an account: used, and not needed."""
+
+    account: str
+    used: int
+    unused: int
+
+
 @dataclass(slots=True)
 class _Account:
     past_limit: int = 0
@@ -79,7 +102,8 @@
     spent: int = 0
     reserved: int = 0
     given: int = 0
-    gift: int = 0
+    gifts: dict[Giver, int] = field(default_factory=dict)
+    used: dict[Giver, int] = field(default_factory=dict)
     share: AccountShare = AccountShare()
     wanted: int = 0
     rate: float = 0.0
@@ -145,6 +169,11 @@
         """Name of this host."""
         return self._host
 
+    @property
+    def incarnation(self) -> str:
+        """Name of this start of the process."""
+        return self._incarnation
+
     @property
     def zone(self) -> str:
         """Availability zone of this host."""
@@ -186,30 +215,33 @@
         for name, share in record.shares.items():
             self._account(name).share = share
 
-    def reserve(self, name: str, tokens: int, now: float) -> Verdict:
+    def reserve(self, name: str, tokens: int, now: float) -> Grant:
         """Set tokens aside for a request."""
         total = self._totals.get(name)
         if total is None:
-            return Verdict.EXHAUSTED
+            return Grant(Verdict.EXHAUSTED)
         account = self._account(name)
         if not self._overcommitted(name, total) and self._free(name, account, now) >= tokens:
             account.reserved += tokens
             self._note_rate(account, tokens, now)
-            return Verdict.GRANTED
-        if account.gift >= tokens:
-            account.gift -= tokens
-            return Verdict.GIFTED
+            return Grant(Verdict.GRANTED, tokens)
+        for giver, left in account.gifts.items():
+            if left >= tokens:
+                account.gifts[giver] -= tokens
+                return Grant(Verdict.GRANTED, tokens, giver)
         sure = self._ledger.surely_spent(name, self._host) + account.past_spent + account.spent
-        return Verdict.EXHAUSTED if sure + tokens > total else Verdict.LACKING
+        return Grant(Verdict.EXHAUSTED if sure + tokens > total else Verdict.LACKING)
 
-    def settle(self, name: str, reserved: int, used: int, gifted: bool = False) -> None:
-        """Give back what a request did not use of its reservation."""
+    def settle(self, name: str, grant: Grant, used: int) -> None:
+        """Give back what a request did not use of its grant."""
         account = self._account(name)
-        if gifted:
-            account.gift += reserved - used
-        else:
-            account.reserved -= reserved
+        if grant.giver is None:
+            account.reserved -= grant.tokens
             account.spent += used
+        else:
+            left = account.gifts.get(grant.giver, 0) + grant.tokens - used
+            account.gifts[grant.giver] = left
+            account.used[grant.giver] = account.used.get(grant.giver, 0) + used
 
     def give(self, name: str, tokens: int, now: float) -> int:
         """Give tokens of the own slice to another host; return how many, 0 for none.
@@ -226,25 +258,38 @@
         self._note_rate(account, tokens, now)
         return tokens
 
-    def take_use(self, name: str, used: int, unused: int) -> None:
-        """Take another host's word on tokens that it was given and now has used or gives back."""
-        account = self._account(name)
-        account.given -= min(account.given, used + unused)
-        account.spent += used
+    def take_use(self, use: Use, incarnation: str) -> None:
+        """Take another host's word on tokens that this host, in that incarnation, gave.
 
-    def give_back(self, name: str) -> int:
-        """Return, and let go of, what is left of other hosts' gifts."""
-        account = self._account(name)
-        left, account.gift = account.gift, 0
-        return left
-
-    def gift(self, name: str) -> int:
-        """Return what is left of other hosts' gifts."""
-        return self._account(name).gift
-
-    def take_gift(self, name: str, tokens: int) -> None:
+        What an earlier incarnation gave has been counted as spent when that ended.
+        """
+        if incarnation != self._incarnation:
+            return
+        account = self._account(use.account)
+        account.given -= use.used + use.unused
+        account.spent += use.used
+
+    def let_go(self) -> dict[Giver, list[Use]]:
+        """Return what became of other hosts' gifts since last time, and let go of the rest."""
+        found: dict[Giver, list[Use]] = {}
+        for name, account in self._accounts.items():
+            for giver in account.gifts.keys() | account.used.keys():
+                use = Use(name, account.used.get(giver, 0), account.gifts.get(giver, 0))
+                if use.used or use.unused:
+                    found.setdefault(giver, []).append(use)
+            account.gifts.clear()
+            account.used.clear()
+        return found
+
+    def gift(self, name: str, address: str) -> int:
+        """Return what is left of the gifts of the host at `address`."""
+        gifts = self._account(name).gifts.items()
+        return max((left for giver, left in gifts if giver.address == address), default=0)
+
+    def take_gift(self, name: str, tokens: int, giver: Giver) -> None:
         """Take tokens that another host gave."""
-        self._account(name).gift += tokens
+        gifts = self._account(name).gifts
+        gifts[giver] = gifts.get(giver, 0) + tokens
 
     def describe(self, name: str, now: float) -> dict[str, int]:
         """Return the inputs of decisions about an account, in tokens."""
@@ -390,9 +435,10 @@
         least = settings.least_share * total
         lump = account.largest if rate > LEAST_RATE else 0
         spare = rate * settings.horizon_s + lump * settings.horizon_lumps
-        spare = min(max(spare, least), settings.unspent_share * unspent * min(1.0, share))
+        spare = min(max(spare, least), settings.ceiling_share * total)
+        spare = min(spare, settings.unspent_share * unspent * min(1.0, share))
         ceiling = min(largest, held + account.wanted + int(spare))
-        ready_spare = max(rate * settings.ready_s, lump * settings.ready_lumps, least)
+        ready_spare = max(rate * settings.ready_s, least)
         ready = min(ceiling, held + account.wanted + int(ready_spare))
         return ready, (ceiling - ready) / settings.growth_s, ceiling
 
