--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -220,6 +220,17 @@
         self._metrics.directory_age_s.set(now - self._directory.read_at)
         self._metrics.running.set(self._stopping.running)
         self._metrics.connections_opened.set(self._connections.opened)
+        self._metrics.connections_idle.set(self._connections.idle)
+        self._metrics.hosts.set(self._slices.hosts())
+        self._metrics.relayed_calls.set(self._store.relayed)
+        self._metrics.store_lost.set(self._store.lost)
+        self._metrics.lines_left_out.set(sum(self._decisions.left_out.values()))
+        for pool in self._repeats.pools:
+            self._metrics.repeats_left.labels(pool).set(self._repeats.left(pool, now))
+        table = self._maps.table
+        for account in table.accounts if table else ():
+            for of, tokens in self._slices.tokens(account).items():
+                self._metrics.tokens.labels(account, of).set(tokens)
         return self._metrics.reply()
 
     async def _run_slices(self) -> None:
--- a/mulberrycleat/entry/call.py
+++ b/mulberrycleat/entry/call.py
@@ -31,6 +31,8 @@
         When the first part of the answer was passed on, in seconds of trio's clock.
     endpoint : str
         The endpoint that was asked last.
+    route, account, map_version, deadline
+        What the filters found out, for the log line at the end.
     """
 
     sends: int = 0
@@ -39,6 +41,10 @@
     last_event_id: int | None = None
     first_at: float | None = None
     endpoint: str = ""
+    route: str = ""
+    account: str = ""
+    map_version: int = -1
+    deadline: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulberrycleat/entry/filters/admit.py
+++ b/mulberrycleat/entry/filters/admit.py
@@ -48,9 +48,11 @@
         if table is None:
             reason = "no route map has been read yet"
             return Err(NotRun(Step.ADMIT, "", reason, 503, NO_MAP_RETRY_S, "no_route_map"))
+        call.progress.map_version = table.version
         route = table.find_route(call.host, call.path)
         if route is None or not route.pools:
             return Err(NotRun(Step.ADMIT, "", "no such route", 404, None, "unknown_route"))
+        call.progress.route = route.name
         pool = table.pool(self._pick(route.pools))
         if pool is None:
             return Err(NotRun(Step.ADMIT, "", "the route's pool is not known", 503, 1.0))
@@ -74,6 +76,7 @@
         if account is None:
             reason = "the key is not known" if call.facts.api_key else "no key"
             return Err(NotRun(Step.AUTHENTICATE, "", reason, 401, None, "unauthorized"))
+        call.progress.account = account.name
         return await proceed(replace(call, account=account))
 
 
@@ -86,6 +89,7 @@
         if call.facts.time_left_s is not None:
             limit_s = min(limit_s, call.facts.time_left_s)
         deadline = call.arrived + max(0.0, limit_s - ANSWER_MARGIN_S)
+        call.progress.deadline = deadline
         with trio.move_on_at(deadline):
             return await proceed(replace(call, deadline=deadline))
         progress = call.progress
--- a/mulberrycleat/entry/front.py
+++ b/mulberrycleat/entry/front.py
@@ -130,15 +130,15 @@
         progress, now = call.progress, trio.current_time()
         fields: dict[str, Any] = {
             "request": call.facts.request_id,
-            "route": call.route.name if call.route else "",
-            "account": call.account.name if call.account else "",
-            "map_version": call.table.version if call.table else -1,
+            "route": progress.route,
+            "account": progress.account,
+            "map_version": progress.map_version,
             "endpoint": progress.endpoint,
             "sends": progress.sends,
             "took_s": round(now - call.arrived, 4),
         }
-        if math.isfinite(call.deadline):
-            fields["left_s"] = round(call.deadline - now, 3)
+        if math.isfinite(progress.deadline):
+            fields["left_s"] = round(progress.deadline - now, 3)
         match outcome:
             case Ok(_):
                 first_at = progress.first_at
--- a/mulberrycleat/entry/metrics.py
+++ b/mulberrycleat/entry/metrics.py
@@ -60,9 +60,32 @@
             f"{PREFIX}connections_opened", "Connections opened to endpoints", registry=registry
         )
 
+        self.connections_idle = Gauge(
+            f"{PREFIX}connections_idle", "Idle connections to endpoints", registry=registry
+        )
+        self.hosts = Gauge(f"{PREFIX}hosts", "Hosts that share budgets", registry=registry)
+        self.relayed_calls = Gauge(
+            f"{PREFIX}relayed_calls", "Store calls through other hosts so far", registry=registry
+        )
+        self.store_lost = Gauge(
+            f"{PREFIX}store_lost", "1 while the store does not answer this host", registry=registry
+        )
+        self.lines_left_out = Gauge(
+            f"{PREFIX}log_lines_left_out", "Log lines left out so far", registry=registry
+        )
+        self.repeats_left = Gauge(
+            f"{PREFIX}repeats_left", "Repeats that may be sent now", ["pool"], registry=registry
+        )
+        self.tokens = Gauge(
+            f"{PREFIX}account_tokens",
+            "Tokens of an account as this host knows them",
+            ["account", "of"],
+            registry=registry,
+        )
+
     def count(self, call: EntryCall, outcome: Result[Served, Refusal] | None) -> None:
         """Count the end of a request."""
-        route = call.route.name if call.route else ""
+        route = call.progress.route
         self._sends.labels(route).inc(call.progress.sends)
         match outcome:
             case Ok(_):
--- a/mulberrycleat/entry/repeats.py
+++ b/mulberrycleat/entry/repeats.py
@@ -42,6 +42,11 @@
         self._requests: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
 
+    @property
+    def pools(self) -> tuple[str, ...]:
+        """Pools that got requests."""
+        return tuple(self._requests)
+
     def set_hosts(self, hosts: int) -> None:
         """Take the number of hosts that share the slack."""
         self._hosts = max(1, hosts)
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -293,6 +293,10 @@
             self._allowance.take_use(use, told.incarnation)
         return Reply(204)
 
+    def tokens(self, account: str) -> dict[str, int]:
+        """Return what this host knows of an account's tokens, by kind."""
+        return self._allowance.describe(account, trio.current_time())
+
     def describe(self, account: str) -> dict[str, Any]:
         """Return the inputs of a decision about an account's tokens."""
         ledger = self._allowance.ledger
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -63,8 +63,8 @@
 class Verdict(Enum):
     """Answer to a request for tokens.
 
-    ``GRANTED``: set aside, from the own slice or from another host's gift. ``LACKING``: the slice is
-    too small, a larger one may be had. ``EXHAUSTED``: the total itself does not cover the request.
+    ``GRANTED``: set aside, from the own slice or from another host's gift. ``LACKING``: the slice
+    is too small, a larger one may be had. ``EXHAUSTED``: the total does not cover the request.
     """
 
     GRANTED = "granted"
