--- a/mulberrycleat/cli/main.py
+++ b/mulberrycleat/cli/main.py
@@ -24,7 +24,9 @@
 )
 from mulberrycleat.core import PeerError, new_id
 from mulberrycleat.eventlog import HttpEventLog
+from mulberrycleat.explain import read_lines, tell
 from mulberrycleat.manifest import parse_manifest
+from mulberrycleat.platform.check import check_config, check_settings
 from mulberrycleat.settings import (
     ControllerSettings,
     OperatorSettings,
@@ -41,6 +43,7 @@
     "operator": OperatorSettings,
     "standin": StandinSettings,
 }
+PLATFORM_CHECKS = {"entry-host": check_settings, "routes": check_config}
 
 
 @click.group()
@@ -63,7 +66,7 @@
 @click.option(
     "--as",
     "kind",
-    type=click.Choice(["manifest", *KINDS]),
+    type=click.Choice(["manifest", *KINDS, *PLATFORM_CHECKS]),
     default="manifest",
     show_default=True,
     help="What FILE is.",
@@ -73,6 +76,8 @@
     """Find every fault in a manifest or settings FILE without publishing it."""
     if kind == "manifest":
         outcome = parse_manifest(read_text(file))
+    elif kind in PLATFORM_CHECKS:
+        outcome = PLATFORM_CHECKS[kind](read_text(file))
     else:
         outcome = load_settings(file, KINDS[kind])
     faults = outcome.err_value if isinstance(outcome, Err) else []
@@ -85,6 +90,24 @@
     sys.exit(EXIT_BAD_INPUT if faults else 0)
 
 
+@main.command()
+@click.argument("request")
+@click.argument("logs", nargs=-1, required=True, type=click.File(errors="replace"))
+@json_option
+def explain(request: str, logs: tuple[Any, ...], as_json: bool) -> None:
+    """Tell what became of REQUEST from the LOGS of the entry hosts.
+
+    Exit code 2 when no line names the request.
+    """
+    story = tell(request, (line for log in logs for line in read_lines(log)))
+    if as_json:
+        lines = [{"at": line.at, **line.fields} for line in (*story.lines, *story.surroundings)]
+        click.echo(json.dumps({"request": request, "cause": story.cause, "lines": lines}))
+    else:
+        click.echo(str(story))
+    sys.exit(0 if story.lines else EXIT_BAD_INPUT)
+
+
 @main.command("top-up")
 @click.argument("budget")
 @click.argument("tokens", type=click.IntRange(min=1))
--- /dev/null
+++ b/mulberrycleat/platform/tests/test_check.py
@@ -0,0 +1,41 @@
+"""The command line's checks of a platform process and of a configuration."""
+
+from __future__ import annotations
+
+import json
+
+from click.testing import CliRunner
+
+from mulberrycleat.cli.main import main
+from mulberrycleat.platform.check import check_config
+from mulberrycleat.platform.tests.fixtures import CONFIG
+from mulberrycleat.platform.tests.test_decoding import SETTINGS
+
+
+def run(kind, text):
+    """Run ``mulberrycleat check`` on a file with `text`."""
+    runner = CliRunner()
+    with runner.isolated_filesystem():
+        with open("file", "w", encoding="utf-8") as file:
+            file.write(text)
+        return runner.invoke(main, ["check", "--as", kind, "file"])
+
+
+def test_good_files_pass():
+    assert run("entry-host", SETTINGS).exit_code == 0
+    assert run("routes", json.dumps(CONFIG)).exit_code == 0
+
+
+def test_faults_are_named_with_their_field():
+    result = run("entry-host", SETTINGS.replace('"z-a"', "7"))
+    assert result.exit_code == 2
+    assert "zone" in result.output
+
+
+def test_a_route_to_a_service_that_is_not_there_is_a_fault():
+    routes = [{**CONFIG["routes"][1], "service": "nowhere"}]
+    faults = check_config(json.dumps({**CONFIG, "routes": routes})).err_value
+    assert str(faults[0]) == "routes.book: no service 'nowhere'"
+    del routes[0]["service"]
+    faults = check_config(json.dumps({**CONFIG, "routes": routes})).err_value
+    assert str(faults[0]) == "routes.book: leads to no service"
