--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
+from urllib.parse import urlsplit
 
 import httpcore
 import trio
@@ -16,7 +17,7 @@
 from mulberrycleat.platform.headers import PlatformDialect
 from mulberrycleat.platform.standin import Servers, ServerStandin, StoreClient, StoreStandin
 from mulberrycleat.platform.store import PlatformStore
-from mulberrycleat.web import BaseHttpClient
+from mulberrycleat.web import BaseHttpClient, StreamedAnswer
 
 ENGINE = {"slots": 8, "kv_capacity": 400_000, "stride": 5}
 CONFIG: dict[str, Any] = {
@@ -81,12 +82,51 @@
     whole: bool = False
 
 
-class NoPeers(BaseHttpClient):
-    """No other host can be reached."""
+class Peers(BaseHttpClient):
+    """The way of one host to the others: their applications by address."""
 
-    def stream(self, *arguments: Any, **options: Any) -> Any:
-        """Fail as a connection that is refused."""
-        raise httpcore.ConnectError("refused")
+    def __init__(self, apps: dict[str, Any]) -> None:
+        self._apps = apps
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> AsyncIterator[StreamedAnswer]:
+        """Call another host's application; raises httpcore's exceptions."""
+        parts = urlsplit(url)
+        if parts.netloc not in self._apps:
+            raise httpcore.ConnectError("refused")
+        await trio.sleep(0.001)
+        sent: list[dict[str, Any]] = []
+        asked = [{"type": "http.request", "body": body, "more_body": False}]
+
+        async def receive() -> dict[str, Any]:
+            if not asked:
+                await trio.sleep_forever()
+            return asked.pop()
+
+        async def send(message: dict[str, Any]) -> None:
+            sent.append(message)
+
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": parts.path,
+            "query_string": b"",
+            "headers": [],
+        }
+        await self._apps[parts.netloc](scope, receive, send)
+        data = b"".join(message.get("body", b"") for message in sent)
+        yield StreamedAnswer(sent[0]["status"], {}, _chunks(data))
+
+
+async def _chunks(data: bytes) -> AsyncIterator[bytes]:
+    yield data
 
 
 @dataclass
@@ -97,6 +137,13 @@
     store: StoreStandin
     servers: Servers
     nursery: trio.Nursery
+    apps: dict[str, Any]
+    scope: trio.CancelScope
+
+    def restart(self, name: str) -> World:
+        """Kill the host and start its next incarnation."""
+        self.scope.cancel()
+        return start_host(name, self.store, self.servers, self.nursery, self.apps)
 
     async def ask(
         self,
@@ -164,33 +211,69 @@
     wait_s: float = 1.0,
 ) -> AsyncIterator[World]:
     """Run one entry host for the time of the block."""
+    async with entry_hosts(1, *standins, config=config, store=store, wait_s=wait_s) as worlds:
+        yield worlds[0]
+
+
+@asynccontextmanager
+async def entry_hosts(
+    count: int,
+    *standins: ServerStandin,
+    config: dict[str, Any] = CONFIG,
+    store: StoreStandin | None = None,
+    wait_s: float = 1.0,
+) -> AsyncIterator[list[World]]:
+    """Run some entry hosts of one zone, named a1, a2 and so on, for the time of the block."""
     store = store or StoreStandin()
     if config:
         store.put("keyed.op", "config", config)
     for server in standins:
         store.put("keyed.servers", server.id, server.entry())
-    bounds = FleetBounds(repeat_share=0.2, repeat_slack=20.0)
+    apps: dict[str, Any] = {}
+    async with trio.open_nursery() as nursery:
+        servers = Servers(nursery, standins)
+        worlds = [
+            start_host(f"a{number}", store, servers, nursery, apps)
+            for number in range(1, count + 1)
+        ]
+        await trio.sleep(wait_s)
+        yield worlds
+        nursery.cancel_scope.cancel()
+
+
+def start_host(
+    name: str,
+    store: StoreStandin,
+    servers: Servers,
+    nursery: trio.Nursery,
+    apps: dict[str, Any],
+) -> World:
+    """Start an entry host; a second one of the same name is another incarnation."""
+    address = f"{name}:3"
     settings = EntrySettings(
-        host="a1",
+        host=name,
         zone="z-a",
         ip="10.0.0.1",
         front="10.0.0.1:1",
         readiness="10.0.0.1:2",
-        peers_listen="10.0.0.1:3",
+        peers_listen=address,
         store="10.9.0.1:4",
-        bounds=bounds,
+        seeds=("a1:3",),
+        bounds=FleetBounds(repeat_share=0.2, repeat_slack=20.0),
     )
 
     async def serve(app: Any, address: str, *rest: Any, **options: Any) -> None:
         await trio.sleep_forever()
 
-    async with trio.open_nursery() as nursery:
-        servers = Servers(nursery, standins)
-        ports = EntryPorts(NoPeers(), servers.connect, serve, trio.current_time)
-        platform = PlatformStore("10.9.0.1:4", StoreClient(store, "a1"), 0.4)
-        decisions = DecisionLog(trio.current_time)
-        host = EntryHost(settings, PlatformDialect(), platform, decisions, ports)
-        nursery.start_soon(host.run, trio.Event())
-        await trio.sleep(wait_s)
-        yield World(host, store, servers, nursery)
-        nursery.cancel_scope.cancel()
+    ports = EntryPorts(Peers(apps), servers.connect, serve, trio.current_time)
+    platform = PlatformStore(settings.store, StoreClient(store, name), 0.4)
+    host = EntryHost(settings, PlatformDialect(), platform, DecisionLog(trio.current_time), ports)
+    apps[address] = host.peers_app
+    scope = trio.CancelScope()
+    nursery.start_soon(_run, host, scope)
+    return World(host, store, servers, nursery, apps, scope)
+
+
+async def _run(host: EntryHost, scope: trio.CancelScope) -> None:
+    with scope:
+        await host.run(trio.Event())
--- /dev/null
+++ b/mulberrycleat/platform/tests/test_hosts.py
@@ -0,0 +1,92 @@
+"""Several entry hosts: relayed calls, gifts of tokens, restarts."""
+
+from __future__ import annotations
+
+import trio
+
+from mulberrycleat.platform.standin import ServerStandin
+from mulberrycleat.platform.tests.fixtures import CONFIG, entry_hosts
+from mulberrycleat.testing import fixture
+
+ASK = {"model": "m", "token_counts": "900,20"}
+
+
+@fixture
+def hut():
+    return ServerStandin("h1", "10.2.0.1:80", "huts")
+
+
+@fixture
+def engine():
+    return ServerStandin("e1", "10.1.0.1:80", "engines", events=4)
+
+
+async def test_a_host_that_the_store_turns_away_learns_of_changes_through_another(hut):
+    async with entry_hosts(2, hut) as (first, second):
+        first.store.turned_away.add("a2")
+        await trio.sleep(0.5)
+        second.store.put("keyed.op", "config", {**CONFIG, "version": 9, "routes": []})
+        await trio.sleep(2.5)
+        assert (await second.ask("/book/x")).status == 404
+
+
+async def test_a_host_that_the_store_turns_away_still_draws_tokens(engine):
+    async with entry_hosts(2, engine) as (first, second):
+        first.store.turned_away.add("a2")
+        statuses = []
+        for number in range(40):
+            statuses.append((await second.ask("/ask/x", f"r{number}", **ASK)).status)
+            await trio.sleep(0.1)
+    assert statuses.count(200) >= 38
+
+
+async def test_hosts_lend_each_other_tokens_while_the_store_is_down(engine):
+    async with entry_hosts(3, engine) as worlds:
+        for number in range(30):
+            await worlds[0].ask("/ask/x", f"w{number}", **ASK)
+        worlds[0].store.down = True
+        await trio.sleep(2.0)
+        statuses = [
+            (await world.ask("/ask/x", f"r{n}-{i}", **ASK)).status
+            for i, world in enumerate(worlds)
+            for n in range(2)
+        ]
+    assert statuses == [200] * 6
+
+
+async def test_all_hosts_together_never_pass_a_total(engine):
+    async with entry_hosts(3, engine) as worlds:
+        for number in range(150):
+            await worlds[number % 3].ask("/ask/x", f"r{number}", **ASK)
+    assert 95_000 <= len(engine.seen) * 920 <= 100_000
+
+
+async def test_a_total_holds_over_deaths_of_all_hosts(engine):
+    async with entry_hosts(3, engine) as worlds:
+        for life in range(4):
+            for number in range(40):
+                await worlds[number % 3].ask("/ask/x", f"r{life}-{number}", **ASK)
+            worlds = [world.restart(f"a{n}") for n, world in enumerate(worlds, 1)]
+            await trio.sleep(1.0)
+    assert len(engine.seen) * 920 <= 100_000
+
+
+async def test_a_host_that_starts_while_the_store_is_down_asks_another(hut):
+    async with entry_hosts(2, hut) as (first, second):
+        first.store.down = True
+        await trio.sleep(2.0)
+        reborn = second.restart("a2")
+        await trio.sleep(6.0)
+        assert reborn.host.ready
+        assert (await reborn.ask("/book/x")).status == 200
+
+
+async def test_a_wait_for_tokens_that_can_not_be_had_makes_few_calls(engine):
+    async with entry_hosts(1, engine) as (world,):
+        for number in range(120):
+            await world.ask("/ask/x", f"r{number}", **ASK)
+        before, began = world.store.calls, trio.current_time()
+        for number in range(20):
+            assert (await world.ask("/ask/x", f"s{number}", **ASK)).status in (402, 503)
+        calls_per_s = (world.store.calls - before) / max(1.0, trio.current_time() - began)
+    assert calls_per_s < 100
--- a/mulberrycleat/web/asgi.py
+++ b/mulberrycleat/web/asgi.py
@@ -119,6 +119,7 @@
         await self._send({"type": "http.response.body", "body": data, "more_body": False})
 
     async def _send(self, message: dict[str, Any]) -> None:
+        await trio.lowlevel.checkpoint_if_cancelled()
         with trio.CancelScope(shield=True):
             await self._send_message(message)
 
