--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -163,6 +163,10 @@
         """The application that serves the other hosts."""
         return App((*self._relay.routes(), *self._slices.routes()))
 
+    def describe_tokens(self, account: str) -> dict[str, int]:
+        """Return what this host knows of an account's tokens, by kind."""
+        return self._slices.tokens(account)
+
     @property
     def ready(self) -> bool:
         """Whether callers' connections are welcome."""
--- a/mulberrycleat/entry/front.py
+++ b/mulberrycleat/entry/front.py
@@ -28,6 +28,8 @@
 
 # Longest time that a body may take to arrive; callers of the platform send theirs at once.
 BODY_TIMEOUT_S = 10.0
+# When to come back after a host that ends: at once, on a new connection, which goes elsewhere.
+AWAY_RETRY_S = 0.1
 
 Run = Callable[[EntryCall], Awaitable[Result[Served, Refusal]]]
 
@@ -92,6 +94,12 @@
             return
         if body is None:
             return
+        if self._stopping.sends_away:
+            reason = "this host is about to end"
+            await self._end(
+                call, Err(NotRun(Step.RECEIVE, "", reason, 503, AWAY_RETRY_S, "stopping"))
+            )
+            return
         await self._run_chain(_call(scope, headers, body, arrived, facts, responder), receive)
 
     async def _run_chain(self, call: EntryCall, receive: Any) -> None:
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -215,6 +215,10 @@
         self._by_address = {server.address: server for server in servers}
         self.opened = 0
 
+    def add(self, server: ServerStandin) -> None:
+        """Add a server."""
+        self._by_address[server.address] = server
+
     async def connect(self, address: str, settings: ConnectionSettings) -> _MemoryPipe:
         """Open a pipe; raises ConnectError."""
         server = self._by_address.get(address)
--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -139,6 +139,7 @@
     nursery: trio.Nursery
     apps: dict[str, Any]
     scope: trio.CancelScope
+    stop: trio.Event
 
     def restart(self, name: str) -> World:
         """Kill the host and start its next incarnation."""
@@ -269,11 +270,11 @@
     platform = PlatformStore(settings.store, StoreClient(store, name), 0.4)
     host = EntryHost(settings, PlatformDialect(), platform, DecisionLog(trio.current_time), ports)
     apps[address] = host.peers_app
-    scope = trio.CancelScope()
-    nursery.start_soon(_run, host, scope)
-    return World(host, store, servers, nursery, apps, scope)
+    scope, stop = trio.CancelScope(), trio.Event()
+    nursery.start_soon(_run, host, scope, stop)
+    return World(host, store, servers, nursery, apps, scope, stop)
 
 
-async def _run(host: EntryHost, scope: trio.CancelScope) -> None:
+async def _run(host: EntryHost, scope: trio.CancelScope, stop: trio.Event) -> None:
     with scope:
-        await host.run(trio.Event())
+        await host.run(stop)
