--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -189,11 +189,6 @@
         """Whether a record of this incarnation is in the store."""
         return self._joined
 
-    @property
-    def lacking(self) -> bool:
-        """Whether requests wait for a larger slice."""
-        return any(account.wanted for account in self._accounts.values())
-
     def take_totals(self, totals: Mapping[str, int], map_version: int) -> None:
         """Take the prepaid totals of a version of the route map."""
         self._totals = dict(totals)
