Read a caller's close that came behind its request before sending it on

Cause: after a host stood still it reads requests and the closes behind them together. The application began at once, so that a request could reach an endpoint before the connection's reader had its next turn.

Ruled out: hypercorn reads on while a request is served, so that the close is seen two turns of the event loop later; nothing in the chain before the first send gave it these turns when a kept connection and tokens were at hand.

Change: the front gives the reader four turns of the event loop before the chain runs.

Shown by: platform.tests.test_callers, 40 callers that send and close before the host has a turn; it failed before (requests reached the endpoint) and passes now.

--- a/mulberrycleat/entry/front.py
+++ b/mulberrycleat/entry/front.py
@@ -28,6 +28,9 @@
 
 # Longest time that a body may take to arrive; callers of the platform send theirs at once.
 BODY_TIMEOUT_S = 10.0
+# Turns of the event loop in which a close that came right behind a request is read: one to read it,
+# one to tell the application, and one to cancel the request. It matters after a host stood still.
+CLOSE_TURNS = 4
 # When to come back after a host that ends: at once, on a new connection, which goes elsewhere.
 AWAY_RETRY_S = 0.1
 
@@ -107,6 +110,8 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_cancel_when_gone, receive, call.responder, nursery)
+                for _ in range(CLOSE_TURNS):
+                    await trio.lowlevel.checkpoint()
                 outcome = await self._run(call)
                 nursery.cancel_scope.cancel()
         except Exception as error:
