Give each account one home among all hosts, and let slices grow with demand

A ceiling is not what bounds the loss at a death: a successor counts the limit as of the death, so that growth near the demand loses little however high the ceiling.

Change: demand for an account meets at one home among all hosts; one host of each zone takes over while it can't be reached, and grows later. Limits grow at 1.2 times the demand (1.35 in the homes of zones) and the largest request in 4 s, up to 12 s of growth or 0.4 of what is unspent; other hosts hold nothing ready. The last record of a stopping host is written by the loop itself, after any whose answer was lost: before, such an older one was taken for the last. Each reservation and charge is in the log, and what a start counts for the incarnation before. Sizing, demand, homes, gifts and calls to peers are modules of their own.

Conclusion: outages of the store no longer refuse what the total covers.

--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -53,8 +53,9 @@
 SWEEP_EVERY_S = 1.0
 # A host that has not got its first slices after this time serves what needs none.
 SLICES_PATIENCE_S = 3.0
-# Longest time that the last record may take at the end of the process.
-LAST_RECORD_S = 0.5
+# Longest time that the last record may take at the end of the process: a call to a store that was
+# away times out, and the record is sent again. It stands before the process would be killed.
+LAST_RECORD_S, LAST_RECORD_MARGIN_S = 2.0, 0.2
 PEER_SILENCE_S = 1.0
 
 
@@ -195,9 +196,13 @@
             nursery.start_soon(self._serve, self._front, self._settings.front, self._take_config)
             await stop.wait()
             self._decisions.warn("stopping", running=self._stopping.running)
+            killed_at = trio.current_time() + self._settings.bounds.grace_s
             await self._stopping.run()
-            with trio.move_on_after(LAST_RECORD_S):
+            bound = min(trio.current_time() + LAST_RECORD_S, killed_at - LAST_RECORD_MARGIN_S)
+            with trio.move_on_at(bound) as last:
                 await self._slices.end()
+            if last.cancelled_caught:
+                self._decisions.warn("last record not written", step="stop", peer="store")
             self._decisions.warn("stopped", running=self._stopping.running)
             nursery.cancel_scope.cancel()
 
--- a/mulberrycleat/entry/call.py
+++ b/mulberrycleat/entry/call.py
@@ -31,6 +31,8 @@
         When the first part of the answer was passed on, in seconds of trio's clock.
     endpoint : str
         The endpoint that was asked last.
+    tokens_used : int
+        Tokens of the prepaid total that the request was charged.
     route, account, map_version, deadline
         What the filters found out, for the log line at the end.
     """
@@ -41,6 +43,7 @@
     last_event_id: int | None = None
     first_at: float | None = None
     endpoint: str = ""
+    tokens_used: int = 0
     route: str = ""
     account: str = ""
     map_version: int = -1
--- a/mulberrycleat/entry/filters/prepaid.py
+++ b/mulberrycleat/entry/filters/prepaid.py
@@ -47,9 +47,19 @@
         account, cost = call.account, call.facts.largest_cost
         if account is None or account.prepaid_tokens is None or not cost:
             return await proceed(call)
+        asked_at = self._now()
         grant = await self._slices.reserve(account.name, cost, call.deadline)
         if grant.verdict is not Verdict.GRANTED:
             return Err(self._refusal(call, grant.verdict, cost))
+        self._decisions.note(
+            "tokens reserved",
+            request=call.facts.request_id,
+            account=account.name,
+            cost=cost,
+            giver=grant.giver.address if grant.giver else "own slice",
+            left=self._slices.tokens(account.name)["free"],
+            waited_s=round(self._now() - asked_at, 4),
+        )
         used = cost
         try:
             outcome = await proceed(call)
@@ -59,7 +69,8 @@
             used = _used(call)
             raise
         finally:
-            self._slices.settle(account.name, grant, min(used, cost))
+            call.progress.tokens_used = min(used, cost)
+            self._slices.settle(account.name, grant, call.progress.tokens_used)
 
     def _refusal(self, call: EntryCall, verdict: Verdict, cost: int) -> Refusal:
         name = call.account.name
--- a/mulberrycleat/entry/front.py
+++ b/mulberrycleat/entry/front.py
@@ -148,6 +148,7 @@
             "map_version": progress.map_version,
             "endpoint": progress.endpoint,
             "sends": progress.sends,
+            "tokens_used": progress.tokens_used,
             "took_s": round(now - call.arrived, 4),
         }
         if math.isfinite(progress.deadline):
--- a/mulberrycleat/entry/settings.py
+++ b/mulberrycleat/entry/settings.py
@@ -64,8 +64,8 @@
 
     map_wait_s: float = 1.5
     entries_every_s: float = 0.6
-    slices_every_s: float = 0.4
-    slices_due_s: float = 0.5
+    slices_every_s: float = 0.35
+    slices_due_s: float = 0.3
     peer_every_s: float = 0.3
     store_timeout_s: float = 0.4
     slice_wait_s: float = 0.4
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable
 from random import Random
 from typing import Any, NamedTuple
 
@@ -12,10 +12,18 @@
 from result import Err, Ok
 
 from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.gifts import GIFT_PATH, Gift, GiftAsk, GiftTaker
+from mulberrycleat.entry.homes import HomeBook
+from mulberrycleat.entry.last_words import LastWords
+from mulberrycleat.entry.peers import PeerCalls
 from mulberrycleat.entry.settings import EntryTimes
 from mulberrycleat.entry.store import StateStore
-from mulberrycleat.membership.rendezvous import first_by_rank
-from mulberrycleat.prepaid import Allowance, Giver, Grant, Moment, Use, Verdict
+from mulberrycleat.prepaid import (
+    Allowance,
+    Grant,
+    Moment,
+    Verdict,
+)
 from mulberrycleat.routes import RouteTable
 from mulberrycleat.web import Reply, Request, Responder, Route
 from mulberrycleat.web.client import BaseHttpClient
@@ -25,25 +33,16 @@
 # Tries to append a record in a row, when other hosts append in between.
 APPEND_TRIES = 8
 CONFLICT_PAUSE_S = 0.01
-# A host is counted among those that share a budget until its record has not changed for so long.
-HOST_ACTIVE_S = 15.0
 # Between two reads of the ledger when nothing is to be written.
 IDLE_READ_S = 1.0
 # Shortest time between two looks at the slices, so that claims of several requests go together.
 KICK_SPACING_S = 0.01
 # Looks at the slices that a request waits for; when they bring nothing, the store has nothing.
 SLICE_ROUNDS = 3
-# Other hosts that are asked for tokens for one request, and the longest wait for one of them.
+# Other hosts that are asked for tokens for one request, when its homes have none.
 DONORS = 4
-GIFT_TIMEOUT_S = 0.25
-# Longest wait of another host's request for a larger slice here; below the wait for an answer.
+# Longest wait of another host's request for a larger slice here; below its wait for an answer.
 GIFT_WAIT_S = 0.15
-# A host that did not answer is not asked again for so long.
-AVOID_S = 1.0
-GIFT_PATH = "/tokens"
-USE_PATH = "/tokens/use"
-# Between two messages on what became of gifts.
-USE_EVERY_S = 0.3
 
 
 class Beats(NamedTuple):
@@ -54,23 +53,6 @@
     every_s: float
 
 
-class _GiftAsk(msgspec.Struct):
-    account: str
-    tokens: int
-
-
-class _Gift(msgspec.Struct):
-    tokens: int
-    incarnation: str
-
-
-class _Uses(msgspec.Struct):
-    """What became of the gifts of one incarnation of the host that is told."""
-
-    incarnation: str
-    uses: list[Use]
-
-
 class SliceController:
     """Keeps the ledger up to date, and draws slices ahead of demand.
 
@@ -108,7 +90,6 @@
         self._beats = beats
         self._wall = wall
         self._began = float("nan")
-        self._client = client
         self._allowance = allowance
         self._store = store
         self._times = times
@@ -117,11 +98,16 @@
         self._offset: int | None = None
         self._kick = trio.Event()
         self._looked = trio.Event()
-        self._avoided: dict[str, float] = {}
+        self._accounts: tuple[str, ...] = ()
+        self._homes = HomeBook(allowance.host, allowance.zone)
+        calls = PeerCalls(client, decisions)
+        self._gifts = GiftTaker(allowance, calls, decisions)
+        self._last_words = LastWords(allowance, calls, self._others, decisions)
+        self._ending = False
+        self._ended = trio.Event()
         self._in_touch = False
         self._read_at = float("-inf")
         self._written_at = float("-inf")
-        self._seen: dict[str, tuple[str, int, float]] = {}
 
     @property
     def in_touch(self) -> bool:
@@ -141,8 +127,7 @@
 
     def hosts(self) -> int:
         """Return the number of hosts that may share a budget with this one."""
-        now = trio.current_time()
-        return sum(1 for _, _, at in self._seen.values() if now - at < HOST_ACTIVE_S)
+        return self._homes.count(trio.current_time())
 
     def take_table(self, table: RouteTable) -> None:
         """Take the totals of a new route map."""
@@ -152,24 +137,32 @@
             if account.prepaid_tokens is not None
         }
         self._allowance.take_totals(totals, table.version)
+        self._accounts = tuple(totals)
+        self._take_roles()
         self._kick.set()
 
     async def reserve(self, account: str, tokens: int, deadline: float) -> Grant:
-        """Reserve tokens of the own slice, of the account's home, of the store, or of any host.
+        """Reserve tokens of the own slice, of the account's homes, of the store, or of any host.
 
-        Each account has a home among the hosts of a zone, where the zone's demand meets: one slice
-        for all of it is smaller than many slices for single large requests, hosts collide less at
-        the store, and a zone that is cut off goes on.
+        Each account has a home among the hosts, where the demand of all meets: one slice for all of
+        it is smaller than many slices for single large requests, and hosts collide less at the
+        store. One host of each zone is its home while the first can't be reached.
         """
+        grant = await self._find_tokens(account, tokens, deadline)
+        if grant.verdict is Verdict.GRANTED:
+            self._allowance.note_demand(account, tokens, trio.current_time())
+        return grant
+
+    async def _find_tokens(self, account: str, tokens: int, deadline: float) -> Grant:
         grant = self._allowance.reserve(account, tokens, trio.current_time())
-        home = self._home(account)
-        if grant.verdict is Verdict.LACKING and home is not None:
-            grant = await self._reserve_gift(account, tokens, deadline, (home,))
+        homes = self._home_addresses(account)
+        if grant.verdict is Verdict.LACKING:
+            grant = await self._gifts.reserve(account, tokens, deadline, homes)
         if grant.verdict is Verdict.LACKING and self._in_touch:
             grant = await self._reserve_later(account, tokens, deadline)
         if grant.verdict is Verdict.LACKING:
-            donors = [d for d in self._allowance.donors(account) if d != home][:DONORS]
-            grant = await self._reserve_gift(account, tokens, deadline, donors)
+            donors = [d for d in self._allowance.donors(account) if d not in homes][:DONORS]
+            grant = await self._gifts.reserve(account, tokens, deadline, donors)
         return grant
 
     def settle(self, account: str, grant: Grant, used: int) -> None:
@@ -178,31 +171,12 @@
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes for other hosts."""
-        return (
-            Route("POST", GIFT_PATH, self._give),
-            Route("POST", USE_PATH, self._take_use),
-        )
+        give = Route("POST", GIFT_PATH, self._give)
+        return (give, *self._gifts.routes(), *self._last_words.routes())
 
     async def run_uses(self) -> None:
         """Tell the hosts that gave tokens what became of them, for ever."""
-        while True:
-            await trio.sleep(USE_EVERY_S)
-            await self.tell_uses()
-
-    async def tell_uses(self) -> None:
-        """Tell the hosts that gave tokens what became of them.
-
-        A message whose answer is lost is not sent again: what it told stays counted as given.
-        """
-        for giver, uses in self._allowance.let_go().items():
-            body = msgspec.msgpack.encode(_Uses(giver.incarnation, uses))
-            url = f"http://{giver.address}{USE_PATH}"
-            outcome = await self._client.request(
-                "POST", url, body, None, GIFT_TIMEOUT_S, whole_s=GIFT_TIMEOUT_S
-            )
-            if isinstance(outcome, Err):
-                why = str(outcome.err_value)
-                self._decisions.note("uses not told", peer=giver.address, why=why)
+        await self._gifts.run()
 
     async def _reserve_later(self, account: str, tokens: int, deadline: float) -> Grant:
         """Wait for a larger slice from the store."""
@@ -228,44 +202,9 @@
         finally:
             self._allowance.want(account, -tokens)
 
-    async def _reserve_gift(
-        self, account: str, tokens: int, deadline: float, peers: Sequence[str]
-    ) -> Grant:
-        """Ask other hosts for tokens of their slices."""
-        for peer in peers:
-            lacking = max(1, tokens - self._allowance.gift(account, peer))
-            body = msgspec.msgpack.encode(_GiftAsk(account, lacking))
-            if trio.current_time() < self._avoided.get(peer, 0.0):
-                continue
-            timeout_s = min(GIFT_TIMEOUT_S, deadline - trio.current_time())
-            if timeout_s <= 0:
-                break
-            url = f"http://{peer}{GIFT_PATH}"
-            outcome = await self._client.request(
-                "POST", url, body, None, timeout_s, whole_s=timeout_s
-            )
-            match outcome:
-                case Ok(answer) if answer.status == 200:
-                    gift = msgspec.msgpack.decode(answer.body, type=_Gift)
-                    self._decisions.note(
-                        "tokens received", account=account, peer=peer, tokens=gift.tokens
-                    )
-                    if gift.tokens:
-                        giver = Giver(peer, gift.incarnation)
-                        self._allowance.take_gift(account, gift.tokens, giver)
-                    grant = self._allowance.reserve(account, tokens, trio.current_time())
-                    if grant.verdict is not Verdict.LACKING:
-                        return grant
-                case Ok(answer):
-                    self._decisions.note("no tokens", account=account, peer=peer, why=answer.status)
-                case Err(error):
-                    self._avoided[peer] = trio.current_time() + AVOID_S
-                    self._decisions.note("no tokens", account=account, peer=peer, why=str(error))
-        return Grant(Verdict.LACKING)
-
     async def _give(self, request: Request, responder: Responder) -> Reply:
         try:
-            ask = msgspec.msgpack.decode(request.body, type=_GiftAsk)
+            ask = msgspec.msgpack.decode(request.body, type=GiftAsk)
         except msgspec.DecodeError as error:
             return Reply(400, str(error).encode())
         given = self._allowance.give(ask.account, ask.tokens, trio.current_time())
@@ -281,18 +220,9 @@
             self._decisions.warn(
                 "no tokens to give", asked=ask.tokens, **self.describe(ask.account)
             )
-        gift = _Gift(given, self._allowance.incarnation)
+        gift = Gift(given, self._allowance.incarnation)
         return Reply(200, msgspec.msgpack.encode(gift))
 
-    async def _take_use(self, request: Request, responder: Responder) -> Reply:
-        try:
-            told = msgspec.msgpack.decode(request.body, type=_Uses)
-        except msgspec.DecodeError as error:
-            return Reply(400, str(error).encode())
-        for use in told.uses:
-            self._allowance.take_use(use, told.incarnation)
-        return Reply(204)
-
     def tokens(self, account: str) -> dict[str, int]:
         """Return what this host knows of an account's tokens, by kind."""
         return self._allowance.describe(account, trio.current_time())
@@ -312,8 +242,8 @@
         self._began = trio.current_time()
 
     async def run(self) -> None:
-        """Settle and draw slices, for ever."""
-        while True:
+        """Settle and draw slices until the process ends."""
+        while not self._ending:
             await self._cycle()
             event, self._looked = self._looked, trio.Event()
             event.set()
@@ -321,12 +251,35 @@
             with trio.move_on_after(self._times.slices_every_s):
                 await self._kick.wait()
             self._kick = trio.Event()
+        await self._write_last()
 
     async def end(self) -> None:
-        """Write the last record, so that nothing is held for an incarnation that has ended."""
+        """Have the last record written, so that nothing is held for an incarnation that has ended.
+
+        Only the loop writes records, so that no other one can follow the last. While the store is
+        out of reach, other hosts keep the last word for the next incarnation.
+        """
+        self._ending = True
+        last_word = self._allowance.close(self._moment())
+        self._kick.set()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.tell_uses)
-            await self._write(ended=True)
+            nursery.start_soon(self._gifts.tell_uses)
+            if not self._in_touch:
+                nursery.start_soon(self._last_words.tell, last_word)
+            await self._ended.wait()
+
+    def _others(self) -> tuple[str, ...]:
+        """Return the addresses of the other hosts."""
+        records = self._allowance.ledger.records.values()
+        others = (r for r in records if r.host != self._allowance.host and not r.ended)
+        return tuple(record.peer_address for record in others if record.peer_address)
+
+    async def _write_last(self) -> None:
+        """Write the last record, after any whose answer was lost."""
+        while not self._allowance.ended:
+            if not await self._write(ended=True):
+                await trio.sleep(KICK_SPACING_S)
+        self._ended.set()
 
     async def _cycle(self) -> None:
         if self._offset is None and not await self._read():
@@ -345,6 +298,7 @@
                 return False
             match await self._store.append_slices(record, self._allowance.ledger.end):
                 case Ok(outcome) if outcome.done:
+                    self._note_start()
                     self._allowance.written(record, outcome.offset, self._moment())
                     self._offset = self._allowance.ledger.end
                     self._written_at = self._read_at = trio.current_time()
@@ -377,6 +331,7 @@
                 if news.next is not None:
                     self._offset = news.next
                     self._allowance.ledger.take(news.records, news.next, news.whole)
+                    await self._last_words.ask()
                     self._allowance.take_ledger(self._moment())
                 self._read_at = trio.current_time()
                 self._note_touch(True, "")
@@ -386,27 +341,35 @@
                 self._note_touch(False, str(error))
                 return False
 
-    def _home(self, account: str) -> str | None:
-        """Return the address of an account's home in this zone, None when that is here."""
-        now = trio.current_time()
-        records = self._allowance.ledger.records
-        zone = self._allowance.zone
-        active = [
-            name
-            for name, (_, _, at) in self._seen.items()
-            if now - at < HOST_ACTIVE_S and records[name].zone == zone
-        ]
-        home = first_by_rank(account, active)
-        record = records.get(home) if home else None
-        if record is None or record.host == self._allowance.host:
-            return None
-        return record.peer_address or None
+    def _home_addresses(self, account: str) -> tuple[str, ...]:
+        """Return the addresses of an account's home and of its home in this zone."""
+        records, host = self._allowance.ledger.records, self._allowance.host
+        names = [n for n in self._homes.homes(account) if n != host and n in records]
+        return tuple(records[name].peer_address for name in names if records[name].peer_address)
+
+    def _take_roles(self) -> None:
+        self._allowance.take_roles(self._homes.roles(self._accounts), self._homes.zones)
 
     def _moment(self) -> Moment:
         beats = self._beats()
         uptime_s = trio.current_time() - self._began
         return Moment(self._wall(), uptime_s, beats.count, beats.endpoints, beats.every_s)
 
+    def _note_start(self) -> None:
+        """Tell what the first record of this incarnation counts for the one before."""
+        if self._allowance.joined:
+            return
+        for account, silence_s, spent, limit, counted in self._allowance.inherited:
+            if counted > spent:
+                self._decisions.warn(
+                    "tokens stranded",
+                    account=account,
+                    tokens=counted - spent,
+                    silence_s=round(silence_s, 3),
+                    spent=spent,
+                    limit=limit,
+                )
+
     def _note_touch(self, in_touch: bool, why: str) -> None:
         if in_touch != self._in_touch:
             kind = "ledger regained" if in_touch else "ledger lost"
@@ -414,10 +377,5 @@
         self._in_touch = in_touch
 
     def _note_hosts(self) -> None:
-        now = trio.current_time()
-        for name, record in self._allowance.ledger.records.items():
-            mark = (record.incarnation, record.number)
-            if record.ended:
-                self._seen.pop(name, None)
-            elif self._seen.get(name, ("", 0, 0.0))[:2] != mark:
-                self._seen[name] = (*mark, now)
+        if self._homes.take(self._allowance.ledger.records, trio.current_time()):
+            self._take_roles()
--- a/mulberrycleat/platform/tests/test_hosts.py
+++ b/mulberrycleat/platform/tests/test_hosts.py
@@ -90,3 +90,50 @@
             assert (await world.ask("/ask/x", f"s{number}", **ASK)).status in (402, 503)
         calls_per_s = (world.store.calls - before) / max(1.0, trio.current_time() - began)
     assert calls_per_s < 100
+
+
+async def test_a_cut_of_all_hosts_from_the_store_refuses_little(engine):
+    """At a load that uses the total up in about 55 s, through nine seconds without the store."""
+    async with entry_hosts(3, engine) as worlds:
+        statuses = []
+        for number in range(36):
+            if number == 18:
+                worlds[0].store.down = True
+            asked = await worlds[number % 3].ask("/ask/x", f"r{number}", **ASK)
+            statuses.append(asked.status)
+            await trio.sleep(0.5)
+    assert statuses[:18] == [200] * 18
+    assert statuses[18:].count(200) >= 16
+
+
+async def test_a_host_that_stops_after_an_outage_of_the_store_leaves_nothing_stranded(engine):
+    """The record whose answer was lost in the outage is not taken for the last one."""
+    async with entry_hosts(2, engine) as (first, _):
+        await first.ask("/ask/x", "r0", **ASK)
+        first.store.down = True
+        await trio.sleep(1.0)
+        first.stop.set()
+        await trio.sleep(2.45)
+        first.store.down = False
+        await trio.sleep(1.0)
+        reborn = first.restart("a1")
+        await trio.sleep(1.0)
+        assert reborn.host.describe_tokens("rangers")["stranded"] == 0
+
+
+async def test_a_host_that_stops_while_the_store_is_down_leaves_nothing_stranded(engine):
+    """The other hosts keep its last word for the next incarnation."""
+    async with entry_hosts(2, engine) as (first, _):
+        for number in range(8):
+            await first.ask("/ask/x", f"r{number}", **ASK)
+        await trio.sleep(1.0)
+        first.store.down = True
+        await trio.sleep(1.0)
+        first.stop.set()
+        await trio.sleep(8.0)
+        reborn = first.restart("a1")
+        await trio.sleep(1.0)
+        first.store.down = False
+        await trio.sleep(2.0)
+        assert reborn.host.describe_tokens("rangers")["stranded"] == 0
+        assert reborn.host.describe_tokens("rangers")["surely_spent"] == 8 * 920
--- a/mulberrycleat/prepaid/__init__.py
+++ b/mulberrycleat/prepaid/__init__.py
@@ -5,15 +5,10 @@
 total, so that no host, cut off or dead, can lead to overspending.
 """
 
-from mulberrycleat.prepaid.allowance import (
-    Allowance,
-    AllowanceSettings,
-    Giver,
-    Grant,
-    Use,
-    Verdict,
-)
+from mulberrycleat.prepaid.allowance import Allowance, Giver, Grant, Inherited, Use, Verdict
+from mulberrycleat.prepaid.demand import TokenRate
 from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, Moment, SliceLedger, silence_s
+from mulberrycleat.prepaid.sizing import AllowanceSettings, Need, Role, Slice, size_slice
 
 __all__ = [
     "AccountShare",
@@ -22,9 +17,15 @@
     "Giver",
     "Grant",
     "HolderRecord",
+    "Inherited",
     "Moment",
+    "Need",
+    "Role",
+    "Slice",
     "SliceLedger",
+    "TokenRate",
     "Use",
     "Verdict",
     "silence_s",
+    "size_slice",
 ]
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -2,62 +2,16 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
+from mulberrycleat.prepaid.demand import TokenRate
 from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, Moment, SliceLedger, silence_s
+from mulberrycleat.prepaid.sizing import AllowanceSettings, Need, Role, Slice, size_slice
 
-__all__ = ["Allowance", "AllowanceSettings", "Giver", "Grant", "Use", "Verdict"]
-
-RATE_KEPT_S = 5.0
-# Part of the largest reservation that is remembered from one reservation to the next.
-LARGEST_KEPT = 0.9
-# A mean rate of less than this time is not trusted to be higher.
-LEAST_KNOWN_S = 1.5
-# A rate below this is taken for none, in tokens a second.
-LEAST_RATE = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class AllowanceSettings:
-    """How large slices are.
-
-    Attributes
-    ----------
-    ready_s : float
-        A slice covers at once what the host is expected to reserve in this time, in seconds. The
-        death of the host strands this, and what the slice has grown by.
-    horizon_s : float
-        The ceiling covers what the host is expected to reserve in this time, so that it serves
-        through an outage of the store that lasts no longer, in seconds.
-    horizon_lumps : float
-        The ceiling covers so many of the largest late reservations besides: few large requests come
-        unevenly.
-    ceiling_share : float
-        Largest part of the total that the ceiling covers beyond what runs, so that the death of one
-        host in a long outage strands no more.
-    growth_s : float
-        An old slice grows to its ceiling in this time, in seconds.
-    unspent_share : float
-        Largest part of the unspent total that all hosts together hold beyond what runs.
-    least_share : float
-        Part of the total that a host holds of each account without any demand, so that a first
-        request need not wait for the store.
-    change_share : float
-        A slice is drawn anew when it differs by more than this part from what it should be.
-    """
-
-    ready_s: float = 0.8
-    horizon_s: float = 12.0
-    horizon_lumps: float = 1.5
-    ceiling_share: float = 0.08
-    growth_s: float = 2.5
-    unspent_share: float = 0.6
-    least_share: float = 0.001
-    change_share: float = 0.25
+__all__ = ["Allowance", "Giver", "Grant", "Inherited", "Use", "Verdict"]
 
 
 class Verdict(Enum):
@@ -87,6 +41,25 @@
     giver: Giver | None = None
 
 
+class Inherited(NamedTuple):
+    """What was counted of one account's tokens for an earlier incarnation of the host.
+
+    Attributes
+    ----------
+    silence_s : float
+        Longest time that it can have lived after its last record, in seconds.
+    spent, limit, counted : int
+        What it had spent for sure, its limit as of the record, and the most that it can have spent
+        when it ended.
+    """
+
+    account: str
+    silence_s: float
+    spent: int
+    limit: int
+    counted: int
+
+
 class Use(NamedTuple):
     """What became of one giver's tokens of an account: used, and not needed."""
 
@@ -106,10 +79,8 @@
     used: dict[Giver, int] = field(default_factory=dict)
     share: AccountShare = AccountShare()
     wanted: int = 0
-    rate: float = 0.0
-    rate_at: float = float("-inf")
-    rate_since: float = 0.0
-    largest: int = 0
+    demand: TokenRate = field(default_factory=TokenRate)
+    served: TokenRate = field(default_factory=TokenRate)
 
 
 @dataclass(slots=True)
@@ -156,6 +127,8 @@
         self._peer_address = peer_address
         self._accounts: dict[str, _Account] = {}
         self._totals: dict[str, int] = {}
+        self._roles: Mapping[str, Role] = {}
+        self._zones = 1
         self._map_version = 0
         self._number = 0
         self._joined = False
@@ -163,6 +136,9 @@
         self._ledger = SliceLedger()
         self._drafted_at = 0.0
         self._drafted: dict[int, float] = {}
+        self._inherited: tuple[Inherited, ...] = ()
+        self._closed = False
+        self._last_word: HolderRecord | None = None
 
     @property
     def host(self) -> str:
@@ -184,16 +160,36 @@
         """Records of all hosts as last read."""
         return self._ledger
 
+    @property
+    def inherited(self) -> tuple[Inherited, ...]:
+        """What was counted for the incarnation before this one, by account."""
+        return self._inherited
+
     @property
     def joined(self) -> bool:
         """Whether a record of this incarnation is in the store."""
         return self._joined
 
+    @property
+    def ended(self) -> bool:
+        """Whether the last record of this incarnation is in the store."""
+        record = self._ledger.records.get(self._host)
+        return self._joined and record is not None and record.ended
+
     def take_totals(self, totals: Mapping[str, int], map_version: int) -> None:
         """Take the prepaid totals of a version of the route map."""
         self._totals = dict(totals)
         self._map_version = map_version
 
+    def take_roles(self, roles: Mapping[str, Role], zones: int) -> None:
+        """Take what this host is to each account; of one that isn't named, it is the home."""
+        self._roles = roles
+        self._zones = zones
+
+    def note_demand(self, name: str, tokens: int, now: float) -> None:
+        """Count tokens that a request of this host's own callers got, from wherever."""
+        self._account(name).demand.note(tokens, now)
+
     def take_ledger(self, now: Moment) -> None:
         """Take note that the ledger has changed; recognise own records in it."""
         self._drafts = [draft for draft in self._drafts if draft.at >= self._ledger.end]
@@ -202,7 +198,7 @@
             return
         if record.incarnation != self._incarnation:
             if not self._joined:
-                self._take_past(record, silence_s(record, now))
+                self._take_past(self._last_known(record), silence_s(record, now))
             return
         self._joined = True
         self._drafted_at = self._drafted.get(record.number, self._drafted_at)
@@ -210,6 +206,21 @@
         for name, share in record.shares.items():
             self._account(name).share = share
 
+    def close(self, moment: Moment) -> HolderRecord:
+        """Set nothing aside any more, and return the last word on what was spent.
+
+        The record need not reach the store to be true: whoever succeeds this incarnation may count
+        it instead of the newest one there.
+        """
+        self._closed = True
+        shares = {name: self._next_share(name, 0.0, ended=True) for name in self._names()}
+        return self._record(shares, True, moment)
+
+    def take_last_word(self, record: HolderRecord) -> None:
+        """Take the last word of the incarnation before this one, if it was this host's."""
+        if record.host == self._host and record.ended and not self._joined:
+            self._last_word = record
+
     def reserve(self, name: str, tokens: int, now: float) -> Grant:
         """Set tokens aside for a request."""
         total = self._totals.get(name)
@@ -218,7 +229,7 @@
         account = self._account(name)
         if not self._overcommitted(name, total) and self._free(name, account, now) >= tokens:
             account.reserved += tokens
-            self._note_rate(account, tokens, now)
+            account.served.note(tokens, now)
             return Grant(Verdict.GRANTED, tokens)
         for giver, left in account.gifts.items():
             if left >= tokens:
@@ -250,7 +261,7 @@
             return 0
         account = self._account(name)
         account.given += tokens
-        self._note_rate(account, tokens, now)
+        account.served.note(tokens, now)
         return tokens
 
     def take_use(self, use: Use, incarnation: str) -> None:
@@ -342,19 +353,7 @@
         if not (ended or due) and self._joined and not self._differs(shares):
             return None
         self._number += 1
-        record = HolderRecord(
-            self._host,
-            self._incarnation,
-            self._number,
-            max(self._map_version, self._ledger.map_version),
-            self._peer_address,
-            self._zone,
-            shares,
-            ended,
-            moment.wall_s,
-            moment.beats,
-            moment.endpoints,
-        )
+        record = self._record(shares, ended, moment)
         self._drafts.append(_Draft(record, self._ledger.end, now))
         self._drafted[record.number] = now
         return record
@@ -374,6 +373,26 @@
             if draft.record is record:
                 draft.undecided = True
 
+    def _record(self, shares: dict[str, AccountShare], ended: bool, moment: Moment) -> HolderRecord:
+        return HolderRecord(
+            self._host,
+            self._incarnation,
+            self._number,
+            max(self._map_version, self._ledger.map_version),
+            self._peer_address,
+            self._zone,
+            shares,
+            ended,
+            moment.wall_s,
+            moment.beats,
+            moment.endpoints,
+        )
+
+    def _last_known(self, record: HolderRecord) -> HolderRecord:
+        """Return the last word of a record's incarnation, or the record where there is none."""
+        word = self._last_word
+        return word if word is not None and word.incarnation == record.incarnation else record
+
     def _names(self) -> set[str]:
         return set(self._totals) | set(self._accounts)
 
@@ -384,12 +403,17 @@
 
     def _take_past(self, record: HolderRecord, age_s: float) -> None:
         """Count an earlier incarnation of this host: it has ended, or this one would not run."""
+        inherited = []
         for name, share in record.shares.items():
-            account = self._account(name)
-            account.past_limit = share.past_limit + share.limit_after(age_s)
+            account, counted = self._account(name), share.limit_after(age_s)
+            account.past_limit = share.past_limit + counted
             account.past_spent = share.past_spent + share.spent
+            inherited.append(Inherited(name, age_s, share.spent, share.limit, counted))
+        self._inherited = tuple(inherited)
 
     def _free(self, name: str, account: _Account, now: float) -> int:
+        if self._closed:
+            return 0
         limit = account.share.limit_after(now - self._drafted_at)
         for draft in self._drafts:
             share = draft.record.shares.get(name)
@@ -404,38 +428,39 @@
     def _next_share(self, name: str, now: float, ended: bool) -> AccountShare:
         account = self._account(name)
         held = account.spent + account.reserved + account.given
-        rate = self._rate(account, now)
+        demand = account.demand.at(now)
         if ended:
-            limit, growth, ceiling = held, 0.0, held
+            drawn = Slice(held, 0.0, 0.0, held)
         else:
-            limit, growth, ceiling = self._next_limit(name, account, held, rate)
-        past = (account.past_limit, account.past_spent)
-        return AccountShare(*past, account.spent, limit, round(growth, 1), ceiling, round(rate, 1))
-
-    def _next_limit(
-        self, name: str, account: _Account, held: int, rate: float
-    ) -> tuple[int, float, int]:
-        """Return limit, growth and ceiling of the next record."""
-        settings = self._settings
+            drawn = size_slice(self._settings, self._need(name, account, held, now))
+        return AccountShare(
+            account.past_limit,
+            account.past_spent,
+            account.spent,
+            drawn.limit,
+            round(drawn.growth, 1),
+            drawn.growth_after_s,
+            drawn.ceiling,
+            round(demand, 1),
+        )
+
+    def _need(self, name: str, account: _Account, held: int, now: float) -> Need:
+        ledger, role = self._ledger, self._roles.get(name, Role.HOME)
         total = self._totals.get(name, 0)
-        others = self._ledger.committed(name, self._host) + account.past_limit
-        largest = total - others
-        if largest < held:
-            return held, 0.0, held
-        spent_by_others = self._ledger.surely_spent(name, self._host)
-        unspent = max(0, total - spent_by_others - account.past_limit - held)
-        all_rates = self._ledger.rate(name, self._host) + rate
-        hosts = max(1, len(self._ledger.records))
-        share = max(rate / all_rates if all_rates > 0 else 0.0, 0.5 / hosts)
-        least = settings.least_share * total
-        lump = account.largest if rate > LEAST_RATE else 0
-        spare = rate * settings.horizon_s + lump * settings.horizon_lumps
-        spare = min(max(spare, least), settings.ceiling_share * total)
-        spare = min(spare, settings.unspent_share * unspent * min(1.0, share))
-        ceiling = min(largest, held + account.wanted + int(spare))
-        ready_spare = max(rate * settings.ready_s, least)
-        ready = min(ceiling, held + account.wanted + int(ready_spare))
-        return ready, (ceiling - ready) / settings.growth_s, ceiling
+        spent_by_others = ledger.surely_spent(name, self._host)
+        zone = self._zone if role is Role.ZONE_HOME else None
+        return Need(
+            role=role,
+            zones=self._zones,
+            held=held,
+            wanted=account.wanted,
+            served=account.served.at(now),
+            expected=ledger.demand(name, self._host, zone) + account.demand.at(now),
+            largest_request=max(account.served.largest, account.demand.largest),
+            total=total,
+            room=total - ledger.committed(name, self._host) - account.past_limit,
+            unspent=max(0, total - spent_by_others - account.past_limit - held),
+        )
 
     def _differs(self, shares: dict[str, AccountShare]) -> bool:
         """Whether a record would change slices, or settle tokens, by enough to be worth writing."""
@@ -453,20 +478,3 @@
             if share.spent - old.spent > bound * max(1, old.ceiling - old.spent):
                 return True
         return False
-
-    def _note_rate(self, account: _Account, tokens: int, now: float) -> None:
-        if account.rate_at == float("-inf"):
-            account.rate_since = account.rate_at = now
-        kept = math.exp(-max(0.0, now - account.rate_at) / RATE_KEPT_S)
-        account.rate = account.rate * kept + tokens / RATE_KEPT_S
-        account.largest = max(tokens, int(account.largest * LARGEST_KEPT))
-        account.rate_at = now
-
-    def _rate(self, account: _Account, now: float) -> float:
-        """Return the tokens a second lately reserved, also before a mean could settle."""
-        if account.rate_at == float("-inf"):
-            return 0.0
-        age_s = max(0.0, now - account.rate_at)
-        known_s = max(LEAST_KNOWN_S, now - account.rate_since)
-        seen = 1 - math.exp(-known_s / RATE_KEPT_S)
-        return account.rate * math.exp(-age_s / RATE_KEPT_S) / seen
--- a/mulberrycleat/prepaid/ledger.py
+++ b/mulberrycleat/prepaid/ledger.py
@@ -10,10 +10,7 @@
 __all__ = ["AccountShare", "HolderRecord", "Moment", "SliceLedger", "silence_s"]
 
 # Added to the time for which a host that died had been silent.
-SILENCE_MARGIN_S = 0.3
-# Limits begin to grow at this age of a record: hosts in touch with the store renew theirs in a
-# quarter of it, and a process that was killed is back by then.
-GROWTH_AFTER_S = 1.5
+SILENCE_MARGIN_S = 0.1
 
 
 class Moment(NamedTuple):
@@ -51,12 +48,12 @@
         Spent by this incarnation, as of the record.
     limit : int
         The most that this incarnation may have spent when the record was drafted.
-    growth : float
-        The limit grows by so many tokens a second once the record is old.
+    growth, growth_after_s : float
+        The limit grows by so many tokens a second from this age of the record on.
     ceiling : int
         The limit never grows past this.
-    rate : float
-        Tokens a second that the host lately reserved.
+    demand : float
+        Tokens a second that callers of this host lately got.
     """
 
     past_limit: int = 0
@@ -64,17 +61,19 @@
     spent: int = 0
     limit: int = 0
     growth: float = 0.0
+    growth_after_s: float = 0.0
     ceiling: int = 0
-    rate: float = 0.0
+    demand: float = 0.0
 
     def limit_after(self, age_s: float) -> int:
         """Return the limit when the record is `age_s` old.
 
-        >>> share = AccountShare(limit=100, growth=10.0, ceiling=150)
+        >>> share = AccountShare(limit=100, growth=10.0, growth_after_s=1.0, ceiling=150)
         >>> [share.limit_after(age_s) for age_s in (1.0, 3.0, 60.0)]
-        [100, 115, 150]
+        [100, 120, 150]
         """
-        return min(self.ceiling, self.limit + int(self.growth * max(0.0, age_s - GROWTH_AFTER_S)))
+        grown = self.growth * max(0.0, age_s - self.growth_after_s)
+        return min(self.ceiling, self.limit + int(grown))
 
 
 class HolderRecord(msgspec.Struct, frozen=True):
@@ -172,9 +171,15 @@
         """Return the tokens that may have been spent by incarnations that have ended, or not."""
         return sum(share.past_limit - share.past_spent for _, share in self._shares(account))
 
-    def rate(self, account: str, without: str = "") -> float:
-        """Return the tokens a second that all hosts, but `without`, lately reserved."""
-        return sum(s.rate for host, s in self._shares(account) if host != without)
+    def demand(self, account: str, without: str = "", zone: str | None = None) -> float:
+        """Return the tokens a second of the callers of all hosts, or of one zone, but `without`."""
+        return sum(
+            share.demand
+            for host, share in self._shares(account)
+            if host != without
+            and not self._records[host].ended
+            and zone in (None, self._records[host].zone)
+        )
 
     def _shares(self, account: str) -> Iterable[tuple[str, AccountShare]]:
         for host, record in self._records.items():
@@ -190,7 +195,7 @@
 
     >>> record = HolderRecord("a", "1", 1, 7, wall_s=100.0, beats=50, endpoints=12)
     >>> silence_s(record, Moment(wall_s=102.0, uptime_s=0.5, beats=60, endpoints=12, beat_s=1.2))
-    1.8
+    1.6
     """
     by_wall_s = now.wall_s - record.wall_s
     endpoints = max(1, min(record.endpoints, now.endpoints))
