Give back tokens whose gift was lost, and tell callers when a slice will have grown

Of the tokens that givers logged as given, 68,497 of 1,516,922 were never logged as received: answers that were lost in the zone cut, and callers who left while their host asked. They stayed charged to the giver for ever. A host that lacked tokens in an outage told every caller to come back after 0.3 s, also when its slice was known to grow later; the second try of these callers, their last, was refused again.

Change: hosts number what they ask each other. A message on uses says up to which number all asks have ended and which had no answer; the giver takes those back, and gives nothing to an ask that arrives after it was closed. A message without an answer is sent again and counts once. A refusal for tokens carries the time until a slice will have grown by them, between 0.3 and 2 s. A slice is ready for 0.6 s of demand and grows from 0.8 s on.

Tests that failed first: tokens whose gift was lost come back; a caller is told when a slice will have grown. test_a_slice_grows_while_its_record_is_old takes the age at which growth begins from the settings instead of repeating it.

--- a/mulberrycleat/entry/filters/prepaid.py
+++ b/mulberrycleat/entry/filters/prepaid.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import trio
@@ -12,7 +13,7 @@
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.filters.admit import Proceed
 from mulberrycleat.entry.slices import SliceController
-from mulberrycleat.prepaid import Verdict
+from mulberrycleat.prepaid import Grant, Verdict
 from mulberrycleat.routes import RouteKind
 
 __all__ = ["PrepaidFilter"]
@@ -20,6 +21,8 @@
 EXHAUSTED_STATUS = 402
 # When to come back for tokens that other hosts or requests hold: some will have been settled.
 LACKING_RETRY_S = 0.3
+# Longest time to send a caller away for, when it is known when a slice will have grown enough.
+LONGEST_RETRY_S = 2.0
 
 
 class PrepaidFilter:
@@ -50,7 +53,7 @@
         asked_at = self._now()
         grant = await self._slices.reserve(account.name, cost, call.deadline)
         if grant.verdict is not Verdict.GRANTED:
-            return Err(self._refusal(call, grant.verdict, cost))
+            return Err(self._refusal(call, grant, cost))
         self._decisions.note(
             "tokens reserved",
             request=call.facts.request_id,
@@ -72,17 +75,20 @@
             call.progress.tokens_used = min(used, cost)
             self._slices.settle(account.name, grant, call.progress.tokens_used)
 
-    def _refusal(self, call: EntryCall, verdict: Verdict, cost: int) -> Refusal:
+    def _refusal(self, call: EntryCall, grant: Grant, cost: int) -> Refusal:
         name = call.account.name
         facts = self._slices.describe(name)
         self._decisions.warn(
             "budget refused", request=call.facts.request_id, account=name, cost=cost, **facts
         )
-        if verdict is Verdict.EXHAUSTED:
+        if grant.verdict is Verdict.EXHAUSTED:
             reason = "the prepaid total does not cover the request"
             return NotRun(Step.BUDGET, "", reason, EXHAUSTED_STATUS, None, "budget_exhausted")
         reason = "the tokens left are held for other requests"
-        return NotRun(Step.BUDGET, "", reason, 503, LACKING_RETRY_S, "budget_held")
+        retry_s = LACKING_RETRY_S
+        if math.isfinite(grant.wait_s):
+            retry_s = min(max(grant.wait_s, LACKING_RETRY_S), LONGEST_RETRY_S)
+        return NotRun(Step.BUDGET, "", reason, 503, retry_s, "budget_held")
 
 
 def _used(call: EntryCall) -> int:
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import AsyncIterator, Callable
 from random import Random
@@ -12,7 +13,7 @@
 from result import Err, Ok
 
 from mulberrycleat.entry.decisions import DecisionLog
-from mulberrycleat.entry.gifts import GIFT_PATH, Gift, GiftAsk, GiftTaker
+from mulberrycleat.entry.gifts import GIFT_PATH, Gift, GiftAsk, GiftDesk, GiftTaker
 from mulberrycleat.entry.homes import HomeBook
 from mulberrycleat.entry.last_words import LastWords
 from mulberrycleat.entry.peers import PeerCalls
@@ -102,6 +103,7 @@
         self._homes = HomeBook(allowance.host, allowance.zone)
         calls = PeerCalls(client, decisions)
         self._gifts = GiftTaker(allowance, calls, decisions)
+        self._desk = GiftDesk(allowance)
         self._last_words = LastWords(allowance, calls, self._others, decisions)
         self._ending = False
         self._ended = trio.Event()
@@ -154,16 +156,20 @@
         return grant
 
     async def _find_tokens(self, account: str, tokens: int, deadline: float) -> Grant:
-        grant = self._allowance.reserve(account, tokens, trio.current_time())
+        now = trio.current_time()
+        grant = self._allowance.reserve(account, tokens, now)
+        wait_s = self._allowance.wait_s(account, tokens, now)
         homes = self._home_addresses(account)
         if grant.verdict is Verdict.LACKING:
             grant = await self._gifts.reserve(account, tokens, deadline, homes)
+            wait_s = min(wait_s, grant.wait_s)
         if grant.verdict is Verdict.LACKING and self._in_touch:
             grant = await self._reserve_later(account, tokens, deadline)
         if grant.verdict is Verdict.LACKING:
             donors = [d for d in self._allowance.donors(account) if d not in homes][:DONORS]
             grant = await self._gifts.reserve(account, tokens, deadline, donors)
-        return grant
+            wait_s = min(wait_s, grant.wait_s)
+        return grant._replace(wait_s=wait_s)
 
     def settle(self, account: str, grant: Grant, used: int) -> None:
         """Give back what a request did not use."""
@@ -172,7 +178,7 @@
     def routes(self) -> tuple[Route, ...]:
         """Return the routes for other hosts."""
         give = Route("POST", GIFT_PATH, self._give)
-        return (give, *self._gifts.routes(), *self._last_words.routes())
+        return (give, *self._desk.routes(), *self._last_words.routes())
 
     async def run_uses(self) -> None:
         """Tell the hosts that gave tokens what became of them, for ever."""
@@ -207,11 +213,11 @@
             ask = msgspec.msgpack.decode(request.body, type=GiftAsk)
         except msgspec.DecodeError as error:
             return Reply(400, str(error).encode())
-        given = self._allowance.give(ask.account, ask.tokens, trio.current_time())
+        given = self._desk.give(ask)
         if not given and self._in_touch:
             bound = trio.current_time() + GIFT_WAIT_S
             async for _ in self._rounds(ask.account, ask.tokens, bound):
-                given = self._allowance.give(ask.account, ask.tokens, trio.current_time())
+                given = self._desk.give(ask)
                 if given:
                     break
         if given:
@@ -220,7 +226,9 @@
             self._decisions.warn(
                 "no tokens to give", asked=ask.tokens, **self.describe(ask.account)
             )
-        gift = Gift(given, self._allowance.incarnation)
+        wait_s = self._allowance.wait_s(ask.account, ask.tokens, trio.current_time())
+        known = given or not math.isfinite(wait_s)
+        gift = Gift(given, self._allowance.incarnation, None if known else wait_s)
         return Reply(200, msgspec.msgpack.encode(gift))
 
     def tokens(self, account: str) -> dict[str, int]:
--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -82,10 +82,16 @@
     whole: bool = False
 
 
+class Apps(dict[str, Any]):
+    """The hosts' applications by address; while `lose_answers`, calls are done and not answered."""
+
+    lose_answers = False
+
+
 class Peers(BaseHttpClient):
-    """The way of one host to the others: their applications by address."""
+    """The way of one host to the others."""
 
-    def __init__(self, apps: dict[str, Any]) -> None:
+    def __init__(self, apps: Apps) -> None:
         self._apps = apps
 
     @asynccontextmanager
@@ -121,6 +127,9 @@
             "headers": [],
         }
         await self._apps[parts.netloc](scope, receive, send)
+        if self._apps.lose_answers:
+            await trio.sleep(timeout_s)
+            raise httpcore.ReadTimeout("the answer is lost")
         data = b"".join(message.get("body", b"") for message in sent)
         yield StreamedAnswer(sent[0]["status"], {}, _chunks(data))
 
@@ -137,7 +146,7 @@
     store: StoreStandin
     servers: Servers
     nursery: trio.Nursery
-    apps: dict[str, Any]
+    apps: Apps
     scope: trio.CancelScope
     stop: trio.Event
 
@@ -230,7 +239,7 @@
         store.put("keyed.op", "config", config)
     for server in standins:
         store.put("keyed.servers", server.id, server.entry())
-    apps: dict[str, Any] = {}
+    apps = Apps()
     async with trio.open_nursery() as nursery:
         servers = Servers(nursery, standins)
         worlds = [
@@ -247,7 +256,7 @@
     store: StoreStandin,
     servers: Servers,
     nursery: trio.Nursery,
-    apps: dict[str, Any],
+    apps: Apps,
 ) -> World:
     """Start an entry host; a second one of the same name is another incarnation."""
     address = f"{name}:3"
--- a/mulberrycleat/platform/tests/test_hosts.py
+++ b/mulberrycleat/platform/tests/test_hosts.py
@@ -137,3 +137,37 @@
         await trio.sleep(2.0)
         assert reborn.host.describe_tokens("rangers")["stranded"] == 0
         assert reborn.host.describe_tokens("rangers")["surely_spent"] == 8 * 920
+
+
+async def test_a_caller_without_tokens_is_told_when_a_slice_will_have_grown_by_them(engine):
+    async with entry_hosts(2, engine) as worlds:
+        for number in range(10):
+            await worlds[number % 2].ask("/ask/x", f"w{number}", **ASK)
+            await trio.sleep(0.4)
+        worlds[0].store.down = True
+        await trio.sleep(0.1)
+        for number in range(10):
+            refused = await worlds[0].ask("/ask/x", f"r{number}", **ASK)
+            if refused.status == 503:
+                break
+        await trio.sleep(float(refused.headers["retry-after"]) + 0.01)
+        answer = await worlds[0].ask("/ask/x", "again", **ASK)
+    assert refused.status == 503
+    assert answer.status == 200
+
+
+async def test_tokens_whose_gift_was_lost_on_the_way_come_back(engine):
+    async with entry_hosts(2, engine) as worlds:
+        for number in range(12):
+            await worlds[number % 2].ask("/ask/x", f"w{number}", **ASK)
+        await trio.sleep(1.0)
+        worlds[0].store.down = True
+        worlds[0].apps.lose_answers = True
+        await trio.sleep(1.5)
+        for number in range(2):
+            for world in worlds:
+                await world.ask("/ask/x", f"r{number}", **ASK)
+        worlds[0].apps.lose_answers = False
+        await trio.sleep(2.0)
+        kept = [world.host.describe_tokens("rangers")["given"] for world in worlds]
+    assert sum(kept) == 0
--- a/mulberrycleat/prepaid/__init__.py
+++ b/mulberrycleat/prepaid/__init__.py
@@ -7,6 +7,7 @@
 
 from mulberrycleat.prepaid.allowance import Allowance, Giver, Grant, Inherited, Use, Verdict
 from mulberrycleat.prepaid.demand import TokenRate
+from mulberrycleat.prepaid.given import GivenBook, GivenTokens
 from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, Moment, SliceLedger, silence_s
 from mulberrycleat.prepaid.sizing import AllowanceSettings, Need, Role, Slice, size_slice
 
@@ -14,6 +15,8 @@
     "AccountShare",
     "Allowance",
     "AllowanceSettings",
+    "GivenBook",
+    "GivenTokens",
     "Giver",
     "Grant",
     "HolderRecord",
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -34,11 +35,21 @@
 
 
 class Grant(NamedTuple):
-    """Tokens set aside for a request, or why there are none; `giver` is None for the own slice."""
+    """Tokens set aside for a request, or why there are none.
+
+    Attributes
+    ----------
+    giver : Giver or None
+        None for the own slice.
+    wait_s : float
+        When the tokens are lacking, the time until a slice will have grown by them, in seconds;
+        infinite when none will.
+    """
 
     verdict: Verdict
     tokens: int = 0
     giver: Giver | None = None
+    wait_s: float = math.inf
 
 
 class Inherited(NamedTuple):
@@ -327,6 +338,18 @@
         """Return what is left of a slice."""
         return self._free(name, self._account(name), now)
 
+    def wait_s(self, name: str, tokens: int, now: float) -> float:
+        """Return the time until the own slice will have grown by tokens that it lacks, in seconds.
+
+        Infinite when it grows no more; other requests that take tokens meanwhile are not known.
+        """
+        account = self._account(name)
+        total = self._totals.get(name)
+        if self._closed or total is None or self._overcommitted(name, total):
+            return math.inf
+        needed = account.spent + account.reserved + account.given + tokens
+        return account.share.age_at(needed) - (now - self._drafted_at)
+
     def draft(
         self, now: float, moment: Moment, ended: bool = False, due: bool = False
     ) -> HolderRecord | None:
--- a/mulberrycleat/prepaid/ledger.py
+++ b/mulberrycleat/prepaid/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -75,6 +76,18 @@
         grown = self.growth * max(0.0, age_s - self.growth_after_s)
         return min(self.ceiling, self.limit + int(grown))
 
+    def age_at(self, limit: int) -> float:
+        """Return the age of the record at which the limit is `limit`, infinite if it never is.
+
+        >>> AccountShare(limit=100, growth=10.0, growth_after_s=1.0, ceiling=150).age_at(120)
+        3.0
+        """
+        if limit <= self.limit:
+            return 0.0
+        if limit > self.ceiling or not self.growth:
+            return math.inf
+        return self.growth_after_s + (limit - self.limit) / self.growth
+
 
 class HolderRecord(msgspec.Struct, frozen=True):
     """All that one host tells the others through the store.
--- a/mulberrycleat/prepaid/sizing.py
+++ b/mulberrycleat/prepaid/sizing.py
@@ -59,8 +59,8 @@
         A slice is drawn anew when it differs by more than this part from what it should be.
     """
 
-    ready_s: float = 0.8
-    home_growth_after_s: float = 1.0
+    ready_s: float = 0.6
+    home_growth_after_s: float = 0.8
     zone_growth_after_s: float = 2.0
     home_growth: float = 1.2
     zone_growth: float = 1.35
@@ -129,7 +129,7 @@
 
     >>> need = Need(Role.HOME, 3, 0, 0, 100.0, 100.0, 40, 100_000, 100_000, 100_000)
     >>> size_slice(AllowanceSettings(), need)
-    Slice(limit=100, growth=130.0, growth_after_s=1.0, ceiling=1660)
+    Slice(limit=100, growth=130.0, growth_after_s=0.8, ceiling=1660)
 
     Any other host holds what its requests take:
 
--- a/mulberrycleat/prepaid/tests/test_allowance.py
+++ b/mulberrycleat/prepaid/tests/test_allowance.py
@@ -138,7 +138,8 @@
         reserve(host, log, 60, number * 0.1)
         host.settle("huts", Grant(Verdict.GRANTED, 60), 60)
     write(host, log, 3.0, due=True)
-    free = [host.free_tokens("huts", 3.0 + age_s) for age_s in (0.0, 1.0, 60.0)]
+    young_s = AllowanceSettings().home_growth_after_s
+    free = [host.free_tokens("huts", 3.0 + age_s) for age_s in (0.0, young_s, 60.0)]
     assert free[0] == free[1] < free[2]
     for age_s in range(2, 10):
         assert host.free_tokens("huts", 3.0 + age_s) >= age_s * 600
