Try a cut zone by one request at a time, and see waits at endpoints

An endpoint where requests waited over a second was still expected to answer in 0.05 to 0.4 s, because what had no first byte yet said nothing.

Ruled out: longer pauses, which would keep a zone away after the cut has healed.

Change: after a pause one request tries the zone; the next may follow when bytes came from there, or 0.4 s later. An endpoint is expected to take at least as long as its oldest request has waited that was sent after the last answered one; one that waits though later ones were answered has lost its answer and says nothing of the load. A first send that is expected to take over half of the caller's patience is refused at once with 503 and that time, and has not run.

Tests that failed first: the trial, a trial that meets silence, waits that are seen, a request that would wait too long is refused and not run. A lost answer is not taken for load guards the new rule.

--- a/mulberrycleat/endpoint/placer.py
+++ b/mulberrycleat/endpoint/placer.py
@@ -138,6 +138,15 @@
     ejections: int = 0
     ejected_until: float = float("-inf")
     cold_until: float = 0.0
+    answered_to: float = float("-inf")
+
+    def longest_wait_s(self, now: float) -> float:
+        """Return how long the endpoint takes at least, as the requests show that wait there.
+
+        One that waits though another that was sent after it was answered has lost its answer.
+        """
+        waiting = [f.sent_at for f in self.flights.values() if f.first_at is None]
+        return now - min((at for at in waiting if at > self.answered_to), default=now)
 
 
 @dataclass(slots=True)
@@ -154,13 +163,21 @@
         self.silent[entry_id] = now
         if now - self.until > settings.longest_eject_s:
             self.times = 0
-        if len(self.silent) >= CUT_ENDPOINTS and now >= self.until:
+        if (len(self.silent) >= CUT_ENDPOINTS or self.times) and now >= self.until - CUT_TRIAL_S:
             self.until = now + min(settings.eject_s * 2**self.times, settings.longest_eject_s)
             self.times += 1
 
+    def note_trial(self, now: float) -> None:
+        """Note that a request goes to the zone: while the cut is not over, it goes alone."""
+        if self.times:
+            self.until = max(self.until, now + CUT_TRIAL_S)
+
 
 # So many endpoints of a zone that are silent within this time mean that the zone is cut off.
 CUT_ENDPOINTS, CUT_WITHIN_S = 2, 1.5
+# After a pause one request at a time tries a zone that was cut off. A connection that fails to open
+# shows in less than this time.
+CUT_TRIAL_S = 0.4
 MAX_PARTS = 2000
 SLOWNESS_GAIN = 0.15
 LEAST_SLOWNESS, MOST_SLOWNESS = 0.3, 20.0
@@ -214,7 +231,10 @@
             scored.append((score, placement))
         best = min(score for score, _ in scored)
         near = [found for score, found in scored if score <= best + self._settings.near_s]
-        return self._random.choice(near)
+        chosen = self._random.choice(near)
+        if chosen.entry.zone in self._cuts:
+            self._cuts[chosen.entry.zone].note_trial(now)
+        return chosen
 
     def sent(self, placement: Placement, request_id: str, work: Work, now: float) -> None:
         """Note that a request was sent."""
@@ -237,9 +257,11 @@
         if state is None:
             return
         state.heard_at = now
+        self._cuts.pop(state.entry.zone, None)
         flight = state.flights.get(request_id)
         if flight is not None and flight.first_at is None:
             flight.first_at = now
+            state.answered_to = max(state.answered_to, flight.sent_at)
             ratio = (now - flight.sent_at) / max(0.005, flight.expected_s)
             seen = min(flight.slowness * ratio, MOST_SLOWNESS)
             slowness = flight.slowness + SLOWNESS_GAIN * (seen - flight.slowness)
@@ -356,6 +378,7 @@
         queue_s = waiting / settings.prefill_tokens_per_s + excess * settings.base_s
         share = busy / state.entry.slots
         expected_s = slowness * (settings.base_s * (1 + share) + queue_s + read_s)
+        expected_s = max(expected_s, state.longest_wait_s(now))
         self._decay(state, now)
         failing = state.failures / (state.samples + PRIOR_SAMPLES)
         shared_unread = max(0, sum(part.tokens for part in work.parts) - cached)
--- a/mulberrycleat/endpoint/tests/test_placer.py
+++ b/mulberrycleat/endpoint/tests/test_placer.py
@@ -146,6 +146,52 @@
     assert later == {"a", "b", "c"}
 
 
+def test_an_endpoint_is_expected_to_take_as_long_as_requests_have_waited_there(placer):
+    found = entries(1)
+    for number in range(3):
+        placer.sent(placer.choose(found, PLAIN, 0.0), f"r{number}", PLAIN, 0.1 * number)
+    placer.heard("e0", "r0", 0.25)
+    assert placer.choose(found, PLAIN, 0.9).expected_s >= 0.8
+    placer.heard("e0", "r1", 0.9)
+    placer.heard("e0", "r2", 0.9)
+    assert placer.choose(found, PLAIN, 0.9).expected_s < 0.5
+
+
+def test_a_lost_answer_is_not_taken_for_load(placer):
+    found = entries(1)
+    for number, at in enumerate((0.0, 0.5, 1.0)):
+        placer.sent(placer.choose(found, PLAIN, at), f"r{number}", PLAIN, at)
+        if number:
+            placer.heard("e0", f"r{number}", at + 0.05)
+    assert placer.choose(found, PLAIN, 2.0).expected_s < 0.5
+
+
+def test_a_zone_that_was_cut_off_is_tried_by_one_request_at_a_time(placer):
+    found = entries(9, zones="abc")
+    placer.choose(found, PLAIN, 0.0)
+    for entry_id in ("e1", "e4"):
+        placer.unreachable(entry_id, 0.0, silent=True)
+    tried = [placer.choose(found, session(f"s{n}"), 2.0) for n in range(60)]
+    there = [placement for placement in tried if placement.entry.zone == "b"]
+    assert len(there) == 1
+    placer.sent(there[0], "r1", PLAIN, 2.0)
+    placer.heard(there[0].entry.id, "r1", 2.01)
+    zones = [placer.choose(found, session(f"s{n}"), 2.1).entry.zone for n in range(60)]
+    assert zones.count("b") > 5
+
+
+def test_a_trial_that_meets_silence_prolongs_the_pause(placer):
+    found = entries(9, zones="abc")
+    placer.choose(found, PLAIN, 0.0)
+    for entry_id in ("e1", "e4"):
+        placer.unreachable(entry_id, 0.0, silent=True)
+    tried = [placer.choose(found, session(f"s{n}"), 2.0) for n in range(60)]
+    (there,) = (placement for placement in tried if placement.entry.zone == "b")
+    placer.unreachable(there.entry.id, 2.25, silent=True)
+    zones = {placer.choose(found, session(f"s{n}"), 3.5).entry.zone for n in range(60)}
+    assert zones == {"a", "c"}
+
+
 def test_a_silent_endpoint_with_requests_out_is_passed_over(placer):
     found = entries(3)
     placement = placer.choose(found, PLAIN, 0.0)
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -26,6 +26,7 @@
 from mulberrycleat.entry.filters.admit import Proceed
 from mulberrycleat.entry.protocol import AnswerFacts, Dialect
 from mulberrycleat.entry.repeats import RepeatBudget
+from mulberrycleat.routes import RouteKind
 from mulberrycleat.web.upstream import ConnectionPool
 
 __all__ = ["DispatchFilter"]
@@ -35,6 +36,8 @@
 # When to come back to a pool without any endpoint, and to one where all are full.
 NO_ENDPOINT_RETRY_S = 0.5
 FULL_RETRY_S = 0.3
+# Longest time to send a caller away for, when endpoints are expected to take long.
+LONGEST_RETRY_S = 1.0
 # A full endpoint is left alone for so long: about the time of one plain request.
 FULL_PAUSE_S = 0.1
 # Part of the time in which an answer is on time after which another endpoint is tried, and how many
@@ -44,6 +47,12 @@
 # A stream goes on elsewhere after a pause of so many times the longest one that is on time.
 PAUSE_PATIENCE = 1.6
 SERVER_ERROR = 500
+# A first send that is expected to take a larger part of the caller's patience is not made: it would
+# mostly end after the caller has left, and delay the requests beside it.
+ADMIT_SHARE = 0.5
+# How long callers wait for the next event of a stream: so long at least, or so many times the time
+# in which an answer is on time, or the longest pause that is (the platform's page on requests).
+LEAST_PATIENCE_S, TARGETS_WAITED, PAUSES_WAITED = 2.0, 4.0, 8.0
 
 
 class _Patience(NamedTuple):
@@ -60,6 +69,7 @@
     failed: Whole | None = None
     last: str = ""
     retry_after_s: float | None = None
+    expected_s: float | None = None
 
 
 class DispatchFilter:
@@ -131,6 +141,9 @@
         if placement is None:
             return None
         now = trio.current_time()
+        if not tries.offers and placement.expected_s > ADMIT_SHARE * _waits_s(call, now):
+            tries.expected_s = placement.expected_s
+            return None
         if progress.sends and not self._repeats.take(call.pool.name, now):
             self._decisions.warn(
                 "repeat refused",
@@ -244,8 +257,24 @@
         progress = call.progress
         if progress.runs:
             return MayHaveRun(Step.DISPATCH, progress.endpoint, tries.last, 502, "broken")
+        if tries.expected_s is not None:
+            reason = f"an answer is expected after {tries.expected_s:.2f} s only"
+            retry_s = min(tries.expected_s, LONGEST_RETRY_S)
+            return NotRun(Step.CHOOSE, "", reason, 503, retry_s, "overloaded")
         if not tries.offers:
             reason = f"pool {call.pool.name!r} has no endpoint to take the request"
             return NotRun(Step.CHOOSE, "", reason, 503, NO_ENDPOINT_RETRY_S, "no_endpoint")
         retry_s = tries.retry_after_s if tries.retry_after_s is not None else FULL_RETRY_S
         return NotRun(Step.DISPATCH, progress.endpoint, tries.last, 503, retry_s, "turned_away")
+
+
+def _waits_s(call: EntryCall, now: float) -> float:
+    """Return how long the caller will wait for the first part of an answer, in seconds."""
+    left_s = call.deadline - now
+    if call.route.kind is not RouteKind.STREAM:
+        return left_s
+    route = call.route
+    patience_s = max(
+        LEAST_PATIENCE_S, TARGETS_WAITED * route.target_s, PAUSES_WAITED * route.pause_s
+    )
+    return min(left_s, patience_s)
--- a/mulberrycleat/platform/tests/test_whole_path.py
+++ b/mulberrycleat/platform/tests/test_whole_path.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import trio
+
 from mulberrycleat.platform.standin import ServerStandin
 from mulberrycleat.platform.tests.fixtures import CONFIG, entry_host
 
@@ -165,3 +167,19 @@
             await world.ask("/ask/x", f"r{number}", model="m", token_counts="900,20")
     spent = len(server.seen) * 920
     assert 97_000 <= spent <= 100_000
+
+
+async def test_a_request_that_would_wait_too_long_is_refused_at_once_and_not_run():
+    """Behind requests that have waited for over half of a caller's patience."""
+    server = engine(mute=True)
+    async with entry_host(server) as world, trio.open_nursery() as nursery:
+        for number in range(3):
+            nursery.start_soon(world.ask, "/ask/x", f"r{number}")
+        await trio.sleep(1.8)
+        began = trio.current_time()
+        answer = await world.ask("/ask/x", "late", **PROMPT)
+        assert trio.current_time() - began < 0.1
+        nursery.cancel_scope.cancel()
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) >= 0.3
+    assert "late" not in server.ran
