Split the words for tokens from the allowance, and widen the margin of a clock set back

The margin on the time for which a dead host had been silent had been cut from 0.3 to 0.1 s for all cases; where the clock was set back only the announcements of endpoints tell the time, and these are spaced unevenly.

Change: grants, gifts and what a start inherits are named in prepaid/grants.py. The margin is 0.3 s again where the announcements say over 0.3 s more than the clock.

--- a/mulberrycleat/prepaid/__init__.py
+++ b/mulberrycleat/prepaid/__init__.py
@@ -5,9 +5,10 @@
 total, so that no host, cut off or dead, can lead to overspending.
 """
 
-from mulberrycleat.prepaid.allowance import Allowance, Giver, Grant, Inherited, Use, Verdict
+from mulberrycleat.prepaid.allowance import Allowance
 from mulberrycleat.prepaid.demand import TokenRate
 from mulberrycleat.prepaid.given import GivenBook, GivenTokens
+from mulberrycleat.prepaid.grants import Giver, Grant, Inherited, Use, Verdict
 from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord, Moment, SliceLedger, silence_s
 from mulberrycleat.prepaid.sizing import AllowanceSettings, Need, Role, Slice, size_slice
 
--- a/mulberrycleat/prepaid/ledger.py
+++ b/mulberrycleat/prepaid/ledger.py
@@ -10,8 +10,9 @@
 
 __all__ = ["AccountShare", "HolderRecord", "Moment", "SliceLedger", "silence_s"]
 
-# Added to the time for which a host that died had been silent.
-SILENCE_MARGIN_S = 0.1
+# Added to the time for which a host that died had been silent: for the clock's drift, and where the
+# clock was set back, for the uneven spacing of announcements.
+SILENCE_MARGIN_S, SET_BACK_MARGIN_S = 0.1, 0.3
 
 
 class Moment(NamedTuple):
@@ -213,4 +214,6 @@
     by_wall_s = now.wall_s - record.wall_s
     endpoints = max(1, min(record.endpoints, now.endpoints))
     by_beats_s = (now.beats - record.beats) * now.beat_s / endpoints
-    return max(by_wall_s, by_beats_s, now.uptime_s) - now.uptime_s + SILENCE_MARGIN_S
+    set_back = by_beats_s - by_wall_s > SET_BACK_MARGIN_S
+    margin_s = SET_BACK_MARGIN_S if set_back else SILENCE_MARGIN_S
+    return max(by_wall_s, by_beats_s, now.uptime_s) - now.uptime_s + margin_s
