Report the burn of objectives from the decision logs of entry hosts

Change: mulberrycleat-burn played LOG... reads the ends of requests from decision logs, by account, route and zone, and writes text, JSON or a picture. Objectives are given as [ROUTE:]MEASURE:BOUND_S:TARGET, with a clear error for what can't be read. The codes of entry hosts are sorted into false refusals and callers' own faults.

Ruled out: reading the metrics address.

The entry process is not touched.

--- a/mulberrycleat/burn/main.py
+++ b/mulberrycleat/burn/main.py
@@ -5,7 +5,9 @@
 import json
 import sys
 import time
+from itertools import chain
 from pathlib import Path
+from typing import TextIO
 
 import click
 import msgspec
@@ -15,6 +17,7 @@
 from mulberrycleat.burn.collect import Collected, add_to_file, collect, read_file
 from mulberrycleat.burn.merge import newest
 from mulberrycleat.burn.model import Interval
+from mulberrycleat.burn.played import played_report
 from mulberrycleat.burn.report import Report, as_data, as_text, make_report
 from mulberrycleat.cli.changes import current_state
 from mulberrycleat.cli.operations import read_statuses
@@ -22,6 +25,7 @@
 from mulberrycleat.core.logs import configure_logging
 from mulberrycleat.core.process import settings_or_exit, value_or_exit
 from mulberrycleat.eventlog import HttpEventLog
+from mulberrycleat.explain import read_lines
 from mulberrycleat.manifest import Manifest, ManifestState
 from mulberrycleat.settings import OperatorSettings, read_fleet_key
 from mulberrycleat.web import HttpClient
@@ -119,13 +123,39 @@
 
     found, manifest, spent = trio_asyncio.run(read)
     report = make_report(newest([*kept, *found.intervals]), manifest, spent, time.time())
-    text = _render(report, form)
+    _write(_render(report, form), output)
+    _tell_errors(found)
+    sys.exit(EXIT_ALERT if any(burn.alerts for burn in report.burns) else 0)
+
+
+@main.command("played")
+@click.argument("logs", nargs=-1, required=True, type=click.File(encoding="utf-8"))
+@click.option(
+    "--objective",
+    "objectives",
+    multiple=True,
+    metavar="[ROUTE:]MEASURE:BOUND_S:TARGET",
+    help="Such as first_token:0.6:0.95; without a route, for every route.",
+)
+@click.option("--format", "form", type=click.Choice(["text", "json", "svg"]), default="text")
+@click.option("--output", type=click.Path(dir_okay=False, path_type=Path))
+def played_command(
+    logs: tuple[TextIO, ...], objectives: tuple[str, ...], form: str, output: Path | None
+) -> None:
+    """Report on the decision LOGS of entry hosts; needs no settings and asks nobody."""
+    try:
+        report = played_report(read_lines(chain.from_iterable(logs)), objectives)
+    except ValueError as error:
+        _fail(EXIT_BAD_INPUT, str(error))
+    _write(_render(report, form), output)
+    sys.exit(EXIT_ALERT if any(burn.alerts for burn in report.burns) else 0)
+
+
+def _write(text: str, output: Path | None) -> None:
     if output is None:
         click.echo(text)
     else:
         output.write_text(text, encoding="utf-8")
-    _tell_errors(found)
-    sys.exit(EXIT_ALERT if any(burn.alerts for burn in report.burns) else 0)
 
 
 def _render(report: Report, form: str) -> str:
--- a/mulberrycleat/burn/model.py
+++ b/mulberrycleat/burn/model.py
@@ -16,12 +16,25 @@
         "key_mismatch",
         "unauthorized",
         "unknown_model",
+        "unknown_route",
         "unknown_service",
     }
 )
 """Codes of refusals that no other behaviour of the fleet could have avoided."""
 
-FALSE_REFUSALS = frozenset({"budget_held_elsewhere", "log_unavailable", "unavailable"})
+FALSE_REFUSALS = frozenset(
+    {
+        "budget_held",
+        "budget_held_elsewhere",
+        "log_unavailable",
+        "no_endpoint",
+        "no_route_map",
+        "overloaded",
+        "stopping",
+        "turned_away",
+        "unavailable",
+    }
+)
 """Codes of refusals as not run of requests that could safely have run."""
 
 
--- /dev/null
+++ b/mulberrycleat/burn/played.py
@@ -0,0 +1,101 @@
+"""Intervals from the decision logs of entry hosts, for days that were played or are past."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from result import Err, Ok, Result
+
+from mulberrycleat.burn.merge import merge
+from mulberrycleat.burn.model import MEASURES, Interval
+from mulberrycleat.burn.objective import assess
+from mulberrycleat.burn.recorder import LiveSeries
+from mulberrycleat.burn.report import Report
+from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
+from mulberrycleat.explain import Line
+from mulberrycleat.manifest import Objective
+
+__all__ = ["intervals_of", "objective_for", "played_report"]
+
+# Length of an interval, in seconds: days that are played last about a minute.
+INTERVAL_S = 10.0
+ENDS = ("served", "refused")
+# Names for requests without an account or a route; an empty name would stand for all.
+NO_ACCOUNT, NO_ROUTE = "no account", "no route"
+
+
+def intervals_of(lines: Iterable[Line], length_s: float = INTERVAL_S) -> list[Interval]:
+    """Return what the ends of requests in a log say, by host and interval.
+
+    A route of the log stands for the pool of the report.
+    """
+    found: dict[tuple[str, str, int], dict[tuple[str, str], LiveSeries]] = {}
+    for line in lines:
+        if line.message not in ENDS:
+            continue
+        zone = str(line.fields.get("zone", ""))
+        account = str(line.fields.get("account") or NO_ACCOUNT)
+        route = str(line.fields.get("route") or NO_ROUTE)
+        interval = found.setdefault((line.host, zone, int(line.at // length_s)), {})
+        series = interval.setdefault((account, route), LiveSeries(account, route))
+        series.note(_outcome(line))
+        if line.message == "served":
+            whole_s = float(line.fields["took_s"])
+            first_s = line.fields.get("first_s")
+            series.record("first_token", whole_s if first_s is None else float(first_s))
+            series.record("whole_answer", whole_s)
+    return [
+        Interval(
+            host,
+            zone,
+            host,
+            number,
+            number * length_s,
+            (number + 1) * length_s,
+            tuple(series.snapshot() for series in interval.values()),
+        )
+        for (host, zone, number), interval in sorted(found.items())
+    ]
+
+
+def objective_for(text: str, routes: Iterable[str]) -> list[Objective]:
+    """Return the objectives that ``[ROUTE:]MEASURE:BOUND_S:TARGET`` states; raises ValueError.
+
+    >>> [one.bound_s for one in objective_for("first_token:0.6:0.95", ["ask", "find"])]
+    [0.6, 0.6]
+    """
+    parts = text.split(":")
+    if len(parts) not in (3, 4):
+        raise ValueError(f"objective {text!r}: not of the form [ROUTE:]MEASURE:BOUND_S:TARGET")
+    *route, measure, bound, target = parts
+    if measure not in MEASURES:
+        known = ", ".join(MEASURES)
+        raise ValueError(f"objective {text!r}: measure {measure!r} is not one of {known}")
+    try:
+        bound_s, share = float(bound), float(target)
+    except ValueError as error:
+        raise ValueError(f"objective {text!r}: {error}") from error
+    if bound_s <= 0 or not 0 < share < 1:
+        raise ValueError(
+            f"objective {text!r}: the bound must be above 0, the target within 0 and 1"
+        )
+    return [Objective(name, measure, bound_s, share) for name in (route or routes)]
+
+
+def played_report(lines: Iterable[Line], objectives: Iterable[str]) -> Report:
+    """Return the report of a log; raises ValueError for an objective that can't be read."""
+    intervals = intervals_of(lines)
+    totals = merge(intervals)
+    routes = sorted({group.pool for group in totals if group.pool})
+    wanted = tuple(one for text in objectives for one in objective_for(text, routes))
+    start = min((one.start for one in intervals), default=0.0)
+    end = max((one.end for one in intervals), default=0.0)
+    return Report(start, end, totals, assess(intervals, wanted, end), [])
+
+
+def _outcome(line: Line) -> Result[Served, Refusal]:
+    if line.message == "served":
+        return Ok(Served(0, str(line.fields.get("endpoint", ""))))
+    code = str(line.fields.get("code", ""))
+    kind = NotRun if line.fields.get("ran") == "not_run" else MayHaveRun
+    return Err(kind(Step.RECEIVE, "", "", code=code))
