--- a/mulberrycleat/explain/tests/test_story.py
+++ b/mulberrycleat/explain/tests/test_story.py
@@ -84,6 +84,42 @@
     assert story(recorder, "r1").cause.startswith("served by h1")
 
 
+async def test_every_refusal_tells_code_status_reason_and_whether_it_ran(recorder):
+    servers = [
+        ServerStandin("e1", "10.1.0.1:80", "engines", events=4, break_after=0),
+        ServerStandin("h1", "10.2.0.1:80", "huts", mute=True),
+    ]
+    asked = {
+        "unknown": ("/nowhere/x", {}, "unknown_route", 404, "not_run"),
+        "stranger": ("/ask/x", {"authorization": "Bearer other"}, "unauthorized", 401, "not_run"),
+        "silent": ("/book/x", {}, "timeout", 504, "may_have_run"),
+        "broken": ("/ask/x", {}, "broken", 502, "may_have_run"),
+        "dear": ("/ask/x", {"token_counts": "99990,20"}, "budget_exhausted", 402, "not_run"),
+    }
+    async with entry_host(*servers) as world:
+        for name, (path, headers, *_) in asked.items():
+            await world.ask(path, name, **headers)
+    for name, (_, _, code, status, ran) in asked.items():
+        line = next(one for one in story(recorder, name).lines if one.message == "refused")
+        assert (line.fields["code"], line.fields["status"], line.fields["ran"]) == (
+            code,
+            status,
+            ran,
+        ), name
+        assert line.fields["why"], name
+        assert {"step", "route", "account", "map_version", "sends", "took_s"} <= line.fields.keys()
+
+
+async def test_tokens_are_told_when_they_are_reserved_and_when_they_are_charged(recorder):
+    engine = ServerStandin("e1", "10.1.0.1:80", "engines", events=2)
+    async with entry_host(engine) as world:
+        await world.ask("/ask/x", "r1", model="m", token_counts="900,20")
+    lines = story(recorder, "r1").lines
+    reserved = next(line for line in lines if line.message == "tokens reserved")
+    assert (reserved.fields["cost"], reserved.fields["giver"]) == (920, "own slice")
+    assert next(line for line in lines if line.message == "served").fields["tokens_used"] == 910
+
+
 def test_a_request_that_no_line_names():
     assert tell("r1", []).cause == "no line names it"
 
