Count an event as passed on only once it has been written

When a host stands still, the pause that is allowed between events may be over when it wakes, though the next event is there: the read returns it, and the write that follows is cancelled by the pause. The event had been counted before the write, so that the stream went on after an event that the caller never got. An answer whose first message was cancelled in the same way counted as begun.

Ruled out: loss at the server (its run ended whole) and joins of two runs (the resumed one began where it was told to).

Change: events are counted after they are written; an answer counts as begun or finished only past the check for a cancellation.

--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -219,9 +219,10 @@
                 if not call.responder.started:
                     await start_answer(call, head.status, self._dialect.answer_headers(head))
                     progress.first_at = trio.current_time()
+                # Written first: after a freeze the pause may be over though the event is there.
+                await call.responder.write(events.data)
                 progress.delivered_events += events.count
                 progress.last_event_id = _latest(progress.last_event_id, events.last_id)
-                await call.responder.write(events.data)
                 pause.deadline = trio.current_time() + pause_s
             pause.deadline = float("inf")
             if splitter.rest.strip():
--- a/mulberrycleat/web/asgi.py
+++ b/mulberrycleat/web/asgi.py
@@ -105,6 +105,7 @@
 
     async def start(self, status: int, headers: tuple[tuple[str, str], ...] = ()) -> None:
         """Send the status line and the headers."""
+        await trio.lowlevel.checkpoint_if_cancelled()
         self._started = True
         pairs = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
         await self._send({"type": "http.response.start", "status": status, "headers": pairs})
@@ -115,6 +116,7 @@
 
     async def finish(self, data: bytes = b"") -> None:
         """Send the last part of the body."""
+        await trio.lowlevel.checkpoint_if_cancelled()
         self._finished = True
         await self._send({"type": "http.response.body", "body": data, "more_body": False})
 
