Bound what an endpoint or peer can make a host buffer, and match answers to requests strictly

Cause: an endpoint that sends bytes without end occupied memory until the request's deadline.

A head that proves that the request was not run counts even if its body breaks off. Counts and times in headers are read by core/numbers: a superscript two, 5,000 digits and infinite times were converted or raised. A success that names no request is no answer.

--- a/mulberrycleat/controller/engines.py
+++ b/mulberrycleat/controller/engines.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import PeerError, Step
+from mulberrycleat.core.numbers import parse_seconds
 from mulberrycleat.manifest import Endpoint
 from mulberrycleat.order import EndpointStatus, Target
 from mulberrycleat.web import HttpAnswer, HttpClient
@@ -123,8 +124,7 @@
         case 409:
             return Ok(Outdated())
         case 429 | 503:
-            header = answer.headers.get("retry-after", "")
-            is_number = header.replace(".", "", 1).isdigit()
-            return Ok(RetryLater(float(header) if is_number else RETRY_AFTER_S))
+            stated_s = parse_seconds(answer.headers.get("retry-after", ""))
+            return Ok(RetryLater(RETRY_AFTER_S if stated_s is None else stated_s))
         case status:
             return Err(PeerError(Step.CALL, endpoint.address, f"order: HTTP {status}"))
--- a/mulberrycleat/controller/hostlist.py
+++ b/mulberrycleat/controller/hostlist.py
@@ -4,6 +4,8 @@
 
 from typing import Any, NamedTuple
 
+from mulberrycleat.core.numbers import parse_count
+
 __all__ = ["LeavingNames", "ListedHost", "hosts_of"]
 
 KEEP_LEAVING_S = 60.0
@@ -74,4 +76,4 @@
 
 def _is_address(text: str) -> bool:
     host, colon, port = text.rpartition(":")
-    return bool(host and colon and port.isdigit())
+    return bool(host and colon and parse_count(port) is not None)
--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import trio
 
 from mulberrycleat.endpoint.placer import Placement
 from mulberrycleat.entry.call import EntryCall
-from mulberrycleat.entry.events import EventSplitter
+from mulberrycleat.entry.events import EventSplitter, EventTooLargeError
 from mulberrycleat.entry.protocol import AnswerFacts, ForwardingFacts, HeaderCodec
 from mulberrycleat.routes import RouteKind
 from mulberrycleat.web.upstream import (
@@ -28,14 +29,19 @@
     "ForwardedResponse",
     "FullResponse",
     "Outcome",
+    "SERVER_ERROR",
 ]
 
-# A larger successful answer is forwarded while it is being read.
+# A larger answer is forwarded while it is being read, or is dropped if the request may be retried.
 MAX_BUFFERED_BYTES = 262_144
+# The body of an endpoint that did not run the request is read so that the connection can be reused,
+# but only up to this number of bytes and for this time, in seconds.
+MAX_DISCARDED_BYTES, DISCARD_TIMEOUT_S = 16_384, 0.1
 # A request that must not run twice reuses a connection only if that has been idle for at most this
 # time, in seconds. After a longer idle time, the endpoint's close could already be in transit.
 NON_RETRYABLE_MAX_IDLE_S = 0.3
 MAX_PRIORITY = 9
+SERVER_ERROR = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +142,8 @@
                 return outcome
             except ExchangeError as error:
                 return ExchangeFailed(str(error))
+            except EventTooLargeError as error:
+                return ExchangeFailed(f"receive {placement.entry.address}: {error}")
             finally:
                 if kept:
                     self._connections.put_back(connection)
@@ -161,33 +169,41 @@
         await connection.send(call.method.encode(), call.target, headers, call.body)
         head = await connection.read_head()
         facts = self._codec.read_answer(head)
-        if facts.request_id and facts.request_id != call.facts.request_id:
+        succeeded = 200 <= head.status < 300
+        if facts.request_id != call.facts.request_id and (facts.request_id or succeeded):
             return ExchangeFailed("the answer belongs to another request")
         self._on_data()
         self._on_facts(facts)
         if facts.not_run:
             call.progress.runs -= 1
-            await _read_body(connection)
+            await _discard_body(connection)
             return Declined(head.status, facts.retry_after_s, facts.misdirected)
         if head.get(b"content-encoding") is not None:
             return ExchangeFailed("the answer is encoded, though no encoding was asked for")
-        succeeded = 200 <= head.status < 300
         if succeeded and not facts.signed:
             return ExchangeFailed("a success without the endpoint's signature")
         if succeeded and call.route.kind is RouteKind.STREAM:
             return await self._forward_events(call, connection, head, first, pause_s)
-        return await self._read_answer(call, connection, head, first)
+        return await self._read_answer(call, placement, connection, head, first)
 
     async def _read_answer(
-        self, call: EntryCall, connection: Connection, head: AnswerHead, first: trio.CancelScope
+        self,
+        call: EntryCall,
+        placement: Placement,
+        connection: Connection,
+        head: AnswerHead,
+        first: trio.CancelScope,
     ) -> Outcome:
-        """Read a complete answer; one that is too large to buffer is forwarded instead."""
+        """Read a complete answer; one that is too large to buffer is forwarded or dropped."""
         chunks: list[bytes] = []
         size = 0
         while chunk := await connection.read_chunk():
             chunks.append(chunk)
             size += len(chunk)
-            if size > MAX_BUFFERED_BYTES and 200 <= head.status < 300:
+            if size > MAX_BUFFERED_BYTES:
+                if head.status >= SERVER_ERROR and call.route.retryable:
+                    reason = f"status {head.status} with more than {MAX_BUFFERED_BYTES} bytes"
+                    return ExchangeFailed(f"receive {placement.entry.address}: {reason}")
                 first.deadline = float("inf")
                 return await self._forward_rest(call, connection, head, b"".join(chunks))
         self._on_data()
@@ -216,6 +232,8 @@
         """Forward complete events as they arrive; an incomplete event is never forwarded."""
         splitter = EventSplitter()
         progress = call.progress
+        # Comments before the first event, which are sent together with it.
+        held = b""
         pause = trio.CancelScope(deadline=first.deadline)
         first.deadline = float("inf")
         with pause:
@@ -223,6 +241,10 @@
                 self._on_data()
                 events = splitter.feed(chunk)
                 if not events.count:
+                    if call.responder.started:
+                        await call.responder.write(events.data)
+                    else:
+                        held += events.data
                     continue
                 if not _follows(progress.last_event_id, events.last_id):
                     return ExchangeFailed("events that were passed on before")
@@ -233,7 +255,8 @@
                 # An event counts only once it is written: after a freeze of the host, the time
                 # limit may have expired although the event has arrived; the write is then
                 # cancelled.
-                await call.responder.write(events.data)
+                await call.responder.write(held + events.data)
+                held = b""
                 progress.delivered_events += events.count
                 progress.last_event_id = _latest(progress.last_event_id, events.last_id)
                 pause.deadline = trio.current_time() + pause_s
@@ -242,7 +265,7 @@
                 return ExchangeFailed("the stream ends within an event")
             if not call.responder.started:
                 await start_answer(call, head.status, self._codec.answer_headers(head))
-            await call.responder.finish()
+            await call.responder.finish(held)
             return ForwardedResponse(head.status)
         return ExchangeFailed("no event in time")
 
@@ -262,11 +285,12 @@
     await call.responder.start(status, pairs)
 
 
-async def _read_body(connection: Connection) -> bytes:
-    chunks = []
-    while chunk := await connection.read_chunk():
-        chunks.append(chunk)
-    return b"".join(chunks)
+async def _discard_body(connection: Connection) -> None:
+    """Read the rest of an answer; a connection whose answer was not read whole is not reused."""
+    size = 0
+    with trio.move_on_after(DISCARD_TIMEOUT_S), suppress(ExchangeError):
+        while size <= MAX_DISCARDED_BYTES and (chunk := await connection.read_chunk()):
+            size += len(chunk)
 
 
 def _follows(before: int | None, now: int | None) -> bool:
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -14,6 +14,7 @@
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.endpoints import EndpointRegistry, work_of
 from mulberrycleat.entry.exchange import (
+    SERVER_ERROR,
     ConnectionFailed,
     Declined,
     Exchange,
@@ -49,7 +50,6 @@
 # A stream is resumed at another endpoint after a gap between two events of this multiple of the
 # route's target for the longest gap (`Route.pause_s`).
 PAUSE_TIMEOUT_FACTOR = 1.6
-SERVER_ERROR = 500
 # A request is not sent at all when its expected time exceeds this share of the time that the caller
 # waits: most such requests would end after the caller has left, and would delay others.
 ADMISSION_WAIT_SHARE = 0.5
--- a/mulberrycleat/platform/config.py
+++ b/mulberrycleat/platform/config.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from mulberrycleat.core.numbers import parse_count
 from mulberrycleat.endpoint.directory import Entry, EntryState
 from mulberrycleat.routes import (
     ClientAccount,
@@ -155,7 +156,7 @@
     if server.state not in _ENTRY_STATES:
         return Err(f"entry {name}: state: unknown value {server.state!r}")
     host, _, port = server.address.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or parse_count(port) is None:
         return Err(f"entry {name}: address: {server.address!r} is not ip:port")
     return Ok(
         Entry(
--- a/mulberrycleat/platform/headers.py
+++ b/mulberrycleat/platform/headers.py
@@ -4,6 +4,7 @@
 
 import re
 
+from mulberrycleat.core.numbers import parse_count, parse_seconds
 from mulberrycleat.endpoint.placer import Part
 from mulberrycleat.entry.protocol import (
     AnswerFacts,
@@ -95,7 +96,6 @@
         faults: list[str] = []
         remaining_ms = _parse_number(found, REMAINING_TIME_MS, faults)
         prompt, output = _parse_token_counts(found, faults)
-        last_event = found.get(LAST_EVENT_ID, "")
         key = found.get(AUTHORIZATION, "")
         return RequestFacts(
             request_id=found.get(REQUEST_ID, ""),
@@ -107,7 +107,7 @@
             prompt_tokens=prompt,
             max_output_tokens=output,
             parts=_parse_parts(found.get(PROMPT_PARTS, ""), faults),
-            last_event_id=int(last_event) if last_event.isdigit() else None,
+            last_event_id=parse_count(found.get(LAST_EVENT_ID, "")),
             fault="; ".join(faults),
         )
 
@@ -140,7 +140,7 @@
             signed=head.get(RESPONSE_SEAL) is not None,
             not_run=misdirected or head.get(NOT_EXECUTED) is not None,
             misdirected=misdirected,
-            retry_after_s=_parse_seconds(head.get(RETRY_AFTER)),
+            retry_after_s=parse_seconds(head.get(RETRY_AFTER) or ""),
             load=_parse_load(head.get(SERVER_LOAD)),
             leaving=(head.get(b"connection") or "").lower() == "close",
         )
@@ -200,15 +200,6 @@
     return {token.strip().lower() for value in values for token in value.split(b",")}
 
 
-def _parse_seconds(text: str | None) -> float | None:
-    try:
-        return None if text is None else max(0.0, float(text))
-    except ValueError:
-        return None
-
-
 def _parse_load(text: str | None) -> EndpointLoad | None:
-    numbers = (text or "").split(",")
-    if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
-        return None
-    return EndpointLoad(*(int(number) for number in numbers))
+    numbers = [parse_count(number) for number in (text or "").split(",")]
+    return EndpointLoad(*numbers) if len(numbers) == 3 and None not in numbers else None
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -189,6 +189,8 @@
 
     Attributes
     ----------
+    zone : str
+        Availability zone.
     events : int
         Number of events in each stream; 0 for a plain service.
     work_s : float
@@ -206,6 +208,10 @@
         event; None for no reset.
     trailing_bytes : bytes
         Bytes sent after each complete answer.
+    repeats_answers : bool
+        Whether it sends the previous answer of a connection once more, in place of the next one.
+    omits_request_id : bool
+        Whether its answers do not state which request they belong to.
     seen : list of dict
         Headers of each request that it began to run, with the target as ``:target`` and the body
         as ``:body``.
@@ -216,6 +222,7 @@
     id: str
     address: str
     service: str
+    zone: str = "z-a"
     events: int = 0
     work_s: float = 0.02
     status: int = 200
@@ -224,15 +231,17 @@
     never_answers: bool = False
     break_after: int | None = None
     trailing_bytes: bytes = b""
+    repeats_answers: bool = False
+    omits_request_id: bool = False
     seen: list[dict[str, str]] = field(default_factory=list)
     running: int = 0
 
-    def entry(self, zone: str = "z-a", state: str = "ready") -> dict[str, Any]:
+    def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the directory entry that the server writes to the store."""
         return {
             "service": self.service,
             "address": self.address,
-            "zone": zone,
+            "zone": self.zone,
             "state": state,
             "slots": 8,
         }
@@ -300,8 +309,9 @@
 
 async def _serve_connection(server: ServerStandin, stream: trio.StapledStream) -> None:
     connection = h11.Connection(h11.SERVER)
+    recorder = _Recorder(server, stream)
     try:
-        while await _serve_request(server, stream, connection):
+        while await _serve_request(server, recorder, connection):
             if server.trailing_bytes:
                 await stream.send_all(server.trailing_bytes)
             connection.start_next_cycle()
@@ -311,8 +321,30 @@
         stream.send_stream.close()
 
 
+class _Recorder:
+    """Records what is sent on a connection, to send it again in place of the next answer."""
+
+    def __init__(self, server: ServerStandin, stream: trio.StapledStream) -> None:
+        self._server = server
+        self._stream = stream
+        self._previous: list[bytes] = []
+        self._current: list[bytes] = []
+        self.receive_some = stream.receive_some
+
+    async def send_all(self, data: bytes) -> None:
+        """Send bytes of an answer, or of the previous one."""
+        if self._server.repeats_answers and self._previous:
+            data = self._previous.pop(0)
+        self._current.append(data)
+        await self._stream.send_all(data)
+
+    def end_answer(self) -> None:
+        """Note that an answer was sent completely."""
+        self._previous, self._current = self._current, []
+
+
 async def _serve_request(
-    server: ServerStandin, stream: trio.StapledStream, connection: h11.Connection
+    server: ServerStandin, stream: _Recorder, connection: h11.Connection
 ) -> bool:
     request, body = None, b""
     while True:
@@ -330,22 +362,22 @@
     headers = {name.decode(): value.decode() for name, value in request.headers}
     headers |= {":target": request.target.decode(), ":body": body.decode("latin-1")}
     await _answer(server, stream, connection, headers)
+    stream.end_answer()
     return True
 
 
 async def _answer(
     server: ServerStandin,
-    stream: trio.StapledStream,
+    stream: _Recorder,
     connection: h11.Connection,
     headers: dict[str, str],
 ) -> None:
     async def send(event: Any) -> None:
         await stream.send_all(connection.send(event))
 
-    common_headers = [
-        ("Attempt-Id", headers["attempt-id"]),
-        ("Server-Load", f"{server.running},0,8"),
-    ]
+    common_headers = [("Server-Load", f"{server.running},0,8")]
+    if not server.omits_request_id:
+        common_headers.append(("Attempt-Id", headers["attempt-id"]))
     if headers.get("target-instance", server.id) != server.id:
         await send(
             h11.Response(status_code=421, headers=[*common_headers, ("Content-Length", "0")])
--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -18,6 +18,9 @@
 from mulberrycleat.platform.standin import Servers, ServerStandin, StoreClient, StoreStandin
 from mulberrycleat.platform.store import PlatformStore
 from mulberrycleat.web import BaseHttpClient, StreamedAnswer
+from mulberrycleat.web.upstream import ConnectionSettings, Pipe
+
+Connect = Callable[[str, ConnectionSettings], Awaitable[Pipe]]
 
 ENGINE = {"slots": 8, "kv_capacity": 400_000, "stride": 5}
 CONFIG: dict[str, Any] = {
@@ -229,9 +232,12 @@
     config: dict[str, Any] = CONFIG,
     store: StoreStandin | None = None,
     wait_s: float = 1.0,
+    connect: Connect | None = None,
 ) -> AsyncIterator[HostHarness]:
     """Run one entry host while the block is executed; see :func:`entry_hosts`."""
-    async with entry_hosts(1, *standins, config=config, store=store, wait_s=wait_s) as harnesses:
+    async with entry_hosts(
+        1, *standins, config=config, store=store, wait_s=wait_s, connect=connect
+    ) as harnesses:
         yield harnesses[0]
 
 
@@ -242,10 +248,12 @@
     config: dict[str, Any] = CONFIG,
     store: StoreStandin | None = None,
     wait_s: float = 1.0,
+    connect: Connect | None = None,
 ) -> AsyncIterator[list[HostHarness]]:
     """Run `count` entry hosts of one zone, named a1, a2 and so on, while the block is executed.
 
-    The block starts `wait_s` seconds after the hosts. An empty `config` is not stored.
+    The block starts `wait_s` seconds after the hosts. An empty `config` is not stored. `connect`
+    opens connections to endpoints instead of the stand-ins.
     """
     store = store or StoreStandin()
     if config:
@@ -256,7 +264,7 @@
     async with trio.open_nursery() as nursery:
         servers = Servers(nursery, standins)
         harnesses = [
-            start_host(f"a{number}", store, servers, nursery, apps)
+            start_host(f"a{number}", store, servers, nursery, apps, connect)
             for number in range(1, count + 1)
         ]
         await trio.sleep(wait_s)
@@ -270,6 +278,7 @@
     servers: Servers,
     nursery: trio.Nursery,
     apps: PeerApps,
+    connect: Connect | None = None,
 ) -> HostHarness:
     """Start an entry host; a second start under the same name is a new incarnation."""
     address = f"{name}:3"
@@ -288,7 +297,7 @@
     async def serve(app: Any, address: str, *rest: Any, **options: Any) -> None:
         await trio.sleep_forever()
 
-    ports = EntryPorts(PeerClient(apps), servers.connect, serve, trio.current_time)
+    ports = EntryPorts(PeerClient(apps), connect or servers.connect, serve, trio.current_time)
     platform = PlatformStore(settings.store, StoreClient(store, name), 0.4)
     host = EntryHost(
         settings, PlatformHeaderCodec(), platform, DecisionLog(trio.current_time), ports
--- a/mulberrycleat/platform/tests/test_decoding.py
+++ b/mulberrycleat/platform/tests/test_decoding.py
@@ -110,3 +110,17 @@
     found = [codec.read_answer(AnswerHead(200, [(b"server-load", load)])).load for load in loads]
     assert found[0].running == 3
     assert found[1:] == [None] * 3
+
+
+def test_numbers_that_python_could_not_convert_are_not_read():
+    """`str.isdigit` accepts a superscript two; `int` raises for it and for thousands of digits."""
+    codec = PlatformHeaderCodec()
+    for text in (b"\xb2", b"9" * 5000, b"-1", b"1e3"):
+        assert codec.read_request([(b"last-event-id", text)]).last_event_id is None
+        assert codec.read_answer(AnswerHead(200, [(b"server-load", b"1,%s,8" % text)])).load is None
+
+
+def test_a_retry_after_that_is_not_finite_is_ignored():
+    codec = PlatformHeaderCodec()
+    for text in (b"inf", b"nan", b"1e999", b"soon"):
+        assert codec.read_answer(AnswerHead(503, [(b"retry-after", text)])).retry_after_s is None
--- a/mulberrycleat/platform/tests/test_whole_path.py
+++ b/mulberrycleat/platform/tests/test_whole_path.py
@@ -116,6 +116,37 @@
     assert {answer.body for answer in answers} == {b"h1:/find/x"}
 
 
+async def test_the_answer_to_another_request_never_reaches_a_caller():
+    """The server sends its answer to the previous request again on the reused connection."""
+    for path, status in (("/find/", 200), ("/book/", 502)):
+        late, good = booking_server("h1", work_s=0.0), booking_server("h2", zone="z-b")
+        async with entry_host(late, good) as harness:
+            first = await harness.send_request(f"{path}1", "r1")
+            late.repeats_answers = True
+            second = await harness.send_request(f"{path}2", "r2")
+        assert (first.status, first.body) == (200, f"h1:{path}1".encode())
+        assert second.status == status
+        assert b"h1" not in second.body
+        assert late.ran == ["r1", "r2"]
+
+
+async def test_the_events_of_another_request_never_reach_a_caller():
+    late, good = engine("e1", work_s=0.0), engine("e2", zone="z-b")
+    async with entry_host(late, good) as harness:
+        await harness.send_request("/ask/1", "r1", **PROMPT_HEADERS)
+        late.repeats_answers = True
+        second = await harness.send_request("/ask/2", "r2", **PROMPT_HEADERS)
+    assert second.complete
+    assert second.headers["response-seal"] == "seal-of-e2"
+    assert second.body.count(b"id: ") == 4
+
+
+async def test_a_success_that_names_no_request_is_not_taken_for_an_answer():
+    async with entry_host(booking_server("h1", omits_request_id=True)) as harness:
+        answer = await harness.send_request("/book/x")
+    assert answer.status == 502
+
+
 async def test_an_idempotent_request_is_answered_with_200():
     server = booking_server("h1")
     async with entry_host(server) as harness:
--- a/mulberrycleat/web/client.py
+++ b/mulberrycleat/web/client.py
@@ -19,6 +19,7 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import PeerError, Step
+from mulberrycleat.core.numbers import parse_seconds
 
 __all__ = [
     "HTTPCORE_ERRORS",
@@ -29,6 +30,9 @@
     "peer_error",
 ]
 
+# Maximum size of a response that is read into memory, in bytes. The largest are pages of the
+# platform's store and route maps, of a few megabytes.
+MAX_ANSWER_BYTES = 16 * 2**20
 # An idle connection is closed after this time, in seconds.
 KEEP_ALIVE_S = 15.0
 # Failures before any byte of the request was sent.
@@ -96,7 +100,7 @@
         step: Step = Step.CALL,
         total_timeout_s: float = math.inf,
     ) -> Result[HttpAnswer, PeerError]:
-        """Send a request and read the complete response.
+        """Send a request and read the complete response, of up to ``MAX_ANSWER_BYTES``.
 
         Parameters
         ----------
@@ -108,8 +112,9 @@
         try:
             with trio.fail_after(total_timeout_s):
                 async with self.stream(method, url, body, headers, timeout_s) as answer:
-                    data = b"".join([chunk async for chunk in answer.chunks])
-                    return Ok(HttpAnswer(answer.status, answer.headers, data))
+                    return (await _read_all(answer, step, url)).map(
+                        lambda data: HttpAnswer(answer.status, answer.headers, data)
+                    )
         except trio.TooSlowError:
             return Err(
                 PeerError(step, _host(url), f"no complete answer within {total_timeout_s:g} s")
@@ -218,6 +223,17 @@
         return self._pools[host]
 
 
+async def _read_all(answer: StreamedAnswer, step: Step, url: str) -> Result[bytes, PeerError]:
+    chunks, size = [], 0
+    async for chunk in answer.chunks:
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            reason = f"an answer of more than {MAX_ANSWER_BYTES} bytes"
+            return Err(PeerError(step, _host(url), reason))
+    return Ok(b"".join(chunks))
+
+
 def peer_error(error: Exception, step: Step, url: str) -> PeerError:
     """Convert an exception of httpcore to a :class:`PeerError`."""
     reason = f"{type(error).__name__}: {error}".rstrip(": ")
@@ -240,8 +256,8 @@
 def _status_error(answer: HttpAnswer, step: Step, url: str) -> PeerError:
     text = answer.body[:200].decode("utf-8", "replace")
     retry = answer.headers.get("retry-after", "")
-    after = float(retry) if retry.replace(".", "", 1).isdigit() else None
-    return PeerError(step, _host(url), f"HTTP {answer.status}: {text}", retry_after_s=after)
+    after_s = parse_seconds(retry)
+    return PeerError(step, _host(url), f"HTTP {answer.status}: {text}", retry_after_s=after_s)
 
 
 def _host(url: str) -> str:
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -16,6 +16,8 @@
 import h11
 import trio
 
+from mulberrycleat.core.numbers import parse_count
+
 __all__ = [
     "AnswerHead",
     "ConnectError",
@@ -31,6 +33,8 @@
 RECEIVE_BYTES = 65_536
 # Maximum size of the status line and headers of a response.
 MAX_HEAD_BYTES = 65_536
+# Maximum number of informational (1xx) responses before the response itself.
+MAX_INFORMATIONAL = 8
 # Fraction of the endpoint's own idle limit (its keep-alive timeout) after which a connection is not
 # reused. The endpoint counts from the time it sent its response, so its close may already be on the
 # way when the connection seems to be within the limit.
@@ -191,13 +195,16 @@
 
     async def read_head(self) -> AnswerHead:
         """Read the status and headers of the response; raises :class:`ExchangeError`."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._apply_keep_alive(event)
                 return AnswerHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
-                raise ExchangeError(f"{self._address}: no answer")
+                raise ExchangeError(f"receive {self._address}: no answer")
+        raise ExchangeError(
+            f"receive {self._address}: more than {MAX_INFORMATIONAL} informational responses"
+        )
 
     async def read_chunk(self) -> bytes:
         """Return the next part of the body, empty at its end; raises :class:`ExchangeError`."""
@@ -235,8 +242,9 @@
             if name == b"keep-alive":
                 for part in value.decode("latin-1").split(","):
                     key, _, seconds = part.strip().partition("=")
-                    if key.lower() == "timeout" and seconds.strip().isdigit():
-                        self._idle_limit_s = int(seconds) * IDLE_LIMIT_FRACTION
+                    limit_s = parse_count(seconds) if key.lower() == "timeout" else None
+                    if limit_s is not None:
+                        self._idle_limit_s = limit_s * IDLE_LIMIT_FRACTION
 
 
 class ConnectionPool:
