Keep a host serving after malformed messages and errors in its loops, and return lost transfers

Cause (by reading, each shown by a test that failed before): an unexpected error in a background loop ended the process with all requests in flight, and skipped the update that caused it; a peer's transfer request for a negative number of tokens enlarged the donor's slice; tokens whose first reply from a donor was lost were never reported; reports to a donor were numbered anew after one was given up, and taken for duplicates; a malformed reply raised into the request; a refused report was dropped; an incarnation that had been replaced went on granting tokens and writing records; the wait stated for a slice ignored unconfirmed records, and ceiling_free donated tokens; a host that did not know the number of hosts used the whole slack of the retry budget.

Change: background loops are restarted and read the update again; constraints on the fields of peer messages and records; report numbers are kept for each incarnation of a donor; reports of lost replies alone need no incarnation; a superseded incarnation grants and writes nothing.

Ruled out: fuzzing of the decoders of headers, route maps, entries, records and events found no other exception than those that the callers expect. Conclusion: one malformed message or unexpected error no longer ends a process or raises a slice.

--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -33,6 +33,7 @@
 from mulberrycleat.entry.shutdown import GracefulShutdown
 from mulberrycleat.entry.slices import HeartbeatCount, SliceController
 from mulberrycleat.entry.store import StateStore
+from mulberrycleat.entry.supervision import keep_running
 from mulberrycleat.prepaid import Allowance, AllowanceSettings
 from mulberrycleat.router.chain import FilterChain
 from mulberrycleat.routes import ClientLimits, RouteTable
@@ -52,6 +53,8 @@
 
 # Interval between checks of idle connections and of the number of hosts, in seconds.
 HOUSEKEEPING_INTERVAL_S = 1.0
+# Interval between checks whether the state that a loop starts from has been read, in seconds.
+START_CHECK_INTERVAL_S = 0.02
 # A host without slices after this time, in seconds, becomes ready and serves requests that need no
 # tokens.
 SLICES_TIMEOUT_S = 3.0
@@ -199,12 +202,16 @@
         self._slices.record_start()
         self._decisions.warning("started", host=self._settings.host, zone=self._settings.zone)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._maps.run)
-            nursery.start_soon(self._directory.run)
-            nursery.start_soon(self._run_slices)
-            nursery.start_soon(self._slices.run_usage_reports)
-            nursery.start_soon(self._run_housekeeping)
-            nursery.start_soon(self._metrics.watch_loop)
+            loops = {
+                "route map": self._maps.run,
+                "directory": self._directory.run,
+                "slices": self._run_slices,
+                "usage reports": self._slices.run_usage_reports,
+                "housekeeping": self._run_housekeeping,
+                "metrics": self._metrics.watch_loop,
+            }
+            for step, loop in loops.items():
+                nursery.start_soon(keep_running, loop, step, self._decisions)
             nursery.start_soon(self._serve, self._readiness_app(), self._settings.readiness)
             if self._settings.peers_listen:
                 nursery.start_soon(self._serve, self.peers_app, self._settings.peers_listen)
@@ -266,15 +273,17 @@
     async def _run_slices(self) -> None:
         """Run the slices' loop once the route map and the directory have been read."""
         while self._maps.table is None or not self._directory.read:
-            await trio.sleep(0.02)
+            await trio.sleep(START_CHECK_INTERVAL_S)
         await self._slices.run()
 
     async def _run_housekeeping(self) -> None:
         """Close unusable idle connections, and update the number of hosts, until cancelled."""
+        while not self._slices.ready:
+            await trio.sleep(START_CHECK_INTERVAL_S)
         while True:
-            await trio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._connections.close_unusable(self._registry.addresses())
             self._retry_budget.set_hosts(self._slices.hosts())
+            await trio.sleep(HOUSEKEEPING_INTERVAL_S)
 
     def _count_heartbeats(self) -> HeartbeatCount:
         """Return the heartbeats accepted by the store, extrapolated since the latest read.
--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -77,17 +77,18 @@
     def _apply(self, update: MapUpdate) -> None:
         """Make a newer route map the active one."""
         self._read_at = trio.current_time()
-        if update.next is not None:
-            self._offset = update.next
         for fault in update.faults:
             self._decisions.warning("route map unreadable", why=fault, kept=self._version)
-        if update.route_map is None or update.route_map.version <= self._version:
-            return
-        self._table = RouteTable(update.route_map)
-        self._decisions.warning(
-            "route map taken", version=self._table.version, routes=len(update.route_map.routes)
-        )
-        self._on_change(self._table)
+        if update.route_map is not None and update.route_map.version > self._version:
+            table = RouteTable(update.route_map)
+            self._on_change(table)
+            self._table = table
+            self._decisions.warning(
+                "route map taken", version=table.version, routes=len(update.route_map.routes)
+            )
+        # After an unexpected error above, the update is read once more.
+        if update.next is not None:
+            self._offset = update.next
 
     @property
     def _version(self) -> int:
@@ -169,9 +170,6 @@
         now = self._read_at = trio.current_time()
         if self._failing or update.lost:
             self._directory.store_reconnected(now)
-        self._failing, self._read = False, True
-        if update.next is not None:
-            self._offset = update.next
         for fault in update.faults:
             self._decisions.warning("entry unreadable", why=fault)
         before = {i: e.state for i, e in self._directory.entries.items()}
@@ -185,6 +183,10 @@
                 else:
                     self._directory.put(entry, now)
         self._directory.settle(now)
+        self._failing, self._read = False, True
+        # After an unexpected error above, the update is read once more.
+        if update.next is not None:
+            self._offset = update.next
         self._report_changes(before)
 
     def _report_changes(self, before: dict) -> None:
--- a/mulberrycleat/entry/retries.py
+++ b/mulberrycleat/entry/retries.py
@@ -18,7 +18,7 @@
 
     The fleet keeps to the allowed ratio of retries to requests if each host does so for its own
     requests. The slack is a number for all hosts together, so each host uses an equal part of the
-    slack.
+    slack. Until the number of hosts is known, a host uses none of it.
 
     Parameters
     ----------
@@ -39,7 +39,7 @@
 
     def __init__(self, bounds: FleetRequirements) -> None:
         self._bounds = bounds
-        self._hosts = 1
+        self._hosts: int | None = None
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
 
@@ -61,7 +61,8 @@
         requests = self._count_recent(self._requests, pool, now)
         retries = self._count_recent(self._retries, pool, now)
         bounds = self._bounds
-        allowed = bounds.retry_share * requests + bounds.retry_slack / self._hosts
+        slack = bounds.retry_slack / self._hosts if self._hosts else 0.0
+        allowed = bounds.retry_share * requests + slack
         return allowed * USED_SHARE - retries
 
     def try_take(self, pool: str, now: float) -> bool:
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -396,12 +396,18 @@
                 for fault in update.faults:
                     self._decisions.warning("record unreadable", why=fault)
                 if update.next is not None:
-                    self._offset = update.next
                     self._allowance.ledger.apply_records(
                         update.records, update.next, update.is_snapshot
                     )
                     await self._final_records.fetch()
+                    was_superseded = self._allowance.superseded
                     self._allowance.apply_ledger(self._clock_reading())
+                    if self._allowance.superseded and not was_superseded:
+                        self._decisions.warning(
+                            "superseded", peer="store", why="a later incarnation has a record"
+                        )
+                    # After an unexpected error above, the records are read once more.
+                    self._offset = update.next
                 self._read_at = trio.current_time()
                 self._set_store_connected(True, "")
                 self._update_hosts()
--- a/mulberrycleat/entry/tests/test_retries.py
+++ b/mulberrycleat/entry/tests/test_retries.py
@@ -33,6 +33,7 @@
 
 def test_each_pool_has_its_own_budget():
     budget = FleetRetryBudget(BOUNDS)
+    budget.set_hosts(1)
     while budget.try_take("huts", 0.0):
         pass
     assert budget.try_take("engines", 0.0)
@@ -40,6 +41,7 @@
 
 def test_retries_are_allowed_again_after_the_window():
     budget = FleetRetryBudget(BOUNDS)
+    budget.set_hosts(1)
     while budget.try_take("huts", 0.0):
         pass
     assert not budget.try_take("huts", 9.9)
@@ -50,3 +52,13 @@
     budget = FleetRetryBudget(BOUNDS)
     budget.set_hosts(60)
     assert not budget.try_take("huts", 0.0)
+
+
+def test_a_host_that_does_not_know_the_number_of_hosts_uses_no_slack():
+    budget = FleetRetryBudget(BOUNDS)
+    assert not budget.try_take("huts", 0.0)
+    for _ in range(20):
+        budget.record_request("huts", 0.0)
+    assert [budget.try_take("huts", 0.0) for _ in range(4)] == [True, True, True, False]
+    budget.set_hosts(1)
+    assert budget.left("huts", 0.0) > 40
--- a/mulberrycleat/entry/transfers.py
+++ b/mulberrycleat/entry/transfers.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 import trio
@@ -36,9 +36,9 @@
 USAGE_PATH = "/tokens/use"
 # Interval between usage reports, in seconds.
 USAGE_REPORT_INTERVAL_S = 0.3
-# A usage report without an answer is sent again for up to this time, in seconds, about the longest
-# time that a host may be partitioned. If the report is dropped after that, the donor goes on
-# counting the tokens in the report as donated.
+# A usage report that the donor has not accepted is sent again for up to this time, in seconds: about
+# the longest time that a host may be partitioned. If the report is dropped after that, the donor
+# goes on counting the tokens in the report as donated.
 USAGE_REPORT_RETRY_S = 20.0
 # Status of the answer to a usage report for an earlier incarnation of the donor. Its donations have
 # been counted as spent.
@@ -61,9 +61,9 @@
     """
 
     account: str
-    tokens: int
+    tokens: Annotated[int, msgspec.Meta(ge=1)]
     taker: str
-    number: int
+    number: Annotated[int, msgspec.Meta(ge=1)]
 
 
 class TransferReply(msgspec.Struct):
@@ -80,9 +80,9 @@
         None if it will not, or if tokens were donated.
     """
 
-    tokens: int
+    tokens: Annotated[int, msgspec.Meta(ge=0)]
     incarnation: str
-    wait_s: float | None = None
+    wait_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
 class _UsageReport(msgspec.Struct):
@@ -91,7 +91,8 @@
     Attributes
     ----------
     incarnation : str
-        The incarnation of the donor.
+        The incarnation of the donor; empty if none of its replies has arrived, so that the report
+        states lost replies only.
     taker, number : str, int
         The incarnation of the recipient, and the number of its report to this donor, from 1.
     closed_to : int
@@ -132,8 +133,6 @@
         Usage and numbers of unanswered requests for the next report.
     reported_lost : list of int
         Numbers of unanswered requests in the latest report.
-    number : int
-        Number of the latest report.
     message : bytes
         The latest report, encoded, until it is answered; empty after that.
     composed_at : float
@@ -143,7 +142,6 @@
     uses: list[TransferUsage] = field(default_factory=list)
     lost: list[int] = field(default_factory=list)
     reported_lost: list[int] = field(default_factory=list)
-    number: int = 0
     message: bytes = b""
     composed_at: float = 0.0
 
@@ -170,6 +168,7 @@
         self._pending: set[int] = set()
         self._unanswered: dict[str, list[int]] = {}
         self._outboxes: dict[Donor, _Outbox] = {}
+        self._report_numbers: dict[Donor, int] = {}
 
     async def reserve(
         self, account: str, tokens: int, deadline: float, peers: Sequence[str]
@@ -225,6 +224,9 @@
         """Report spent tokens to their donors, and return unspent tokens."""
         for giver, uses in self._allowance.collect_usage().items():
             self._outboxes.setdefault(giver, _Outbox()).uses.extend(uses)
+        known = {giver.address for giver in self._outboxes}
+        for address in self._unanswered.keys() - known:
+            self._outboxes[Donor(address, "")] = _Outbox()
         async with trio.open_nursery() as nursery:
             for giver, outbox in list(self._outboxes.items()):
                 lost = outbox.lost or self._unanswered.get(giver.address)
@@ -240,23 +242,28 @@
         lacking = max(1, tokens - self._allowance.unused_received(account, peer))
         wanted = TransferRequest(account, lacking, self._allowance.incarnation, number)
         self._pending.add(number)
-        answer = None
+        answered = False
         try:
             answer = await self._peers.call(
                 "POST", peer, TRANSFER_PATH, msgspec.msgpack.encode(wanted), bound_s
             )
+            if answer is None:
+                self._back_off(peer)
+                return None
+            self._backoffs.pop(peer, None)
+            if answer.status != 200:
+                answered = True
+                self._decisions.info("no tokens", account=account, peer=peer, why=answer.status)
+                return None
+            reply = msgspec.msgpack.decode(answer.body, type=TransferReply)
+            answered = True
+        except msgspec.DecodeError as error:
+            self._decisions.warning("tokens unreadable", account=account, peer=peer, why=str(error))
+            return None
         finally:
             self._pending.discard(number)
-            if answer is None:
+            if not answered:
                 self._unanswered.setdefault(peer, []).append(number)
-        if answer is None:
-            self._back_off(peer)
-            return None
-        self._backoffs.pop(peer, None)
-        if answer.status != 200:
-            self._decisions.info("no tokens", account=account, peer=peer, why=answer.status)
-            return None
-        reply = msgspec.msgpack.decode(answer.body, type=TransferReply)
         self._decisions.info("tokens received", account=account, peer=peer, tokens=reply.tokens)
         return reply
 
@@ -264,15 +271,16 @@
         if not outbox.message:
             self._compose_report(giver, outbox)
         answer = await self._peers.call("POST", giver.address, USAGE_PATH, outbox.message)
-        if answer is None:
-            if trio.current_time() - outbox.composed_at > USAGE_REPORT_RETRY_S:
-                self._drop_outbox(giver, outbox, "no answer")
-            return
-        outbox.message = b""
-        if answer.status == DONOR_ENDED_STATUS:
+        if answer is not None and answer.status == DONOR_ENDED_STATUS:
             self._drop_outbox(giver, outbox, "the donor's incarnation has ended")
-        elif answer.status >= 400:
-            self._decisions.warning("uses not told", peer=giver.address, why=answer.status)
+            self._report_numbers.pop(giver, None)
+        elif answer is not None and answer.status < 400:
+            outbox.message = b""
+            if not giver.incarnation and not outbox.lost:
+                del self._outboxes[giver]
+        elif trio.current_time() - outbox.composed_at > USAGE_REPORT_RETRY_S:
+            why = "no answer" if answer is None else f"status {answer.status}"
+            self._drop_outbox(giver, outbox, why)
 
     def _compose_report(self, giver: Donor, outbox: _Outbox) -> None:
         """Compose and encode the next report to a donor.
@@ -283,12 +291,13 @@
         closed_to = min(self._pending, default=self._last_request_number + 1) - 1
         outbox.reported_lost = [number for number in outbox.lost if number <= closed_to]
         outbox.lost = [number for number in outbox.lost if number > closed_to]
-        outbox.number += 1
+        number = self._report_numbers.get(giver, 0) + 1
+        self._report_numbers[giver] = number
         outbox.composed_at = trio.current_time()
         report = _UsageReport(
             giver.incarnation,
             self._allowance.incarnation,
-            outbox.number,
+            number,
             closed_to,
             outbox.reported_lost,
             outbox.uses,
@@ -299,10 +308,13 @@
     def _drop_outbox(self, giver: Donor, outbox: _Outbox, why: str) -> None:
         """Send no more reports to an incarnation of a donor.
 
-        The unanswered requests are kept for its next incarnation, which may have received them.
+        The unanswered requests are kept for its next incarnation, which may have received them. If
+        no incarnation has been heard from in all that time, they are dropped too.
         """
         del self._outboxes[giver]
-        self._unanswered.setdefault(giver.address, []).extend([*outbox.reported_lost, *outbox.lost])
+        if giver.incarnation:
+            lost = [*outbox.reported_lost, *outbox.lost]
+            self._unanswered.setdefault(giver.address, []).extend(lost)
         self._decisions.info("uses not told", peer=giver.address, why=why)
 
     def _back_off(self, peer: str) -> None:
@@ -354,13 +366,15 @@
             report = msgspec.msgpack.decode(request.body, type=_UsageReport)
         except msgspec.DecodeError as error:
             return Reply(400, str(error).encode())
-        if report.incarnation != self._allowance.incarnation:
+        incarnation = self._allowance.incarnation
+        if report.incarnation not in ("", incarnation):
             return Reply(DONOR_ENDED_STATUS)
-        if self._outstanding.accept_report(report.taker, report.number):
+        # A report of lost replies only has the same effect if it arrives twice.
+        if not report.incarnation or self._outstanding.accept_report(report.taker, report.number):
             for usage in report.uses:
-                self._allowance.apply_usage(usage, report.incarnation)
+                self._allowance.apply_usage(usage, incarnation)
             for account, tokens in self._outstanding.close_requests(
                 report.taker, report.closed_to, report.lost
             ):
-                self._allowance.apply_usage(TransferUsage(account, 0, tokens), report.incarnation)
+                self._allowance.apply_usage(TransferUsage(account, 0, tokens), incarnation)
         return Reply(204)
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -17,7 +17,7 @@
 from mulberrycleat.routes import RouteMap
 from mulberrycleat.web.client import BaseHttpClient, HttpAnswer
 
-__all__ = ["PlatformStore"]
+__all__ = ["PlatformStore", "decode_records"]
 
 # Topic of the operators' records, and the key of the configuration in it.
 ROUTE_MAP_TOPIC, ROUTE_MAP_KEY = "keyed.op", "config"
@@ -230,7 +230,7 @@
     def _decode_read(self, data: bytes, offset: int, path: str) -> Result[_Changes, PeerError]:
         try:
             # The first 16 bytes are two offsets: the end of the topic, and its first record.
-            records = tuple(_decode_records(data[16:]))
+            records = tuple(decode_records(data[16:]))
         except (struct.error, IndexError, UnicodeDecodeError) as error:
             return Err(PeerError(Step.READ, self._url, f"{path}: {error}"))
         return Ok(_Changes(offset + len(records), False, records))
@@ -250,7 +250,7 @@
         return PeerError(step, self._url, f"{path}: status {answer.status}", sent=sent)
 
 
-def _decode_records(data: bytes) -> Iterable[_Record]:
+def decode_records(data: bytes) -> Iterable[_Record]:
     """Decode the records of a keyed topic: record length, key length, key, value."""
     position = 0
     while position < len(data):
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -113,6 +113,7 @@
         self._draft_times: dict[int, float] = {}
         self._inherited: tuple[Inherited, ...] = ()
         self._closed = False
+        self._superseded = False
         self._final_record: HolderRecord | None = None
 
     @property
@@ -145,11 +146,21 @@
         """Whether a record of this incarnation is in the store."""
         return self._joined
 
+    @property
+    def superseded(self) -> bool:
+        """Whether the store has a record of a later incarnation of this host.
+
+        No tokens are granted from then on, because the later incarnation has counted what this one
+        may have spent.
+        """
+        return self._superseded
+
     @property
     def ended(self) -> bool:
-        """Whether the final record of this incarnation is in the store."""
+        """Whether this incarnation's final record, or a later incarnation's, is in the store."""
         record = self._ledger.records.get(self._host)
-        return self._joined and record is not None and record.ended
+        ended = self._joined and record is not None and record.ended
+        return ended or self._superseded
 
     def set_totals(self, totals: Mapping[str, int], map_version: int) -> None:
         """Replace the prepaid totals with those of a version of the route map."""
@@ -175,7 +186,9 @@
         if record is None:
             return
         if record.incarnation != self._incarnation:
-            if not self._joined:
+            if self._joined:
+                self._superseded = self._closed = True
+            else:
                 self._count_past_incarnation(self._newest_record(record), silence_s(record, now))
             return
         self._joined = True
@@ -303,7 +316,10 @@
         return {
             "total": self._totals.get(name, -1),
             "free": self._free(name, account, now),
-            "ceiling_free": account.share.ceiling - account.spent - account.reserved,
+            "ceiling_free": account.share.ceiling
+            - account.spent
+            - account.reserved
+            - account.donated,
             "reserved": account.reserved,
             "given": account.donated,
             "committed": ledger.committed(name),
@@ -338,7 +354,12 @@
         if self._closed or total is None or self._overcommitted(name, total):
             return math.inf
         needed = account.spent + account.reserved + account.donated + tokens
-        return account.share.age_at(needed) - (now - self._record_drafted_at)
+        wait_s = account.share.age_at(needed) - (now - self._record_drafted_at)
+        for draft in self._drafts:
+            share = draft.record.shares.get(name)
+            if share is not None:
+                wait_s = max(wait_s, share.age_at(needed) - (now - draft.drafted_at))
+        return wait_s
 
     def draft_record(
         self, now: float, reading: ClockReading, ended: bool = False, due: bool = False
@@ -350,7 +371,7 @@
         the drafted limits counts.
 
         Also returns None while the ledger shows that other hosts computed their limits from a newer
-        route map: the totals known here may be too large.
+        route map: the totals known here may be too large; and once this incarnation is superseded.
 
         Parameters
         ----------
@@ -363,6 +384,8 @@
         due : bool
             The last record is old, so that a new one is needed even if little has changed.
         """
+        if self._superseded:
+            return None
         if self._drafts:
             return self._drafts[-1].record
         if self._ledger.map_version > self._map_version and not ended:
--- a/mulberrycleat/prepaid/grants.py
+++ b/mulberrycleat/prepaid/grants.py
@@ -4,7 +4,9 @@
 
 import math
 from enum import Enum
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
 
 __all__ = ["Donor", "Grant", "Inherited", "ReservationStatus", "TransferUsage"]
 
@@ -69,5 +71,5 @@
     """Tokens of an account received from one donor: how many were used, and how many not."""
 
     account: str
-    used: int
-    unused: int
+    used: Annotated[int, Meta(ge=0)]
+    unused: Annotated[int, Meta(ge=0)]
--- a/mulberrycleat/prepaid/ledger.py
+++ b/mulberrycleat/prepaid/ledger.py
@@ -70,6 +70,13 @@
     ceiling: int = 0
     demand: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Raise ValueError for a number that no host writes, as in a damaged record."""
+        rates = (self.growth, self.growth_after_s, self.demand)
+        tokens = (self.past_limit, self.past_spent, self.spent, self.limit, self.ceiling)
+        if min(*rates, *tokens) < 0 or not all(map(math.isfinite, rates)):
+            raise ValueError("a negative number of tokens, or a rate that is not finite")
+
     def limit_after(self, age_s: float) -> int:
         """Return the limit when the record is `age_s` seconds old.
 
@@ -130,6 +137,11 @@
     beats: int = 0
     endpoints: int = 0
 
+    def __post_init__(self) -> None:
+        """Raise ValueError for a clock reading that is not finite, as in a damaged record."""
+        if not math.isfinite(self.wall_s):
+            raise ValueError("a clock reading that is not finite")
+
 
 class SliceLedger:
     """Newest record of each host as of one offset of the store's log.
--- a/mulberrycleat/prepaid/tests/test_allowance.py
+++ b/mulberrycleat/prepaid/tests/test_allowance.py
@@ -246,6 +246,48 @@
     assert giver.free_tokens("huts", 0.0) == free
 
 
+def test_an_incarnation_stops_granting_once_a_later_one_has_a_record(log):
+    """Both are alive: the earlier one was frozen, or partitioned, when the later one started."""
+    earlier = new_host(log)
+    earlier.add_pending_demand("huts", 3000)
+    write(earlier, log)
+    assert earlier.free_tokens("huts", 0.0) >= 3000
+    later = new_host(log, incarnation="2", at=5.0)
+    write(later, log, 5.0)
+    assert not write(earlier, log, 5.1, due=True)
+    read(earlier, log, 5.1)
+    assert earlier.superseded
+    assert earlier.ended
+    assert earlier.free_tokens("huts", 5.1) == 0
+    assert earlier.reserve("huts", 10, 5.1).status is not ReservationStatus.GRANTED
+    assert earlier.donate("huts", 10, 5.1) == 0
+    assert earlier.draft_record(5.2, ClockReading(wall_s=5.2), ended=True) is None
+    assert log.records[-1].incarnation == "2"
+
+
+def test_the_wait_for_a_slice_takes_unconfirmed_records_into_account(log):
+    """An unconfirmed record with a smaller limit applies until it is confirmed or dropped."""
+    host = new_host(log)
+    for number in range(30):
+        reserve(host, log, 60, number * 0.1)
+        host.settle("huts", Grant(ReservationStatus.GRANTED, 60), 60)
+    write(host, log, 3.0, due=True)
+    needed = host.free_tokens("huts", 3.0) + 1000
+    host.lost(host.draft_record(4.5, ClockReading(wall_s=4.5), due=True))
+    wait_s = host.wait_s("huts", needed, 4.5)
+    assert host.free_tokens("huts", 4.5 + wait_s - 0.01) < needed
+    assert host.free_tokens("huts", 4.5 + wait_s + 0.01) >= needed
+
+
+def test_donated_tokens_are_not_free_below_the_ceiling(log):
+    host = new_host(log)
+    host.add_pending_demand("huts", 3000)
+    write(host, log)
+    before = host.describe("huts", 0.0)["ceiling_free"]
+    host.donate("huts", 2000, 0.0)
+    assert host.describe("huts", 0.0)["ceiling_free"] == before - 2000
+
+
 def test_deaths_delayed_appends_and_lost_answers_never_overspend_the_total():
     totals = []
     for seed in range(60):
