Apply changed settings at run time, and mend faults of the command line found by reading

Change: one each; the unused share, flag and header time limit are removed (hypercorn bounds a head by the idle time), descriptors bound the idle connections to endpoints.

--- a/mulberrycleat/burn/main.py
+++ b/mulberrycleat/burn/main.py
@@ -30,7 +30,7 @@
 from mulberrycleat.settings import OperatorSettings, read_fleet_key
 from mulberrycleat.web import HttpClient
 
-__all__ = ["main"]
+__all__ = ["exit_code", "main"]
 
 EXIT_ALERT = 1
 
@@ -87,7 +87,8 @@
     Routers retain their intervals for an hour by default, and lose them when they restart. Run
     `collect` every few minutes to store them in a file, and pass the file to `report`.
 
-    Exit codes: 0 success; 1 an alert fires; 2 bad input; 3 a router or the platform is unreachable.
+    Exit codes: 0 success; 1 an alert fires; 2 bad input; 3 a router or the platform is unreachable
+    and no alert fires.
     """
     context.obj = settings_file
 
@@ -102,7 +103,9 @@
     # Exits with status 2 if the existing file is invalid.
     _read_files((file,) if file.exists() else ())
     click.echo(f"{file}: {add_to_file(file, found.intervals)} intervals")
-    _exit_on_errors(found)
+    _echo_errors(found)
+    if found.errors:
+        sys.exit(EXIT_UNAVAILABLE)
 
 
 @main.command("report")
@@ -131,8 +134,8 @@
     found, manifest, spent = trio_asyncio.run(read)
     report = make_report(latest_intervals([*kept, *found.intervals]), manifest, spent, time.time())
     _write(_render(report, output_format), output)
-    _exit_on_errors(found)
-    sys.exit(EXIT_ALERT if any(burn.alerts for burn in report.burns) else 0)
+    _echo_errors(found)
+    sys.exit(exit_code(report, bool(found.errors)))
 
 
 @main.command("played")
@@ -160,7 +163,14 @@
     except ValueError as error:
         _exit_with(EXIT_BAD_INPUT, str(error))
     _write(_render(report, output_format), output)
-    sys.exit(EXIT_ALERT if any(burn.alerts for burn in report.burns) else 0)
+    sys.exit(exit_code(report, incomplete=False))
+
+
+def exit_code(report: Report, incomplete: bool) -> int:
+    """Return the exit code of a report; an alert goes before unreachable routers."""
+    if any(burn.alerts for burn in report.burns):
+        return EXIT_ALERT
+    return EXIT_UNAVAILABLE if incomplete else 0
 
 
 def _write(text: str, output: Path | None) -> None:
@@ -193,11 +203,9 @@
     return intervals
 
 
-def _exit_on_errors(found: Collected) -> None:
+def _echo_errors(found: Collected) -> None:
     for error in found.errors:
         click.echo(str(error), err=True)
-    if found.errors:
-        sys.exit(EXIT_UNAVAILABLE)
 
 
 def _exit_with(code: int, reason: str) -> None:
--- a/mulberrycleat/burn/played.py
+++ b/mulberrycleat/burn/played.py
@@ -28,7 +28,8 @@
     """Return the intervals of each host, built from the log lines that report a request's end.
 
     The route in a line is used as the pool of its series. An answer without a first-token time was
-    sent in one piece; its total time is recorded as its first-token time.
+    sent in one piece; its total time is recorded as its first-token time. A line that states no
+    time, as one cut short, counts for the outcome only.
     """
     found: dict[tuple[str, str, int], dict[tuple[str, str], LiveSeries]] = {}
     for line in lines:
@@ -41,10 +42,11 @@
         series = interval.setdefault((account, route), LiveSeries(account, route))
         series.count_outcome(_outcome(line))
         if line.message == "served":
-            total_s = float(line.fields["took_s"])
-            first_s = line.fields.get("first_s")
-            series.record("first_token", total_s if first_s is None else float(first_s))
-            series.record("whole_answer", total_s)
+            total_s = _seconds(line, "took_s")
+            first_s = _seconds(line, "first_s")
+            if total_s is not None:
+                series.record("first_token", total_s if first_s is None else first_s)
+                series.record("whole_answer", total_s)
     return [
         Interval(
             host,
@@ -111,6 +113,12 @@
     return Report(start, end, totals, assess(intervals, parsed, end), [])
 
 
+def _seconds(line: LogRecord, field: str) -> float | None:
+    """Return a time of a log line in seconds, or None if the line has none."""
+    value = line.fields.get(field)
+    return float(value) if isinstance(value, int | float) else None
+
+
 def _outcome(line: LogRecord) -> Result[Served, Refusal]:
     if line.message == "served":
         return Ok(Served(0, str(line.fields.get("endpoint", ""))))
--- a/mulberrycleat/burn/tests/test_played.py
+++ b/mulberrycleat/burn/tests/test_played.py
@@ -8,7 +8,7 @@
 
 from click.testing import CliRunner
 
-from mulberrycleat.burn.main import main
+from mulberrycleat.burn.main import exit_code, main
 from mulberrycleat.burn.merge import Group
 from mulberrycleat.burn.played import parse_objectives, report_from_log
 from mulberrycleat.explain import read_lines
@@ -90,3 +90,19 @@
         assert "<svg" in svg_file.read_text(encoding="utf-8")
     assert invalid.exit_code == 2
     assert "'fast'" in invalid.output
+
+
+def test_a_served_line_without_a_time_counts_for_the_outcome_only():
+    short = line(1, "served", route="ask", account="huts")
+    report = report_from_log(read_lines([short, served(2, 0.1, 0.2)]), ["first_token:0.6:0.9"])
+    assert report.totals[Group("huts", "ask", "a")].served == 2
+    assert {burn.all for burn in report.burns} == {1}
+
+
+def test_an_alert_goes_before_unreachable_routers_in_the_exit_code(log):
+    late = [served(number, 0.9, 2.0) for number in range(59)]
+    alerting = report_from_log(read_lines(late), ["first_token:0.6:0.9"])
+    quiet = report_from_log(read_lines([served(1, 0.1, 0.2)]), ["first_token:0.6:0.9"])
+    assert any(burn.alerts for burn in alerting.burns)
+    assert [exit_code(alerting, incomplete) for incomplete in (False, True)] == [1, 1]
+    assert [exit_code(quiet, incomplete) for incomplete in (False, True)] == [0, 3]
--- a/mulberrycleat/cli/confirm.py
+++ b/mulberrycleat/cli/confirm.py
@@ -39,8 +39,8 @@
     after_s : float
         Time of the controller's latest answer, in seconds after the start of the wait.
     gone : bool
-        Whether another host of the zone reports the host as dead, or at an address without a host
-        name, and the controller has not answered.
+        Whether another host of the zone reports the host as dead, and the controller has not
+        answered. A host that no other host has heard from is not gone.
     why : str
         Why the host has not confirmed: the last error, or what its last answer reported.
     """
@@ -117,7 +117,11 @@
         for member in reply.members:
             if member.contact != DEAD and member.host:
                 self._add_host(nursery, member.address, member.host, reply.zone)
-            elif member.address in self._hosts and not self._hosts[member.address].version:
+            elif (
+                member.contact == DEAD
+                and member.address in self._hosts
+                and not self._hosts[member.address].version
+            ):
                 dead_host = self._hosts[member.address]
                 self._hosts[member.address] = replace(dead_host, zone=reply.zone, gone=True)
         if reply.in_force:
--- a/mulberrycleat/cli/publishing.py
+++ b/mulberrycleat/cli/publishing.py
@@ -15,10 +15,10 @@
 from mulberrycleat.cli.changes import Published, current_state, describe, publish_difference
 from mulberrycleat.cli.confirm import Confirmation, confirm_everywhere, unconfirmed_zones
 from mulberrycleat.cli.session import (
-    EXIT_BAD_INPUT,
     EXIT_NOT_CONFIRMED,
     EXIT_REFUSED,
     EXIT_UNAVAILABLE,
+    BadInputError,
     Session,
     fail,
     json_option,
@@ -118,7 +118,7 @@
         if isinstance(earlier, Err):
             return earlier
         if target < 1 or earlier.ok_value is None:
-            fail(EXIT_BAD_INPUT, f"version {target} is not in the log")
+            raise BadInputError(f"version {target} is not in the log")
         sections = earlier.ok_value.sections
         return Ok(lambda state: difference(state.sections, sections))
 
@@ -149,7 +149,7 @@
 
     def make_difference(state: ManifestState) -> Difference:
         if endpoint not in state.sections["endpoints"]:
-            fail(EXIT_BAD_INPUT, f"no endpoint named {endpoint!r}")
+            raise BadInputError(f"no endpoint named {endpoint!r}")
         if undo:
             return Difference({}, {"plans": [endpoint]})
         return Difference({"plans": [{"endpoint": endpoint, "action": "drain"}]}, {})
--- a/mulberrycleat/cli/session.py
+++ b/mulberrycleat/cli/session.py
@@ -21,6 +21,7 @@
     "EXIT_NOT_CONFIRMED",
     "EXIT_REFUSED",
     "EXIT_UNAVAILABLE",
+    "BadInputError",
     "Session",
     "fail",
     "json_option",
@@ -58,6 +59,10 @@
 )
 
 
+class BadInputError(Exception):
+    """The command's arguments don't fit the state of the log; it ends with ``EXIT_BAD_INPUT``."""
+
+
 class Session:
     """One run of a command, with the operator's settings, the fleet key and the log.
 
@@ -82,7 +87,10 @@
         return self._fleet_key
 
     def run(self, operation: Callable[[HttpEventLog], Awaitable[Any]]) -> Any:
-        """Run `operation` with the log in a new trio-asyncio loop and return its result."""
+        """Run `operation` with the log in a new trio-asyncio loop and return its result.
+
+        A :class:`BadInputError` ends the process with ``EXIT_BAD_INPUT``.
+        """
 
         async def start() -> Any:
             client = HttpClient()
@@ -91,7 +99,23 @@
             finally:
                 await client.aclose()
 
-        return trio_asyncio.run(start)
+        try:
+            return trio_asyncio.run(start)
+        except BaseExceptionGroup as group:
+            error = _only_bad_input(group)
+            if error is None:
+                raise
+            fail(EXIT_BAD_INPUT, str(error))
+        except BadInputError as error:
+            fail(EXIT_BAD_INPUT, str(error))
+
+
+def _only_bad_input(group: BaseExceptionGroup) -> BadInputError | None:
+    """Return the error if a group consists of one :class:`BadInputError`, however nested."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup) and len(error.exceptions) == 1:
+        error = error.exceptions[0]
+    return error if isinstance(error, BadInputError) else None
 
 
 def read_text(file: Path) -> str:
--- a/mulberrycleat/cli/tests/test_confirm.py
+++ b/mulberrycleat/cli/tests/test_confirm.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from types import SimpleNamespace
 
 import trio
+from result import Err, Ok
 
 from mulberrycleat.cli.confirm import Confirmation, confirm_everywhere, unconfirmed_zones
+from mulberrycleat.controller.messages import ConfirmReply, HostVersion
+from mulberrycleat.core import PeerError, Step
 from mulberrycleat.settings import OperatorSettings, convert_all
 from mulberrycleat.testing.inprocess import FLEET_KEY, InProcessFleet, in_process_fleet
 from mulberrycleat.testing.layout import FleetPlan
@@ -69,3 +73,33 @@
         shown.append,
     )
     return hosts, shown
+
+
+class FixedReply:
+    """Client of a controller that always gives the same reply, or never one."""
+
+    def __init__(self, reply: ConfirmReply | None) -> None:
+        self._reply = reply
+
+    async def call(self, method, request, timeout_s):
+        """Return the reply, or an error after a while."""
+        await trio.sleep(0.1)
+        if self._reply is None:
+            return Err(PeerError(Step.CALL, "a2", "no answer"))
+        return Ok(self._reply)
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+async def test_a_host_that_no_other_host_has_heard_from_is_not_gone():
+    for contact, gone in (("unknown", False), ("cut", False), ("dead", True)):
+        member = HostVersion("a2:1", "", 0, contact)
+        reply = ConfirmReply("a1", "zone-a", "1", 5, True, {}, (member,))
+        clients = {"a1:1": FixedReply(reply), "a2:1": FixedReply(None)}
+        settings = SimpleNamespace(controllers=tuple(clients))
+        hosts = await confirm_everywhere(settings, clients.get, 5, 2.0, lambda host: None)
+        found = {host.address: host for host in hosts}
+        assert found["a1:1"].in_force
+        assert found["a2:1"].gone is gone
+        assert unconfirmed_zones(hosts) == ([] if gone else ["unknown"])
--- a/mulberrycleat/controller/budget_orphans.py
+++ b/mulberrycleat/controller/budget_orphans.py
@@ -67,6 +67,19 @@
             for reservation in list(manager.reservations.values()):
                 if self._has_ended(reservation.router):
                     await self._settle(manager, reservation)
+            self._forget_ended({one.router for one in manager.reservations.values()})
+
+    def _forget_ended(self, routers_with_reservations: set[str]) -> None:
+        """Forget ended routers that have no reservations left.
+
+        The router that called last is kept: its call shows that this process is not cut off.
+        """
+        newest = max(self._called_at.values(), default=0.0)
+        self._called_at = {
+            router: at
+            for router, at in self._called_at.items()
+            if at == newest or router in routers_with_reservations or not self._has_ended(router)
+        }
 
     def _has_ended(self, router: str) -> bool:
         heard = self._called_at.get(router, 0.0)
--- a/mulberrycleat/endpoint/placer.py
+++ b/mulberrycleat/endpoint/placer.py
@@ -229,7 +229,6 @@
 MIN_SLOWNESS, MAX_SLOWNESS = 0.3, 20.0
 # Successful outcomes added to the samples when the failure rate is computed.
 PRIOR_SAMPLES = 3.0
-MAX_EJECTED_SHARE = 0.5
 # Factor on the slowness of an endpoint that has just started.
 COLD_SLOWNESS = 1.5
 
@@ -400,8 +399,6 @@
         connected = [s for s in states if s.entry.zone not in cut]
         states = connected or states
         good = [s for s in states if now >= s.ejected_until and not self._is_silent(s, now)]
-        if len(good) >= len(states) * (1 - MAX_EJECTED_SHARE):
-            return good
         reachable = [s for s in states if now >= s.ejected_until]
         return good or reachable or states
 
--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -62,6 +63,8 @@
 # a retry after a call to an unreachable store has timed out. The write ends at least the margin, in
 # seconds, before the process would be killed.
 FINAL_RECORD_TIMEOUT_S, FINAL_RECORD_MARGIN_S = 2.0, 0.2
+# Fraction of the descriptors that idle connections to endpoints may use; callers need the others.
+IDLE_DESCRIPTOR_SHARE = 0.25
 # Longest wait for a connection to another host, and for sent data to be acknowledged, in seconds.
 PEER_CONNECTION_TIMEOUT_S = 1.0
 
@@ -129,7 +132,7 @@
         self._shutdown = GracefulShutdown(settings.bounds, settings.times)
         self._registry = EndpointRegistry(settings.zone, random)
         self._retry_budget = FleetRetryBudget(settings.bounds)
-        self._connections = ConnectionPool(connect=ports.connect)
+        self._connections = ConnectionPool(_connection_settings(settings), ports.connect)
         self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
         allowance = Allowance(
             AllowanceSettings(), settings.host, new_id(), settings.peers_listen, settings.zone
@@ -196,6 +199,28 @@
         waited_s = trio.current_time() - self._started_at
         return self._slices.ready or waited_s >= SLICES_TIMEOUT_S
 
+    def apply_settings(self, settings: EntrySettings) -> None:
+        """Apply settings that were read again.
+
+        Name, zone, addresses and intervals stay as they were at the start; a difference in them is
+        logged.
+        """
+        fixed = dataclasses.replace(
+            self._settings,
+            seeds=settings.seeds,
+            beat_s=settings.beat_s,
+            bounds=settings.bounds,
+            max_descriptors=settings.max_descriptors,
+        )
+        changed = _differing_fields(self._settings, settings)
+        need_restart = _differing_fields(fixed, settings)
+        applied = [name for name in changed if name not in need_restart]
+        self._settings = fixed
+        self._shutdown.apply_bounds(fixed.bounds)
+        self._retry_budget.apply_bounds(fixed.bounds)
+        self._connections.apply_settings(_connection_settings(fixed))
+        self._decisions.warning("settings applied", applied=applied, need_restart=need_restart)
+
     async def run(self, stop: trio.Event) -> None:
         """Serve until `stop` is set and the requests in flight have ended."""
         self._started_at = trio.current_time()
@@ -319,3 +344,13 @@
 
     def _count_request(self, call: EntryCall, outcome: Result[Served, Refusal] | None) -> None:
         self._metrics.count(call, outcome)
+
+
+def _connection_settings(settings: EntrySettings) -> ConnectionSettings:
+    max_idle = int(IDLE_DESCRIPTOR_SHARE * settings.max_descriptors)
+    return ConnectionSettings(max_idle_total=max_idle)
+
+
+def _differing_fields(one: EntrySettings, other: EntrySettings) -> list[str]:
+    names = [field.name for field in dataclasses.fields(EntrySettings)]
+    return [name for name in names if getattr(one, name) != getattr(other, name)]
--- a/mulberrycleat/entry/protocol.py
+++ b/mulberrycleat/entry/protocol.py
@@ -80,8 +80,6 @@
         Time after which a retry is suggested, in seconds.
     load : EndpointLoad or None
         Load report, if the answer has one.
-    leaving : bool
-        Whether the endpoint closes the connection after this answer.
     """
 
     request_id: str
@@ -90,7 +88,6 @@
     misdirected: bool = False
     retry_after_s: float | None = None
     load: EndpointLoad | None = None
-    leaving: bool = False
 
 
 class ForwardingFacts(NamedTuple):
--- a/mulberrycleat/entry/retries.py
+++ b/mulberrycleat/entry/retries.py
@@ -48,6 +48,10 @@
         """Names of the pools that have received requests."""
         return tuple(self._requests)
 
+    def apply_bounds(self, bounds: FleetRequirements) -> None:
+        """Use another budget of the fleet from now on."""
+        self._bounds = bounds
+
     def set_hosts(self, hosts: int) -> None:
         """Set the number of hosts that share the slack."""
         self._hosts = max(1, hosts)
--- a/mulberrycleat/entry/settings.py
+++ b/mulberrycleat/entry/settings.py
@@ -96,6 +96,8 @@
         Requirements on the fleet.
     times : EntryTimes
         Intervals and timeouts of the loops.
+    max_descriptors : int
+        Number of file descriptors that the process may use for connections.
     """
 
     host: str
@@ -110,3 +112,4 @@
     metrics: str = ""
     bounds: FleetRequirements = field(default_factory=FleetRequirements)
     times: EntryTimes = field(default_factory=EntryTimes)
+    max_descriptors: int = 4096
--- a/mulberrycleat/entry/shutdown.py
+++ b/mulberrycleat/entry/shutdown.py
@@ -47,6 +47,10 @@
         self._running = 0
         self._last_request_ended_at = float("-inf")
 
+    def apply_bounds(self, bounds: FleetRequirements) -> None:
+        """Use another grace period, if the shutdown has not begun."""
+        self._bounds = bounds
+
     @property
     def stopping(self) -> bool:
         """Whether the stop signal has been received."""
--- a/mulberrycleat/entry/transfers.py
+++ b/mulberrycleat/entry/transfers.py
@@ -36,9 +36,9 @@
 USAGE_PATH = "/tokens/use"
 # Interval between usage reports, in seconds.
 USAGE_REPORT_INTERVAL_S = 0.3
-# A usage report that the donor has not accepted is sent again for up to this time, in seconds: about
-# the longest time that a host may be partitioned. If the report is dropped after that, the donor
-# goes on counting the tokens in the report as donated.
+# A usage report that the donor has not accepted is sent again for up to this time, in seconds.
+# That is about the longest time that a host may be partitioned. After that, the report is dropped
+# and the donor goes on counting its tokens as donated.
 USAGE_REPORT_RETRY_S = 20.0
 # Status of the answer to a usage report for an earlier incarnation of the donor. Its donations have
 # been counted as spent.
--- a/mulberrycleat/membership/members.py
+++ b/mulberrycleat/membership/members.py
@@ -235,8 +235,7 @@
     def rejected(self, address: str, now: float) -> None:
         """Remove the host at `address`, which is in another zone.
 
-        Gossip and the platform's list don't add the host again for at least ``REJECTION_S``
-        seconds.
+        Gossip and the platform's list don't add the host again for ``REJECTION_S`` seconds.
         """
         self._rejected[address] = now + REJECTION_S
         self._members.pop(address, None)
@@ -247,7 +246,8 @@
             at = now - max(0.0, age_s)
             known = self._members.get(address, Member(address))
             if (
-                address in (self._own_address, *self._rejected)
+                address == self._own_address
+                or self._rejected.get(address, NEVER) > now
                 or holder in self._ended
                 or at <= known.heard_at
             ):
--- a/mulberrycleat/membership/tests/test_members.py
+++ b/mulberrycleat/membership/tests/test_members.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from mulberrycleat.membership import GossipEntry, MemberHealth, Members
+from mulberrycleat.membership.members import REJECTION_S
 from mulberrycleat.testing import fixture
 
 OWN = "10.0.0.1:7000"
@@ -64,6 +65,15 @@
     assert "10.0.9.9:7000" not in members.members
 
 
+def test_rejected_host_is_added_again_by_gossip_after_the_rejection_without_a_list(members):
+    address = "10.0.9.9:7000"
+    members.rejected(address, 1.0)
+    members.merge_gossip([GossipEntry(address, "z/1", 0.0, 1)], REJECTION_S)
+    assert address not in members.members
+    members.merge_gossip([GossipEntry(address, "z/1", 0.0, 1)], REJECTION_S + 2.0)
+    assert address in members.members
+
+
 def test_gossip_does_not_restore_the_previous_holder_of_a_reused_address(members):
     members.answered(PEERS[0], "b2/2", 1, 0.01, 5.0)
     members.merge_gossip([GossipEntry(PEERS[0], f"{PEERS[0]}/1", 0.0, 9)], 6.0)
--- a/mulberrycleat/platform/config.py
+++ b/mulberrycleat/platform/config.py
@@ -65,7 +65,6 @@
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15_000
 
 
@@ -136,7 +135,6 @@
             limits=ClientLimits(
                 config.limits.max_header_bytes,
                 config.limits.max_body_bytes,
-                config.limits.header_timeout_ms / 1000,
                 config.limits.idle_timeout_ms / 1000,
             ),
             accounts=tuple(
--- a/mulberrycleat/platform/headers.py
+++ b/mulberrycleat/platform/headers.py
@@ -142,7 +142,6 @@
             misdirected=misdirected,
             retry_after_s=parse_seconds(head.get(RETRY_AFTER) or ""),
             load=_parse_load(head.get(SERVER_LOAD)),
-            leaving=(head.get(b"connection") or "").lower() == "close",
         )
 
     def answer_headers(self, head: AnswerHead) -> RawHeaders:
--- a/mulberrycleat/platform/main.py
+++ b/mulberrycleat/platform/main.py
@@ -18,7 +18,7 @@
 from mulberrycleat.entry.decisions import DecisionLog, LineWriter, configure_decision_logging
 from mulberrycleat.entry.settings import EntrySettings
 from mulberrycleat.platform.headers import PlatformHeaderCodec
-from mulberrycleat.platform.settings import BOOT_VARIABLE, read_boot_settings
+from mulberrycleat.platform.settings import BOOT_VARIABLE, SettingsFile, read_boot_settings
 from mulberrycleat.platform.store import PlatformStore
 from mulberrycleat.web import HttpClient
 
@@ -35,7 +35,12 @@
 @click.option("--metrics-port", default=0, help="Port to serve metrics at; 0 for none.")
 def main(metrics_port: int) -> None:
     """Run an entry host with the settings file that MULBERRYCLEAT_BOOT names."""
-    path = Path(os.environ.get(BOOT_VARIABLE, ""))
+    if not os.environ.get(BOOT_VARIABLE):
+        print(
+            f"{BOOT_VARIABLE} is not set: it holds the path of the settings file", file=sys.stderr
+        )
+        sys.exit(EXIT_BAD_SETTINGS)
+    path = Path(os.environ[BOOT_VARIABLE])
     match read_boot_settings(path):
         case Err(faults):
             for fault in faults:
@@ -58,8 +63,11 @@
         settings = _with_metrics(settings, metrics_port)
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
-        await nursery.start(_watch_signals, stop, decisions, path)
-        await EntryHost(settings, PlatformHeaderCodec(), store, decisions).run(stop)
+        host = EntryHost(settings, PlatformHeaderCodec(), store, decisions)
+        settings_file = SettingsFile(path, settings.metrics, host.apply_settings, decisions)
+        await nursery.start(_watch_signals, stop, settings_file)
+        nursery.start_soon(settings_file.watch)
+        await host.run(stop)
         nursery.cancel_scope.cancel()
 
 
@@ -68,21 +76,14 @@
 
 
 async def _watch_signals(
-    stop: trio.Event, decisions: DecisionLog, path: Path, task_status: trio.TaskStatus
+    stop: trio.Event, settings_file: SettingsFile, task_status: trio.TaskStatus
 ) -> None:
-    """Set `stop` on SIGTERM or SIGINT; on SIGHUP, check the settings file and log the result.
-
-    The running host keeps the settings that it started with.
-    """
+    """Set `stop` on SIGTERM or SIGINT; on SIGHUP, read the settings file again."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         task_status.started()
         async for number in signals:
             if number == signal.SIGHUP:
-                match read_boot_settings(path):
-                    case Ok(_):
-                        decisions.warning("settings read again", path=str(path))
-                    case Err(faults):
-                        decisions.warning("settings unreadable", why="; ".join(map(str, faults)))
+                settings_file.read_again()
             else:
                 stop.set()
 
--- a/mulberrycleat/platform/settings.py
+++ b/mulberrycleat/platform/settings.py
@@ -3,19 +3,29 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
+import trio
 from result import Err, Ok, Result
 
+from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.settings import EntrySettings, FleetRequirements
 from mulberrycleat.settings.check import Fault, line_of
 from mulberrycleat.settings.load import syntax_fault
 
-__all__ = ["BOOT_VARIABLE", "load_boot_settings", "read_boot_settings"]
+__all__ = ["BOOT_VARIABLE", "SettingsFile", "load_boot_settings", "read_boot_settings"]
 
 # Environment variable with the path of the settings file.
 BOOT_VARIABLE = "MULBERRYCLEAT_BOOT"
+# Descriptors that the platform reserves for files.
+RESERVED_DESCRIPTORS = 200
+# Interval between checks whether the settings file has changed, in seconds. The file may change
+# without a signal.
+FILE_CHECK_INTERVAL_S = 1.0
 
 
 class _Listen(msgspec.Struct):
@@ -46,9 +56,12 @@
 
 
 class _Limits(msgspec.Struct):
-    """Limits of the host; they are decoded but not used."""
+    """Limits of the host.
 
-    max_fds: int = 1024
+    `max_fds` is the number of file descriptors, of which `RESERVED_DESCRIPTORS` are for files only.
+    """
+
+    max_fds: Annotated[int, msgspec.Meta(gt=RESERVED_DESCRIPTORS)] = 4096
 
 
 class _BootSettings(msgspec.Struct):
@@ -105,6 +118,7 @@
             store=boot.platform.address,
             seeds=tuple(boot.seeds),
             beat_s=boot.heartbeat_ms / 1000,
+            max_descriptors=boot.limits.max_fds - RESERVED_DESCRIPTORS,
             bounds=FleetRequirements(
                 grace_s=bounds.grace_s,
                 drain_s=bounds.drain_ms / 1000,
@@ -116,3 +130,58 @@
             ),
         )
     )
+
+
+class SettingsFile:
+    """The settings file of a running host, which is applied again when it has changed.
+
+    A file that can't be read changes nothing.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+    metrics : str
+        Address that serves metrics; it is not in the file.
+    apply : callable
+        Called with the settings of a changed file.
+    decisions : DecisionLog
+        Log of files that can't be read.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        metrics: str,
+        apply: Callable[[EntrySettings], None],
+        decisions: DecisionLog,
+    ) -> None:
+        self._path = path
+        self._metrics = metrics
+        self._apply = apply
+        self._decisions = decisions
+        self._seen = self._signature()
+
+    async def watch(self) -> None:
+        """Read the file again whenever it has changed, until cancelled."""
+        while True:
+            await trio.sleep(FILE_CHECK_INTERVAL_S)
+            if self._signature() != self._seen:
+                self.read_again()
+
+    def read_again(self) -> None:
+        """Read the file and apply its settings."""
+        self._seen = self._signature()
+        match read_boot_settings(self._path):
+            case Ok(settings):
+                self._apply(replace(settings, metrics=self._metrics))
+            case Err(faults):
+                self._decisions.warning("settings unreadable", why="; ".join(map(str, faults)))
+
+    def _signature(self) -> tuple[int, ...]:
+        """Return values that differ after the file was changed or replaced."""
+        try:
+            found = self._path.stat()
+        except OSError:
+            return ()
+        return (found.st_mtime_ns, found.st_size, found.st_ino)
--- a/mulberrycleat/routes/model.py
+++ b/mulberrycleat/routes/model.py
@@ -116,7 +116,6 @@
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
 
--- a/mulberrycleat/scenario/check.py
+++ b/mulberrycleat/scenario/check.py
@@ -12,7 +12,9 @@
 from mulberrycleat.settings import Fault
 from mulberrycleat.testing.layout import PLATFORM_ZONE, FleetPlan, Layout
 
-__all__ = ["check_scenario", "plan_of"]
+__all__ = ["check_for_processes", "check_scenario", "plan_of"]
+
+PLATFORM = "platform"
 
 
 def plan_of(scenario: m.Scenario) -> FleetPlan:
@@ -32,6 +34,35 @@
     return Err(faults) if faults else Ok(scenario)
 
 
+def check_for_processes(scenario: m.Scenario) -> Result[m.Scenario, list[Fault]]:
+    """Return the scenario, or a fault for each statement that real processes can't execute.
+
+    Between real processes, only the link from a zone to the platform can be cut or slowed.
+    """
+    addresses = (f"10.0.0.1:{port}" for port in itertools.count(1))
+    links = {member.name for member in Layout(plan_of(scenario), addresses, "").of_kind("link")}
+    faults = []
+    for line, statement in _flattened(scenario.statements):
+        match statement:
+            case m.Cut(one, other) | m.Heal(one, other) | m.Slow(one, other):
+                zone = other if one == PLATFORM else one
+                if PLATFORM not in (one, other) or f"link-{zone}" not in links:
+                    reason = f"links from {one} to {other} cannot be cut or slowed"
+                    faults.append(Fault("", f"with real processes, {reason}", line))
+    return Err(faults) if faults else Ok(scenario)
+
+
+def _flattened(statements: tuple[m.Located, ...]) -> Iterator[m.Located]:
+    for located in statements:
+        match located.statement:
+            case m.Concurrently(inner):
+                yield from _flattened(inner)
+            case m.Meanwhile(inner):
+                yield m.Located(located.line, inner)
+            case _:
+                yield located
+
+
 def _plan_faults(scenario: m.Scenario) -> Iterator[Fault]:
     known = {f.name for f in dataclasses.fields(FleetPlan) if f.type == "int"}
     for line, statement in scenario.statements:
--- a/mulberrycleat/scenario/drivers.py
+++ b/mulberrycleat/scenario/drivers.py
@@ -10,6 +10,7 @@
 import trio
 
 from mulberrycleat.core.ports import Ports
+from mulberrycleat.scenario.check import PLATFORM
 from mulberrycleat.settings import OperatorSettings, convert_all
 from mulberrycleat.testing.caller import Caller
 from mulberrycleat.testing.fleet import LocalFleet, local_fleet
@@ -19,8 +20,6 @@
 
 __all__ = ["Driver", "InProcessDriver", "LocalDriver", "in_process_driver", "local_driver"]
 
-PLATFORM = "platform"
-
 
 class Driver(Protocol):
     """A fleet with fault injection.
--- a/mulberrycleat/scenario/main.py
+++ b/mulberrycleat/scenario/main.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.scenario import model as m
-from mulberrycleat.scenario.check import check_scenario, plan_of
+from mulberrycleat.scenario.check import check_for_processes, check_scenario, plan_of
 from mulberrycleat.scenario.drivers import in_process_driver, local_driver
 from mulberrycleat.scenario.parse import parse_scenario
 from mulberrycleat.scenario.run import Failure, run_scenario
@@ -66,7 +66,8 @@
     """
     status = 0
     for path in files:
-        match load_scenario(path):
+        loaded = load_scenario(path)
+        match loaded.and_then(check_for_processes) if real else loaded:
             case Err(faults):
                 status = EXIT_BAD_INPUT
                 for fault in faults:
--- a/mulberrycleat/scenario/tests/test_parse.py
+++ b/mulberrycleat/scenario/tests/test_parse.py
@@ -5,6 +5,7 @@
 from mulberrycleat.scenario import check_scenario, parse_scenario, plan_of
 from mulberrycleat.scenario import model as m
 from mulberrycleat.scenario.cases import scenario_cases
+from mulberrycleat.scenario.check import check_for_processes
 
 
 def faulty_lines(text: str) -> list[int]:
@@ -67,3 +68,19 @@
 def test_every_scenario_file_becomes_a_test_case():
     names = [case.id() for case in scenario_cases()]
     assert "scenario.whole-path" in names
+
+
+def test_links_that_real_processes_can_not_cut_are_faults_with_their_line():
+    text = "\n".join(
+        [
+            "cut zone-a from platform",
+            "cut zone-a from zone-b",
+            "heal platform from zone-b",
+            "cut zone-a-1",
+            "concurrently",
+            "cut zone-a-1 from platform",
+            "end",
+        ]
+    )
+    scenario = parse_scenario(text).and_then(check_scenario).unwrap()
+    assert [fault.line for fault in check_for_processes(scenario).err_value] == [2, 4, 6]
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -80,14 +80,15 @@
         A connection is closed after sent data stays unacknowledged for this long, in seconds.
     max_idle_s : float
         A connection is not reused after it was idle for longer than this, in seconds.
-    max_idle_count : int
-        Maximum number of idle connections kept to one endpoint.
+    max_idle_count, max_idle_total : int
+        Maximum number of idle connections kept to one endpoint, and to all of them.
     """
 
     connect_timeout_s: float = 0.25
     unacknowledged_timeout_s: float = 1.0
     max_idle_s: float = 4.0
     max_idle_count: int = 8
+    max_idle_total: int = 1024
 
 
 class Pipe(Protocol):
@@ -268,9 +269,13 @@
         self._idle: dict[str, deque[Connection]] = {}
         self._opened = 0
 
+    def apply_settings(self, settings: ConnectionSettings) -> None:
+        """Use other settings from now on."""
+        self._settings = settings
+
     @property
     def opened(self) -> int:
-        """Number of connections opened so far, including failed attempts."""
+        """Number of connections opened so far."""
         return self._opened
 
     @property
@@ -295,8 +300,9 @@
             if connection.is_usable(now, min(self._settings.max_idle_s, max_idle_s)):
                 return connection
             connection.close()
+        pipe = await self._connect(address, self._settings)
         self._opened += 1
-        return Connection(await self._connect(address, self._settings), address)
+        return Connection(pipe, address)
 
     def put_back(self, connection: Connection) -> None:
         """Put a connection back after its exchange; close it if it can't be reused."""
@@ -305,7 +311,7 @@
             return
         idle = self._idle.setdefault(connection.address, deque())
         idle.append(connection)
-        if len(idle) > self._settings.max_idle_count:
+        if len(idle) > self._settings.max_idle_count or self.idle > self._settings.max_idle_total:
             idle.popleft().close()
 
     def close_unusable(self, addresses: Iterable[str]) -> None:
