Announce hosts in a topic of their own, and let a few hosts of a large zone hold slices

Cause: on the small twin of the deployment with 195 hosts, every host appended its record to one partition under one condition several times a second and read those of all others.

Change: hosts announce themselves in keyed.hosts every 5 s; of a zone with more than three hosts, the two with most processor capacity can be coordinators, and only they follow the ledger. Others get tokens from them, report their demand to them, and use the ledger only if no coordinator answers. A record is renewed only while a slice grows. A host that starts during an outage learns the roster from another host. A donor states that a total is exhausted, so that 402 needs no ledger.

--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -15,6 +15,7 @@
 
 from mulberrycleat.core import Refusal, Served, new_id
 from mulberrycleat.entry.call import EntryCall
+from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.endpoints import EndpointRegistry
 from mulberrycleat.entry.feeds import DirectoryFeed, MapFeed
@@ -30,6 +31,7 @@
 from mulberrycleat.entry.protocol import HeaderCodec
 from mulberrycleat.entry.relay import RelayedStore, RelayServer
 from mulberrycleat.entry.retries import FleetRetryBudget
+from mulberrycleat.entry.roster import HostRoster
 from mulberrycleat.entry.settings import EntrySettings
 from mulberrycleat.entry.shutdown import GracefulShutdown
 from mulberrycleat.entry.slices import HeartbeatCount, SliceController
@@ -137,8 +139,15 @@
         allowance = Allowance(
             AllowanceSettings(), settings.host, new_id(), settings.peers_listen, settings.zone
         )
+        self._roster = HostRoster(
+            _host_entry(settings, allowance.incarnation),
+            self._store,
+            decisions,
+            self._apply_roster,
+        )
         self._slices = SliceController(
             allowance,
+            self._roster,
             self._store,
             settings.times,
             decisions,
@@ -155,7 +164,9 @@
             decisions,
             self._forget_absent_endpoints,
         )
-        self._relay = RelayServer(self._store, self._maps.snapshot, self._directory.snapshot)
+        self._relay = RelayServer(
+            self._store, self._maps.snapshot, self._directory.snapshot, self._roster.snapshot
+        )
         self._metrics = EntryMetrics()
         self._chain = FilterChain(
             (
@@ -230,7 +241,9 @@
             loops = {
                 "route map": self._maps.run,
                 "directory": self._directory.run,
+                "roster": self._roster.run,
                 "slices": self._run_slices,
+                "demand reports": self._slices.run_demand_reports,
                 "usage reports": self._slices.run_usage_reports,
                 "housekeeping": self._run_housekeeping,
                 "metrics": self._metrics.watch_loop,
@@ -283,7 +296,7 @@
         self._metrics.running.set(self._shutdown.running)
         self._metrics.connections_opened.set(self._connections.opened)
         self._metrics.connections_idle.set(self._connections.idle)
-        self._metrics.hosts.set(self._slices.hosts())
+        self._metrics.hosts.set(self._roster.coordinators.host_count(now))
         self._metrics.relayed_calls.set(self._store.relayed)
         self._metrics.store_lost.set(self._store.lost)
         self._metrics.lines_left_out.set(sum(self._decisions.left_out.values()))
@@ -296,8 +309,8 @@
         return self._metrics.reply()
 
     async def _run_slices(self) -> None:
-        """Run the slices' loop once the route map and the directory have been read."""
-        while self._maps.table is None or not self._directory.read:
+        """Run the slices' loop once route map, directory and roster have been read."""
+        while not (self._maps.table and self._directory.read and self._roster.settled):
             await trio.sleep(START_CHECK_INTERVAL_S)
         await self._slices.run()
 
@@ -307,7 +320,8 @@
             await trio.sleep(START_CHECK_INTERVAL_S)
         while True:
             self._connections.close_unusable(self._registry.addresses())
-            self._retry_budget.set_hosts(self._slices.hosts())
+            hosts = self._roster.coordinators.host_count(trio.current_time())
+            self._retry_budget.set_hosts(hosts)
             await trio.sleep(HOUSEKEEPING_INTERVAL_S)
 
     def _count_heartbeats(self) -> HeartbeatCount:
@@ -320,11 +334,14 @@
         return HeartbeatCount(self._directory.beats + int(count * age_s / beat_s), count, beat_s)
 
     def _peers(self) -> tuple[str, ...]:
-        """Return the addresses of the other hosts, from their records and the settings."""
-        known = {*self._slices.peers, *self._settings.seeds}
+        """Return the addresses of the other hosts, from the roster and the settings."""
+        known = {*self._roster.peers, *self._settings.seeds}
         known.discard(self._settings.peers_listen)
         return tuple(sorted(known))
 
+    def _apply_roster(self) -> None:
+        self._slices.update_roles()
+
     def _apply_table(self, table: RouteTable) -> None:
         self._limits = table.map.limits
         self._slices.apply_route_table(table)
@@ -346,6 +363,12 @@
         self._metrics.count(call, outcome)
 
 
+def _host_entry(settings: EntrySettings, incarnation: str) -> HostEntry:
+    return HostEntry(
+        settings.host, incarnation, 0, settings.zone, settings.peers_listen, settings.cores
+    )
+
+
 def _connection_settings(settings: EntrySettings) -> ConnectionSettings:
     max_idle = int(IDLE_DESCRIPTOR_SHARE * settings.max_descriptors)
     return ConnectionSettings(max_idle_total=max_idle)
--- a/mulberrycleat/entry/coordinators.py
+++ b/mulberrycleat/entry/coordinators.py
@@ -1,44 +1,71 @@
-"""Hosts that share a budget, and the coordinators of each account among them. Free of I/O."""
+"""Active entry hosts, and the hosts among them that hold slices of budgets. Free of I/O."""
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+import msgspec
+
 from mulberrycleat.membership.rendezvous import ranked
-from mulberrycleat.prepaid import HolderRecord, Role
+from mulberrycleat.prepaid import Role
 
-__all__ = ["CoordinatorMap"]
+__all__ = ["CoordinatorMap", "HostEntry"]
 
-# A host whose record has not changed for this time is no longer active, in seconds. The time is
-# longer than an outage of the store, during which no record changes.
+# A host whose entry has not changed for this time is no longer active, in seconds. The time is
+# longer than an outage of the store, during which no entry changes.
 HOST_ACTIVE_S = 15.0
+# An availability zone with at most this many hosts lets all of them hold slices.
+SMALL_ZONE_HOSTS = 3
+# Hosts of a larger zone that hold slices. There are two, so that the zone has one if the other
+# dies; each more makes the ledger longer, which all of them read.
+CANDIDATES_PER_ZONE = 2
 
 
-class _LastChange(NamedTuple):
-    """Latest change of a host's record.
+class HostEntry(msgspec.Struct, frozen=True):
+    """What an entry host announces to the others.
 
     Attributes
     ----------
-    incarnation, number : str, int
-        Incarnation of the host that wrote the record, and number of the record.
-    at : float
-        When the record was first read, in seconds on trio's clock.
+    host, incarnation : str
+        The host, and the incarnation of its process.
+    number : int
+        Number of the entry among those of the incarnation, counted from 1.
     zone : str
-        The host's availability zone.
+        Availability zone of the host.
+    peer_address : str
+        Address at which other hosts can reach it, as ``ip:port``.
+    cores : float
+        Processor capacity, as a multiple of a standard core.
+    ended : bool
+        Whether the incarnation has ended.
     """
 
+    host: str
     incarnation: str
     number: int
-    at: float
     zone: str
+    peer_address: str
+    cores: float = 1.0
+    ended: bool = False
+
+
+class _LastChange(NamedTuple):
+    """Newest entry of a host, and when it was first read, in seconds on trio's clock."""
+
+    entry: HostEntry
+    at: float
 
 
 class CoordinatorMap:
-    """Coordinators of accounts, chosen among the active hosts by rendezvous hashing.
+    """Active hosts, and the coordinators of accounts among them.
 
     The coordinator of an account is the host where the demand of all hosts for it meets. Each
     availability zone has a zone coordinator, which serves while the coordinator can't be reached.
+    Coordinators are chosen by rendezvous hashing among the candidates: all hosts of a small zone,
+    and of a larger one the `CANDIDATES_PER_ZONE` with most processor capacity. So the number of
+    hosts that write and read the ledger does not grow with the number of hosts.
 
     Parameters
     ----------
@@ -48,12 +75,13 @@
     Examples
     --------
     >>> book = CoordinatorMap("a", "z1")
-    >>> records = {n: HolderRecord(n, "1", 1, 7, zone=z) for n, z in zip("abc", ("z1", "z1", "z2"))}
-    >>> book.update(records, now=0.0)
+    >>> zones = {"a": "z1", "b": "z1", "c": "z2"}
+    >>> entries = {n: HostEntry(n, "1", 1, zone, f"{n}:3") for n, zone in zones.items()}
+    >>> book.update(entries, now=0.0)
     True
     >>> book.coordinators("huts")
     ('c', 'a')
-    >>> book.update(records, now=1.0)
+    >>> book.update(entries, now=1.0)
     False
     """
 
@@ -62,41 +90,58 @@
         self._zone = zone
         self._last_changes: dict[str, _LastChange] = {}
         self._active: tuple[str, ...] = ()
+        self._candidates: tuple[str, ...] = ()
         self._by_account: dict[str, tuple[str, ...]] = {}
 
     @property
     def zones(self) -> int:
         """Number of availability zones with hosts."""
-        return len({self._last_changes[name].zone for name in self._active} | {self._zone})
+        return len({self._last_changes[name].entry.zone for name in self._active} | {self._zone})
+
+    @property
+    def entries(self) -> tuple[HostEntry, ...]:
+        """Newest entry of each host that has not ended."""
+        return tuple(change.entry for change in self._last_changes.values())
+
+    @property
+    def candidates(self) -> tuple[str, ...]:
+        """Names of the hosts that can be coordinators."""
+        return self._candidates
+
+    @property
+    def is_candidate(self) -> bool:
+        """Whether this host can be a coordinator; true while no host is known."""
+        return not self._candidates or self._host in self._candidates
 
     def host_count(self, now: float) -> int:
         """Return the number of hosts that are active at `now`, in seconds on trio's clock."""
         return sum(1 for change in self._last_changes.values() if now - change.at < HOST_ACTIVE_S)
 
-    def update(self, records: Mapping[str, HolderRecord], now: float) -> bool:
-        """Apply newly read records; return whether the set of active hosts has changed.
+    def update(self, entries: Mapping[str, HostEntry], now: float) -> bool:
+        """Apply newly read entries; return whether the set of active hosts has changed.
 
         Coordinators change only by this method, so they stay the same while the store can't be
         read.
 
         Parameters
         ----------
-        records : mapping
-            Newest record of each host, by the host's name.
+        entries : mapping
+            Entries by the host's name; hosts that are not in it keep their newest entry.
         now : float
             Time of the read, in seconds on trio's clock.
         """
-        for name, record in records.items():
-            version = (record.incarnation, record.number)
-            if record.ended:
+        for name, entry in entries.items():
+            known = self._last_changes.get(name)
+            if entry.ended:
                 self._last_changes.pop(name, None)
-            elif name not in self._last_changes or self._last_changes[name][:2] != version:
-                self._last_changes[name] = _LastChange(*version, now, record.zone)
+            elif known is None or _version(known.entry) != _version(entry):
+                self._last_changes[name] = _LastChange(entry, now)
         seen = self._last_changes.items()
         active = tuple(sorted(n for n, change in seen if now - change.at < HOST_ACTIVE_S))
         if active == self._active:
             return False
         self._active = active
+        self._candidates = self._choose_candidates()
         self._by_account.clear()
         return True
 
@@ -107,17 +152,49 @@
         no host at all is active.
         """
         if account not in self._by_account:
-            order = ranked(account, self._active)
-            in_zone = [name for name in order if self._last_changes[name].zone == self._zone]
+            order = ranked(account, self._candidates)
+            in_zone = [name for name in order if self._zone_of(name) == self._zone]
             self._by_account[account] = tuple(dict.fromkeys([*order[:1], *in_zone[:1]]))
         return self._by_account[account]
 
+    def addresses_of(self, names: Iterable[str]) -> tuple[str, ...]:
+        """Return the addresses of other hosts; those without a known address are left out."""
+        changes = [self._last_changes.get(name) for name in names if name != self._host]
+        return tuple(c.entry.peer_address for c in changes if c and c.entry.peer_address)
+
+    def candidates_in(self, zone: str) -> tuple[str, ...]:
+        """Return the names of the candidates in a zone."""
+        return tuple(name for name in self._candidates if self._zone_of(name) == zone)
+
+    def candidates_from(self, zone: str) -> tuple[str, ...]:
+        """Return the names of all candidates, those of `zone` first."""
+        return tuple(sorted(self._candidates, key=lambda name: self._zone_of(name) != zone))
+
     def roles(self, accounts: Iterable[str]) -> dict[str, Role]:
         """Return this host's role for each account; coordinator of all while no host is active."""
         return {account: self._role(account) for account in accounts}
 
+    def _choose_candidates(self) -> tuple[str, ...]:
+        by_zone: dict[str, list[str]] = defaultdict(list)
+        for name in ranked("candidates", self._active):
+            by_zone[self._zone_of(name)].append(name)
+        chosen: list[str] = []
+        for names in by_zone.values():
+            if len(names) > SMALL_ZONE_HOSTS:
+                names.sort(key=lambda name: -self._last_changes[name].entry.cores)
+                names = names[:CANDIDATES_PER_ZONE]
+            chosen += names
+        return tuple(sorted(chosen))
+
+    def _zone_of(self, name: str) -> str:
+        return self._last_changes[name].entry.zone
+
     def _role(self, account: str) -> Role:
         coordinators = self.coordinators(account)
         if not coordinators or coordinators[0] == self._host:
             return Role.COORDINATOR
         return Role.ZONE_COORDINATOR if self._host in coordinators else Role.OTHER
+
+
+def _version(entry: HostEntry) -> tuple[str, int]:
+    return entry.incarnation, entry.number
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -11,10 +11,12 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import PeerError, Step
+from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.store import (
     AppendOutcome,
     DirectoryUpdate,
+    HostUpdate,
     MapUpdate,
     RecordUpdate,
     StateStore,
@@ -42,6 +44,7 @@
 
     offset: int | None = None
     record: HolderRecord | None = None
+    entry: HostEntry | None = None
 
 
 class RelayedStore:
@@ -125,6 +128,20 @@
             lambda: self._inner.append_slices(record, at), "append_slices", arguments, AppendOutcome
         )
 
+    async def read_hosts(self, offset: int | None) -> Result[HostUpdate, PeerError]:
+        """Return the entries of entry hosts appended since `offset`."""
+        arguments = _CallArguments(offset)
+        return await self._call(
+            lambda: self._inner.read_hosts(offset), "read_hosts", arguments, HostUpdate
+        )
+
+    async def append_host(self, entry: HostEntry) -> Result[AppendOutcome, PeerError]:
+        """Append the entry of an entry host."""
+        arguments = _CallArguments(entry=entry)
+        return await self._call(
+            lambda: self._inner.append_host(entry), "append_host", arguments, AppendOutcome
+        )
+
     async def _call(
         self,
         direct: Callable[[], Awaitable[Result[T, PeerError]]],
@@ -208,6 +225,8 @@
         while this host can't reach the store, so that a host can start during an outage.
     known_entries : callable
         Returns the endpoints' entries for the same purpose, or None before the directory is read.
+    known_hosts : callable
+        Returns the roster of entry hosts for the same purpose, or None before it is read.
     """
 
     def __init__(
@@ -215,7 +234,9 @@
         store: RelayedStore,
         known_map: Callable[[], MapUpdate | None],
         known_entries: Callable[[], DirectoryUpdate | None],
+        known_hosts: Callable[[], HostUpdate | None],
     ) -> None:
+        self._known_hosts = known_hosts
         self._store = store
         self._known_map = known_map
         self._known_entries = known_entries
@@ -254,13 +275,19 @@
                 return _ok_or(self._known_entries(), unreachable)
             case "read_entries":
                 return await inner.read_entries(arguments.offset)
+            case "read_hosts" if lost:
+                return _ok_or(self._known_hosts(), unreachable)
+            case "read_hosts":
+                return await inner.read_hosts(arguments.offset)
+            case "append_host" if not lost and arguments.entry is not None:
+                return await inner.append_host(arguments.entry)
             case "read_slices" if not lost:
                 return await inner.read_slices(arguments.offset)
             case "append_slices" if (
                 not lost and arguments.record is not None and arguments.offset is not None
             ):
                 return await inner.append_slices(arguments.record, arguments.offset)
-            case "read_slices" | "append_slices":
+            case "read_slices" | "append_slices" | "append_host":
                 return unreachable
         return None
 
--- a/mulberrycleat/entry/settings.py
+++ b/mulberrycleat/entry/settings.py
@@ -98,6 +98,8 @@
         Intervals and timeouts of the loops.
     max_descriptors : int
         Number of file descriptors that the process may use for connections.
+    cores : float
+        Processor capacity of the host, as a multiple of a standard core.
     """
 
     host: str
@@ -113,3 +115,4 @@
     bounds: FleetRequirements = field(default_factory=FleetRequirements)
     times: EntryTimes = field(default_factory=EntryTimes)
     max_descriptors: int = 4096
+    cores: float = 1.0
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -10,16 +10,16 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from random import Random
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 import trio
 from result import Err, Ok
 
-from mulberrycleat.entry.coordinators import CoordinatorMap
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.final_records import FinalRecords
 from mulberrycleat.entry.peers import PeerCalls
+from mulberrycleat.entry.roster import HostRoster
 from mulberrycleat.entry.settings import EntryTimes
 from mulberrycleat.entry.store import StateStore
 from mulberrycleat.entry.transfers import (
@@ -58,6 +58,19 @@
 # Longest time that another host's transfer request waits until this host's slice is large enough,
 # in seconds; shorter than the time that the other host waits for the reply.
 DONOR_WAIT_S = 0.15
+DEMAND_PATH = "/tokens/demand"
+# Interval between reports of demand to a zone's coordinators, in seconds; the reserve that they
+# hold for an outage changes as slowly.
+DEMAND_REPORT_INTERVAL_S = 3.0
+# Highest rate that a report may state, in tokens per second; more is no sound report.
+MAX_REPORTED_RATE = 1e9
+
+
+class _DemandReport(msgspec.Struct):
+    """Demand of a host's callers by account, in tokens per second."""
+
+    host: str
+    rates: dict[str, Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORTED_RATE)]]
 
 
 class HeartbeatCount(NamedTuple):
@@ -85,6 +98,8 @@
     ----------
     allowance : Allowance
         This host's slices; decides on reservations and on the records to write.
+    roster : HostRoster
+        The active hosts, and the coordinators among them.
     store : StateStore
         Where the records of all hosts are kept.
     times : EntryTimes
@@ -104,6 +119,7 @@
     def __init__(
         self,
         allowance: Allowance,
+        roster: HostRoster,
         store: StateStore,
         times: EntryTimes,
         decisions: DecisionLog,
@@ -124,14 +140,16 @@
         self._wake = trio.Event()
         self._cycle_ended = trio.Event()
         self._accounts: tuple[str, ...] = ()
-        self._coordinators = CoordinatorMap(allowance.host, allowance.zone)
-        calls = PeerCalls(client, decisions)
+        self._awaited = 0
+        self._roster = roster
+        self._calls = calls = PeerCalls(client, decisions)
         self._transfer_client = TransferClient(allowance, calls, decisions)
         self._transfer_server = TransferServer(allowance)
-        self._final_records = FinalRecords(allowance, calls, self._other_addresses, decisions)
+        self._final_records = FinalRecords(allowance, calls, self._candidate_addresses, decisions)
         self._stopping = False
         self._final_record_written = trio.Event()
         self._store_connected = False
+        self._ledger_read = False
         self._read_at = float("-inf")
         self._written_at = float("-inf")
 
@@ -142,18 +160,14 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the store has a record of this incarnation; until then, its slices are empty."""
-        return self._allowance.joined
+        """Whether requests for tokens can be granted.
 
-    @property
-    def peers(self) -> tuple[str, ...]:
-        """Addresses of all hosts whose newest record is not a final record, this one included."""
-        records = self._allowance.ledger.records.values()
-        return tuple(r.peer_address for r in records if r.peer_address and not r.ended)
-
-    def hosts(self) -> int:
-        """Return the number of active hosts, which share the fleet's retry budget."""
-        return self._coordinators.host_count(trio.current_time())
+        For a host that can be a coordinator, the store has a record of this incarnation; until
+        then, its slices are empty. Any other host gets tokens from the coordinators.
+        """
+        if not self._roster.coordinators.is_candidate:
+            return self._roster.settled and self._ledger_read
+        return self._allowance.joined
 
     def apply_route_table(self, table: RouteTable) -> None:
         """Apply the prepaid totals of a new route map."""
@@ -164,14 +178,16 @@
         }
         self._allowance.set_totals(totals, table.version)
         self._accounts = tuple(totals)
-        self._update_roles()
+        self.update_roles()
         self._wake.set()
 
     async def reserve(self, account: str, tokens: int, deadline: float) -> Grant:
         """Reserve tokens for a request.
 
         The tokens come from the first source that has enough: this host's slice, a transfer from
-        the account's coordinators, a larger slice from the store, a transfer from any other host.
+        the account's coordinators, a larger slice from the store, a transfer from another host with
+        slices. A host that can't be a coordinator enlarges its own slice only if no coordinator
+        answers.
 
         Each account has one host as its coordinator, where the demand of all hosts meets. One slice
         for the whole demand is smaller than separate slices of all hosts that are each large enough
@@ -204,32 +220,68 @@
         grant = self._allowance.reserve(account, tokens, now)
         wait_s = self._allowance.wait_s(account, tokens, now)
         coordinators = self._coordinator_addresses(account)
+        use_store = self._roster.coordinators.is_candidate
         if grant.status is ReservationStatus.LACKING:
-            grant = await self._transfer_client.reserve(account, tokens, deadline, coordinators)
-            wait_s = min(wait_s, grant.wait_s)
-        if grant.status is ReservationStatus.LACKING and self._store_connected:
+            outcome = await self._transfer_client.reserve(account, tokens, deadline, coordinators)
+            grant, wait_s = outcome.grant, min(wait_s, outcome.grant.wait_s)
+            use_store = use_store or not outcome.answered
+        if grant.status is ReservationStatus.LACKING and self._store_connected and use_store:
             grant = await self._reserve_from_store(account, tokens, deadline)
         if grant.status is ReservationStatus.LACKING:
-            donors = [d for d in self._allowance.donors(account) if d not in coordinators][
-                :MAX_DONORS
-            ]
-            grant = await self._transfer_client.reserve(account, tokens, deadline, donors)
-            wait_s = min(wait_s, grant.wait_s)
+            donors = [d for d in self._donors(account) if d not in coordinators][:MAX_DONORS]
+            outcome = await self._transfer_client.reserve(account, tokens, deadline, donors)
+            grant, wait_s = outcome.grant, min(wait_s, outcome.grant.wait_s)
         return grant._replace(wait_s=wait_s)
 
+    def _donors(self, account: str) -> tuple[str, ...]:
+        """Return the addresses of hosts with slices, in the order in which they are asked."""
+        if self._participates():
+            return self._allowance.donors(account)
+        coordinators = self._roster.coordinators
+        return coordinators.addresses_of(coordinators.candidates_from(self._allowance.zone))
+
     def settle(self, account: str, grant: Grant, used: int) -> None:
         """Count the tokens of a grant that a request used, and release the others."""
         self._allowance.settle(account, grant, used)
 
     def routes(self) -> tuple[Route, ...]:
         """Return the HTTP routes that serve other hosts."""
-        transfer_route = Route("POST", TRANSFER_PATH, self._answer_transfer)
-        return (transfer_route, *self._transfer_server.routes(), *self._final_records.routes())
+        return (
+            Route("POST", TRANSFER_PATH, self._answer_transfer),
+            Route("POST", DEMAND_PATH, self._accept_demand),
+            *self._transfer_server.routes(),
+            *self._final_records.routes(),
+        )
 
     async def run_usage_reports(self) -> None:
         """Send usage reports to donors until cancelled."""
         await self._transfer_client.run()
 
+    async def run_demand_reports(self) -> None:
+        """Report the demand of this host's callers to its zone's coordinators until cancelled.
+
+        Only a host without slices does so; the records of others state it.
+        """
+        while True:
+            await trio.sleep(DEMAND_REPORT_INTERVAL_S)
+            coordinators = self._roster.coordinators
+            rates = self._allowance.demand_rates(trio.current_time())
+            if coordinators.is_candidate or not rates:
+                continue
+            body = msgspec.msgpack.encode(_DemandReport(self._allowance.host, rates))
+            in_zone = coordinators.candidates_in(self._allowance.zone)
+            async with trio.open_nursery() as nursery:
+                for peer in coordinators.addresses_of(in_zone):
+                    nursery.start_soon(self._calls.call, "POST", peer, DEMAND_PATH, body)
+
+    async def _accept_demand(self, request: Request, responder: Responder) -> Reply:
+        try:
+            report = msgspec.msgpack.decode(request.body, type=_DemandReport)
+        except msgspec.DecodeError as error:
+            return Reply(400, str(error).encode())
+        self._allowance.report_demand(report.host, report.rates, trio.current_time())
+        return Reply(204)
+
     async def _reserve_from_store(self, account: str, tokens: int, deadline: float) -> Grant:
         """Wait for the loop to record a larger slice, and reserve tokens from it."""
         grant = Grant(ReservationStatus.LACKING)
@@ -249,6 +301,7 @@
         reached.
         """
         self._allowance.add_pending_demand(account, tokens)
+        self._awaited += 1
         try:
             for _ in range(MAX_CYCLES_AWAITED):
                 self._wake.set()
@@ -258,6 +311,7 @@
                     return
                 yield
         finally:
+            self._awaited -= 1
             self._allowance.add_pending_demand(account, -tokens)
 
     async def _answer_transfer(self, request: Request, responder: Responder) -> Reply:
@@ -281,7 +335,12 @@
             )
         wait_s = self._allowance.wait_s(wanted.account, wanted.tokens, trio.current_time())
         omits_wait = donated or not math.isfinite(wait_s)
-        reply = TransferReply(donated, self._allowance.incarnation, None if omits_wait else wait_s)
+        reply = TransferReply(
+            donated,
+            self._allowance.incarnation,
+            None if omits_wait else max(0.0, wait_s),
+            not donated and self._allowance.is_exhausted(wanted.account, wanted.tokens),
+        )
         return Reply(200, msgspec.msgpack.encode(reply))
 
     def tokens(self, account: str) -> dict[str, int]:
@@ -326,19 +385,18 @@
         self._wake.set()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._transfer_client.report_usage)
+            nursery.start_soon(self._roster.end)
             if not self._store_connected:
                 nursery.start_soon(self._final_records.hand_over, final_record)
             await self._final_record_written.wait()
 
-    def _other_addresses(self) -> tuple[str, ...]:
-        """Return the addresses of the other hosts."""
-        records = self._allowance.ledger.records.values()
-        other_records = (r for r in records if r.host != self._allowance.host and not r.ended)
-        return tuple(record.peer_address for record in other_records if record.peer_address)
-
     async def _write_final_record(self) -> None:
-        """Write the final record, after any unconfirmed record."""
-        while not self._allowance.ended:
+        """Write the final record, after any unconfirmed record.
+
+        A host that the ledger has no record of needs none.
+        """
+        has_records = self._allowance.joined or self._allowance.holds_tokens
+        while has_records and not self._allowance.ended:
             if not await self._append_record(ended=True):
                 await trio.sleep(MIN_CYCLE_INTERVAL_S)
         self._final_record_written.set()
@@ -347,6 +405,8 @@
         """Append a record if one is needed; otherwise read the ledger if a read is due."""
         if self._offset is None and not await self._read_ledger():
             return
+        if not self._participates():
+            return
         appended = await self._append_record()
         if not appended and trio.current_time() - self._read_at >= IDLE_READ_INTERVAL_S:
             await self._read_ledger()
@@ -358,7 +418,8 @@
         """
         for _ in range(APPEND_ATTEMPTS):
             now = trio.current_time()
-            due = now - self._written_at >= self._times.record_renewal_interval_s
+            age_s = now - self._written_at
+            due = self._allowance.grows and age_s >= self._times.record_renewal_interval_s
             record = self._allowance.draft_record(now, self._clock_reading(), ended, due)
             if record is None:
                 return False
@@ -369,7 +430,6 @@
                     self._offset = self._allowance.ledger.end
                     self._written_at = self._read_at = trio.current_time()
                     self._set_store_connected(True, "")
-                    self._update_hosts()
                     self._decisions.info("slices recorded", number=record.number)
                     return True
                 case Ok(_):
@@ -410,25 +470,41 @@
                     self._offset = update.next
                 self._read_at = trio.current_time()
                 self._set_store_connected(True, "")
-                self._update_hosts()
+                self._ledger_read = True
                 return True
             case Err(error):
                 self._set_store_connected(False, str(error))
                 return False
 
+    def _participates(self) -> bool:
+        """Whether this host follows the ledger: it can be a coordinator, or holds or needs tokens.
+
+        A host that can't reach the store goes on trying.
+        """
+        return (
+            self._roster.coordinators.is_candidate
+            or self._allowance.holds_tokens
+            or self._awaited > 0
+            or not self._store_connected
+        )
+
     def _coordinator_addresses(self, account: str) -> tuple[str, ...]:
         """Return the addresses of an account's coordinator and its zone coordinator in this zone.
 
         This host and hosts without a known address are left out.
         """
-        records, host = self._allowance.ledger.records, self._allowance.host
-        names = [n for n in self._coordinators.coordinators(account) if n != host and n in records]
-        return tuple(records[name].peer_address for name in names if records[name].peer_address)
+        coordinators = self._roster.coordinators
+        return coordinators.addresses_of(coordinators.coordinators(account))
 
-    def _update_roles(self) -> None:
-        self._allowance.set_roles(
-            self._coordinators.roles(self._accounts), self._coordinators.zones
-        )
+    def _candidate_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of the other hosts that can be coordinators."""
+        return self._roster.coordinators.addresses_of(self._roster.coordinators.candidates)
+
+    def update_roles(self) -> None:
+        """Apply a change of the active hosts or of the accounts."""
+        coordinators = self._roster.coordinators
+        self._allowance.set_roles(coordinators.roles(self._accounts), coordinators.zones)
+        self._wake.set()
 
     def _clock_reading(self) -> ClockReading:
         """Return the time of day, the uptime, and the heartbeats that the store has accepted."""
@@ -456,7 +532,3 @@
             kind = "ledger regained" if in_touch else "ledger lost"
             self._decisions.warning(kind, peer="store", why=why)
         self._store_connected = in_touch
-
-    def _update_hosts(self) -> None:
-        if self._coordinators.update(self._allowance.ledger.records, trio.current_time()):
-            self._update_roles()
--- a/mulberrycleat/entry/store.py
+++ b/mulberrycleat/entry/store.py
@@ -8,12 +8,14 @@
 
 from mulberrycleat.core import PeerError
 from mulberrycleat.endpoint.directory import Entry
+from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.prepaid import HolderRecord
 from mulberrycleat.routes import RouteMap
 
 __all__ = [
     "AppendOutcome",
     "DirectoryUpdate",
+    "HostUpdate",
     "MapUpdate",
     "RecordUpdate",
     "StateStore",
@@ -84,6 +86,27 @@
     faults: tuple[str, ...] = ()
 
 
+class HostUpdate(NamedTuple):
+    """Result of a read of the roster of entry hosts.
+
+    Attributes
+    ----------
+    next : int or None
+        Offset to read from next; None if the entries come from another host's memory.
+    is_snapshot : bool
+        Whether `entries` has the newest entry of each host, rather than an update.
+    entries : tuple of HostEntry
+        Entries in the order of the store.
+    faults : tuple of str
+        Descriptions of what could not be decoded.
+    """
+
+    next: int | None
+    is_snapshot: bool
+    entries: tuple[HostEntry, ...]
+    faults: tuple[str, ...] = ()
+
+
 class AppendOutcome(NamedTuple):
     """Result of a conditional append.
 
@@ -122,3 +145,11 @@
     ) -> Result[AppendOutcome, PeerError]:
         """Append a record on condition that the log ends at offset `at`."""
         ...
+
+    async def read_hosts(self, offset: int | None) -> Result[HostUpdate, PeerError]:
+        """Return the entries of entry hosts appended since `offset`."""
+        ...
+
+    async def append_host(self, entry: HostEntry) -> Result[AppendOutcome, PeerError]:
+        """Append the entry of an entry host."""
+        ...
--- a/mulberrycleat/entry/tests/test_transfers.py
+++ b/mulberrycleat/entry/tests/test_transfers.py
@@ -94,7 +94,8 @@
 
     async def take(self) -> Grant:
         """Request tokens from the donor."""
-        return await self.client.reserve("huts", TOKENS, trio.current_time() + 1.0, [DONOR])
+        deadline = trio.current_time() + 1.0
+        return (await self.client.reserve("huts", TOKENS, deadline, [DONOR])).grant
 
     async def take_and_settle(self) -> None:
         """Request tokens from the donor and use a part of them."""
--- a/mulberrycleat/entry/transfers.py
+++ b/mulberrycleat/entry/transfers.py
@@ -27,7 +27,14 @@
 )
 from mulberrycleat.web import Reply, Request, Responder, Route
 
-__all__ = ["TRANSFER_PATH", "TransferClient", "TransferReply", "TransferRequest", "TransferServer"]
+__all__ = [
+    "TRANSFER_PATH",
+    "TransferClient",
+    "TransferOutcome",
+    "TransferReply",
+    "TransferRequest",
+    "TransferServer",
+]
 
 # A host that did not answer gets no transfer request for this time, doubled after each further
 # failure up to the maximum, in seconds.
@@ -78,11 +85,30 @@
     wait_s : float or None
         If none were donated, the time until the donor's slice will have grown enough, in seconds;
         None if it will not, or if tokens were donated.
+    exhausted : bool
+        Whether the account's total does not cover the tokens.
     """
 
     tokens: Annotated[int, msgspec.Meta(ge=0)]
     incarnation: str
     wait_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    exhausted: bool = False
+
+
+class TransferOutcome(NamedTuple):
+    """Outcome of requests for tokens to several hosts.
+
+    Attributes
+    ----------
+    grant : Grant
+        The reservation. If no host has enough, `wait_s` is the shortest time in the replies, in
+        seconds; infinite if none states one.
+    answered : bool
+        Whether any host has answered.
+    """
+
+    grant: Grant
+    answered: bool
 
 
 class _UsageReport(msgspec.Struct):
@@ -172,7 +198,7 @@
 
     async def reserve(
         self, account: str, tokens: int, deadline: float, peers: Sequence[str]
-    ) -> Grant:
+    ) -> TransferOutcome:
         """Request tokens from one host after another until enough can be reserved.
 
         Parameters
@@ -189,11 +215,10 @@
 
         Returns
         -------
-        Grant
-            The reservation. If no host has enough, `wait_s` is the shortest time in the replies, in
-            seconds; infinite if none states one.
+        TransferOutcome
+            The reservation, and whether any host has answered.
         """
-        wait_s = math.inf
+        wait_s, answered = math.inf, False
         for peer in peers:
             now = trio.current_time()
             if now < self._backoffs.get(peer, _NO_BACKOFF).until:
@@ -203,6 +228,9 @@
             reply = await self._request(account, tokens, peer, deadline - now)
             if reply is None:
                 continue
+            answered = True
+            if reply.exhausted:
+                return TransferOutcome(Grant(ReservationStatus.EXHAUSTED), answered)
             if reply.wait_s is not None:
                 wait_s = min(wait_s, reply.wait_s)
             if reply.tokens:
@@ -211,8 +239,8 @@
                 )
             grant = self._allowance.reserve(account, tokens, trio.current_time())
             if grant.status is not ReservationStatus.LACKING:
-                return grant
-        return Grant(ReservationStatus.LACKING, wait_s=wait_s)
+                return TransferOutcome(grant, answered)
+        return TransferOutcome(Grant(ReservationStatus.LACKING, wait_s=wait_s), answered)
 
     async def run(self) -> None:
         """Send usage reports to the donors at regular intervals, until cancelled."""
--- a/mulberrycleat/platform/settings.py
+++ b/mulberrycleat/platform/settings.py
@@ -59,8 +59,13 @@
     """Limits of the host.
 
     `max_fds` is the number of file descriptors, of which `RESERVED_DESCRIPTORS` are for files only.
+    The host has the share `cpu_share` of one processor core, which is `cpu_cores` times as fast as
+    a standard one.
     """
 
+    cpu_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    cpu_cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+
     max_fds: Annotated[int, msgspec.Meta(gt=RESERVED_DESCRIPTORS)] = 4096
 
 
@@ -119,6 +124,7 @@
             seeds=tuple(boot.seeds),
             beat_s=boot.heartbeat_ms / 1000,
             max_descriptors=boot.limits.max_fds - RESERVED_DESCRIPTORS,
+            cores=boot.limits.cpu_share * boot.limits.cpu_cores,
             bounds=FleetRequirements(
                 grace_s=bounds.grace_s,
                 drain_s=bounds.drain_ms / 1000,
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -5,13 +5,20 @@
 import base64
 import struct
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
 
 from mulberrycleat.core import PeerError, Step
-from mulberrycleat.entry.store import AppendOutcome, DirectoryUpdate, MapUpdate, RecordUpdate
+from mulberrycleat.entry.coordinators import HostEntry
+from mulberrycleat.entry.store import (
+    AppendOutcome,
+    DirectoryUpdate,
+    HostUpdate,
+    MapUpdate,
+    RecordUpdate,
+)
 from mulberrycleat.platform.config import decode_config, decode_entry
 from mulberrycleat.prepaid import HolderRecord
 from mulberrycleat.routes import RouteMap
@@ -19,10 +26,13 @@
 
 __all__ = ["PlatformStore", "decode_records"]
 
+T = TypeVar("T")
+
 # Topic of the operators' records, and the key of the configuration in it.
 ROUTE_MAP_TOPIC, ROUTE_MAP_KEY = "keyed.op", "config"
 ENTRY_TOPIC = "keyed.servers"
 SLICE_TOPIC = "keyed.slices"
+HOST_TOPIC = "keyed.hosts"
 PRECONDITION_FAILED, GONE = 412, 410
 MAX_READ_KB = 1024
 
@@ -138,30 +148,40 @@
                     )
                 )
 
+    async def read_hosts(self, offset: int | None) -> Result[HostUpdate, PeerError]:
+        """Return the entries of entry hosts appended since `offset`."""
+        match await self._read_changes(HOST_TOPIC, offset):
+            case Err(error):
+                return Err(error)
+            case Ok(changes):
+                entries, faults = _decode_values(changes.records, HostEntry)
+                return Ok(HostUpdate(changes.next, changes.snapshot, entries, faults))
+
+    async def append_host(self, entry: HostEntry) -> Result[AppendOutcome, PeerError]:
+        """Append the entry of an entry host."""
+        path = f"/log-append?topic={HOST_TOPIC}&part=0"
+        return await self._append(path, entry.host, msgspec.msgpack.encode(entry))
+
     async def read_slices(self, offset: int | None) -> Result[RecordUpdate, PeerError]:
         """Return the slice records appended since `offset`."""
         match await self._read_changes(SLICE_TOPIC, offset):
             case Err(error):
                 return Err(error)
             case Ok(changes):
-                records, faults = [], []
-                for record in changes.records:
-                    try:
-                        records.append(msgspec.msgpack.decode(record.value, type=HolderRecord))
-                    except msgspec.DecodeError as error:
-                        faults.append(f"slices of {record.key}: {error}")
-                return Ok(
-                    RecordUpdate(changes.next, changes.snapshot, tuple(records), tuple(faults))
-                )
+                records, faults = _decode_values(changes.records, HolderRecord)
+                return Ok(RecordUpdate(changes.next, changes.snapshot, records, faults))
 
     async def append_slices(
         self, record: HolderRecord, at: int
     ) -> Result[AppendOutcome, PeerError]:
         """Append a slice record if the topic still ends at offset `at`."""
-        key = record.host.encode()
-        payload = bytes([len(key)]) + key + msgspec.msgpack.encode(record)
-        body = struct.pack(">I", len(payload)) + payload
         path = f"/log-append?topic={SLICE_TOPIC}&part=0&at={at}"
+        return await self._append(path, record.host, msgspec.msgpack.encode(record))
+
+    async def _append(self, path: str, name: str, value: bytes) -> Result[AppendOutcome, PeerError]:
+        key = name.encode()
+        payload = bytes([len(key)]) + key + value
+        body = struct.pack(">I", len(payload)) + payload
         match await self._call("POST", path, body, Step.APPEND):
             case Err(error):
                 return Err(error)
@@ -250,6 +270,19 @@
         return PeerError(step, self._url, f"{path}: status {answer.status}", sent=sent)
 
 
+def _decode_values(
+    records: Iterable[_Record], kind: type[T]
+) -> tuple[tuple[T, ...], tuple[str, ...]]:
+    """Decode the values of records; return the faults of those that can't be decoded, too."""
+    found, faults = [], []
+    for record in records:
+        try:
+            found.append(msgspec.msgpack.decode(record.value, type=kind))
+        except msgspec.DecodeError as error:
+            faults.append(f"{kind.__name__} of {record.key}: {error}")
+    return tuple(found), tuple(faults)
+
+
 def decode_records(data: bytes) -> Iterable[_Record]:
     """Decode the records of a keyed topic: record length, key length, key, value."""
     position = 0
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -15,10 +15,21 @@
     SliceLedger,
     silence_s,
 )
-from mulberrycleat.prepaid.sizing import AllowanceSettings, Role, Slice, SliceInputs, size_slice
+from mulberrycleat.prepaid.sizing import (
+    MIN_RATE,
+    AllowanceSettings,
+    Role,
+    Slice,
+    SliceInputs,
+    size_slice,
+)
 
 __all__ = ["Allowance"]
 
+# A report of another host's demand counts for this time, in seconds: longer than an outage of the
+# store, in which the reserve for that demand is needed.
+DEMAND_REPORT_TTL_S = 15.0
+
 
 @dataclass(slots=True)
 class _Account:
@@ -112,6 +123,7 @@
         self._record_drafted_at = 0.0
         self._draft_times: dict[int, float] = {}
         self._inherited: tuple[Inherited, ...] = ()
+        self._reported_demand: dict[str, tuple[float, dict[str, float]]] = {}
         self._closed = False
         self._superseded = False
         self._final_record: HolderRecord | None = None
@@ -155,6 +167,26 @@
         """
         return self._superseded
 
+    @property
+    def holds_tokens(self) -> bool:
+        """Whether records in the store, or transfers, leave tokens to this host.
+
+        They do if an earlier incarnation has left a record that is not final, or if a slice is
+        larger than what was spent of it.
+        """
+        record = self._ledger.records.get(self._host)
+        if record is not None and record.incarnation != self._incarnation and not self._superseded:
+            return not record.ended
+        return any(
+            account.reserved or account.donated or account.share.ceiling > account.share.spent
+            for account in self._accounts.values()
+        )
+
+    @property
+    def grows(self) -> bool:
+        """Whether a slice grows with the age of its record, so that the record must be renewed."""
+        return any(account.share.growth for account in self._accounts.values())
+
     @property
     def ended(self) -> bool:
         """Whether this incarnation's final record, or a later incarnation's, is in the store."""
@@ -229,14 +261,8 @@
             if left >= tokens:
                 account.received[giver] -= tokens
                 return Grant(ReservationStatus.GRANTED, tokens, giver)
-        least_spent = (
-            self._ledger.surely_spent(name, self._host) + account.past_spent + account.spent
-        )
-        return Grant(
-            ReservationStatus.EXHAUSTED
-            if least_spent + tokens > total
-            else ReservationStatus.LACKING
-        )
+        exhausted = self.is_exhausted(name, tokens)
+        return Grant(ReservationStatus.EXHAUSTED if exhausted else ReservationStatus.LACKING)
 
     def settle(self, name: str, grant: Grant, used: int) -> None:
         """Count the tokens that a request used of its grant, and free the rest."""
@@ -343,6 +369,28 @@
         """Return the tokens of the slice that can be reserved now."""
         return self._free(name, self._account(name), now)
 
+    def is_exhausted(self, name: str, tokens: int) -> bool:
+        """Whether the total can't cover `tokens` more: so much has surely been spent."""
+        total = self._totals.get(name)
+        account = self._account(name)
+        spent = self._ledger.surely_spent(name, self._host) + account.past_spent + account.spent
+        return total is not None and spent + tokens > total
+
+    def demand_rates(self, now: float) -> dict[str, float]:
+        """Return the recent demand of this host's own callers by account, in tokens per second."""
+        rates = {name: account.demand.at(now) for name, account in self._accounts.items()}
+        return {name: rate for name, rate in rates.items() if rate >= MIN_RATE}
+
+    def report_demand(self, host: str, rates: Mapping[str, float], now: float) -> None:
+        """Record the demand of another host of this zone that writes no record of its own.
+
+        It replaces that host's earlier report, and counts for `DEMAND_REPORT_TTL_S` seconds.
+        """
+        recent = {
+            h: r for h, r in self._reported_demand.items() if now - r[0] < DEMAND_REPORT_TTL_S
+        }
+        self._reported_demand = {**recent, host: (now, dict(rates))}
+
     def wait_s(self, name: str, tokens: int, now: float) -> float:
         """Return the time until the own slice has grown enough to reserve `tokens`, in seconds.
 
@@ -501,13 +549,21 @@
             held=held,
             pending_demand=account.pending_demand,
             served=account.served.at(now),
-            expected=ledger.demand(name, self._host, zone) + account.demand.at(now),
+            expected=ledger.demand(name, self._host, zone)
+            + self._demand_reported(name, now)
+            + account.demand.at(now),
             largest_request=max(account.served.largest, account.demand.largest),
             total=total,
             max_limit=total - ledger.committed(name, self._host) - account.past_limit,
             unspent=max(0, total - spent_by_others - account.past_limit - held),
         )
 
+    def _demand_reported(self, name: str, now: float) -> float:
+        """Return the demand that hosts without records have reported, in tokens per second."""
+        reports = self._reported_demand.values()
+        recent = [rates for at, rates in reports if now - at < DEMAND_REPORT_TTL_S]
+        return sum(rates.get(name, 0.0) for rates in recent)
+
     def _is_worth_writing(self, shares: dict[str, AccountShare]) -> bool:
         """Whether a record would change slices, or spent tokens, by enough to be worth writing."""
         record = self._ledger.records.get(self._host)
