--- a/mulberrycleat/endpoint/placer.py
+++ b/mulberrycleat/endpoint/placer.py
@@ -13,6 +13,7 @@
 from collections import OrderedDict
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
+from functools import lru_cache
 from random import Random
 from typing import NamedTuple
 
@@ -223,6 +224,13 @@
 # After a pause, one request is sent to the zone in each period of this length, in seconds. A
 # failure to open a connection is detected in less time.
 PARTITION_TRIAL_S = 0.4
+# Most endpoints compared for one request.
+MAX_COMPARED = 16
+# Share of the host's own zone in a random sample of endpoints.
+NEAR_SHARE = 0.7
+# Preferred endpoints that are remembered, by session and endpoints. One takes about the memory of
+# the names of the endpoints, which sessions share.
+PREFERENCE_CACHE_SIZE = 512
 # Largest number of sequences of prompt parts that are remembered for an endpoint.
 MAX_PARTS = 2000
 SLOWNESS_GAIN = 0.15
@@ -269,7 +277,8 @@
         states = self._usable(states, now)
         if not states:
             return None
-        home = _preferred_endpoint(work, [state.entry.id for state in states])
+        home = _preferred_endpoint(work, tuple(state.entry.id for state in states))
+        states = self._sample(states, work, home)
         lowest_slowness = min(state.slowness for state in states)
         scored = []
         for state in states:
@@ -390,6 +399,30 @@
         state.entry = entry
         return state
 
+    def _sample(
+        self, states: list[_EndpointState], work: Work, home: str | None
+    ) -> list[_EndpointState]:
+        """Return the endpoints to compare, so that a choice takes as long among many as among few.
+
+        These are the preferred one, those that have cached the last shared part, and random others,
+        most of them in this host's zone.
+        """
+        if len(states) <= MAX_COMPARED:
+            return states
+        prefix = "".join(f"/{part.id}" for part in work.parts)
+        kept, near, far = [], [], []
+        for state in states:
+            if state.entry.id == home:
+                kept.insert(0, state)
+            elif prefix and prefix in state.parts:
+                kept.append(state)
+            else:
+                (near if state.entry.zone == self._zone else far).append(state)
+        kept = kept[:MAX_COMPARED]
+        free = MAX_COMPARED - len(kept)
+        kept += self._random.sample(near, min(len(near), round(NEAR_SHARE * free)))
+        return kept + self._random.sample(far, min(len(far), MAX_COMPARED - len(kept)))
+
     def _usable(self, states: list[_EndpointState], now: float) -> list[_EndpointState]:
         """Return the endpoints that are not partitioned, ejected or silent.
 
@@ -476,11 +509,16 @@
         state.decayed_at = now
 
 
-def _preferred_endpoint(work: Work, ids: list[str]) -> str | None:
+def _preferred_endpoint(work: Work, ids: tuple[str, ...]) -> str | None:
     """Return the preferred endpoint of a request's session, the same at all hosts.
 
     The session is identified by the last shared part of the prompt; None if there is no such part.
     """
     if not work.parts:
         return None
-    return first_by_rank(work.parts[-1].id, ids)
+    return _first_by_rank(work.parts[-1].id, ids)
+
+
+@lru_cache(PREFERENCE_CACHE_SIZE)
+def _first_by_rank(session: str, ids: tuple[str, ...]) -> str | None:
+    return first_by_rank(session, ids)
--- a/mulberrycleat/endpoint/tests/test_placer.py
+++ b/mulberrycleat/endpoint/tests/test_placer.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from mulberrycleat.endpoint.directory import Entry
-from mulberrycleat.endpoint.placer import Part, Placer, PlacerSettings, Work
+from mulberrycleat.endpoint.placer import MAX_COMPARED, Part, Placer, PlacerSettings, Work
 from mulberrycleat.testing import fixture
 
 NO_PROMPT = Work()
@@ -224,3 +224,26 @@
     placer.ended(placement.entry.id, "r1", 1.0, False)
     placer.retain([])
     assert placer.in_flight(placement.entry.id) == 0
+
+
+def test_a_choice_compares_few_of_many_endpoints_and_keeps_the_preferred_one():
+    found = entries(60, zones="abcde")
+    for number in range(20):
+        work = session(f"s{number}")
+        chosen = [new_placer(seed=seed).choose(found, work, 0.0) for seed in range(6)]
+        assert len({placement.entry.id for placement in chosen}) == 1
+        assert {placement.candidates for placement in chosen} == {MAX_COMPARED}
+
+
+def test_requests_without_a_prompt_stay_in_the_zone():
+    found = entries(60, zones="abcde")
+    counts = send_requests(new_placer(), found, count=400, step_s=0.05)
+    near = {entry.id for entry in found if entry.zone == "a"}
+    assert sum(counts[name] for name in near) > 0.9 * 400
+
+
+def test_all_endpoints_are_tried_while_those_of_the_zone_fail():
+    found = entries(60, zones="abcde")
+    near = {entry.id for entry in found if entry.zone == "a"}
+    counts = send_requests(new_placer(), found, failing=near, count=200, step_s=0.02)
+    assert sum(counts[name] for name in near) < 0.4 * 200
--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -33,6 +33,7 @@
 from mulberrycleat.entry.retries import FleetRetryBudget
 from mulberrycleat.entry.roster import HostRoster
 from mulberrycleat.entry.settings import EntrySettings
+from mulberrycleat.entry.shards import ShardedSlices
 from mulberrycleat.entry.shutdown import GracefulShutdown
 from mulberrycleat.entry.slices import HeartbeatCount, SliceController
 from mulberrycleat.entry.store import StateStore
@@ -136,25 +137,29 @@
         self._retry_budget = FleetRetryBudget(settings.bounds)
         self._connections = ConnectionPool(_connection_settings(settings), ports.connect)
         self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
-        allowance = Allowance(
-            AllowanceSettings(), settings.host, new_id(), settings.peers_listen, settings.zone
-        )
+        incarnation = new_id()
         self._roster = HostRoster(
-            _host_entry(settings, allowance.incarnation),
-            self._store,
-            decisions,
-            self._apply_roster,
+            _host_entry(settings, incarnation), self._store, decisions, self._apply_roster
         )
-        self._slices = SliceController(
-            allowance,
-            self._roster,
-            self._store,
-            settings.times,
-            decisions,
-            self._peer_http,
-            random,
-            self._count_heartbeats,
-            ports.wall,
+        self._slices = ShardedSlices(
+            lambda shard: SliceController(
+                Allowance(
+                    AllowanceSettings(),
+                    settings.host,
+                    incarnation,
+                    settings.peers_listen,
+                    settings.zone,
+                ),
+                self._roster,
+                self._store,
+                settings.times,
+                decisions,
+                self._peer_http,
+                random,
+                self._count_heartbeats,
+                ports.wall,
+                shard,
+            )
         )
         self._maps = MapFeed(self._store, settings.times, decisions, self._apply_table)
         self._directory = DirectoryFeed(
@@ -266,7 +271,9 @@
                 trio.current_time() + FINAL_RECORD_TIMEOUT_S, killed_at - FINAL_RECORD_MARGIN_S
             )
             with trio.move_on_at(write_until) as last:
-                await self._slices.end()
+                async with trio.open_nursery() as ending:
+                    ending.start_soon(self._roster.end)
+                    ending.start_soon(self._slices.end)
             if last.cancelled_caught:
                 self._decisions.warning("last record not written", step="stop", peer="store")
             self._decisions.warning("stopped", running=self._shutdown.running)
--- a/mulberrycleat/entry/coordinators.py
+++ b/mulberrycleat/entry/coordinators.py
@@ -61,11 +61,10 @@
 class CoordinatorMap:
     """Active hosts, and the coordinators of accounts among them.
 
-    The coordinator of an account is the host where the demand of all hosts for it meets. Each
-    availability zone has a zone coordinator, which serves while the coordinator can't be reached.
-    Coordinators are chosen by rendezvous hashing among the candidates: all hosts of a small zone,
-    and of a larger one the `CANDIDATES_PER_ZONE` with most processor capacity. So the number of
-    hosts that write and read the ledger does not grow with the number of hosts.
+    The coordinator of a shard is the host where the demand of all hosts for its accounts meets.
+    Each availability zone has a zone coordinator, which serves while the coordinator can't be
+    reached. Coordinators are chosen by rendezvous hashing among the candidates: all hosts of a
+    small zone, and of a larger one the `CANDIDATES_PER_ZONE` with most processor capacity.
 
     Parameters
     ----------
@@ -79,8 +78,8 @@
     >>> entries = {n: HostEntry(n, "1", 1, zone, f"{n}:3") for n, zone in zones.items()}
     >>> book.update(entries, now=0.0)
     True
-    >>> book.coordinators("huts")
-    ('c', 'a')
+    >>> book.coordinators(3), book.role(3)
+    (('c', 'a'), <Role.ZONE_COORDINATOR: 'zone_home'>)
     >>> book.update(entries, now=1.0)
     False
     """
@@ -91,7 +90,7 @@
         self._last_changes: dict[str, _LastChange] = {}
         self._active: tuple[str, ...] = ()
         self._candidates: tuple[str, ...] = ()
-        self._by_account: dict[str, tuple[str, ...]] = {}
+        self._by_shard: dict[int, tuple[str, ...]] = {}
 
     @property
     def zones(self) -> int:
@@ -108,11 +107,6 @@
         """Names of the hosts that can be coordinators."""
         return self._candidates
 
-    @property
-    def is_candidate(self) -> bool:
-        """Whether this host can be a coordinator; true while no host is known."""
-        return not self._candidates or self._host in self._candidates
-
     def host_count(self, now: float) -> int:
         """Return the number of hosts that are active at `now`, in seconds on trio's clock."""
         return sum(1 for change in self._last_changes.values() if now - change.at < HOST_ACTIVE_S)
@@ -142,38 +136,37 @@
             return False
         self._active = active
         self._candidates = self._choose_candidates()
-        self._by_account.clear()
+        self._by_shard.clear()
         return True
 
-    def coordinators(self, account: str) -> tuple[str, ...]:
-        """Return the names of an account's coordinator and its zone coordinator in this zone.
+    def coordinators(self, shard: int) -> tuple[str, ...]:
+        """Return the names of a shard's coordinator and its zone coordinator in this zone.
 
         There is only one name if one host is both or no host of this zone is active, and none while
         no host at all is active.
         """
-        if account not in self._by_account:
-            order = ranked(account, self._candidates)
+        if shard not in self._by_shard:
+            order = ranked(f"shard {shard}", self._candidates)
             in_zone = [name for name in order if self._zone_of(name) == self._zone]
-            self._by_account[account] = tuple(dict.fromkeys([*order[:1], *in_zone[:1]]))
-        return self._by_account[account]
+            self._by_shard[shard] = tuple(dict.fromkeys([*order[:1], *in_zone[:1]]))
+        return self._by_shard[shard]
+
+    def role(self, shard: int) -> Role:
+        """Return this host's role for a shard; coordinator while no host is active."""
+        coordinators = self.coordinators(shard)
+        if not coordinators or coordinators[0] == self._host:
+            return Role.COORDINATOR
+        return Role.ZONE_COORDINATOR if self._host in coordinators else Role.OTHER
 
     def addresses_of(self, names: Iterable[str]) -> tuple[str, ...]:
         """Return the addresses of other hosts; those without a known address are left out."""
         changes = [self._last_changes.get(name) for name in names if name != self._host]
         return tuple(c.entry.peer_address for c in changes if c and c.entry.peer_address)
 
-    def candidates_in(self, zone: str) -> tuple[str, ...]:
-        """Return the names of the candidates in a zone."""
-        return tuple(name for name in self._candidates if self._zone_of(name) == zone)
-
     def candidates_from(self, zone: str) -> tuple[str, ...]:
         """Return the names of all candidates, those of `zone` first."""
         return tuple(sorted(self._candidates, key=lambda name: self._zone_of(name) != zone))
 
-    def roles(self, accounts: Iterable[str]) -> dict[str, Role]:
-        """Return this host's role for each account; coordinator of all while no host is active."""
-        return {account: self._role(account) for account in accounts}
-
     def _choose_candidates(self) -> tuple[str, ...]:
         by_zone: dict[str, list[str]] = defaultdict(list)
         for name in ranked("candidates", self._active):
@@ -189,12 +182,6 @@
     def _zone_of(self, name: str) -> str:
         return self._last_changes[name].entry.zone
 
-    def _role(self, account: str) -> Role:
-        coordinators = self.coordinators(account)
-        if not coordinators or coordinators[0] == self._host:
-            return Role.COORDINATOR
-        return Role.ZONE_COORDINATOR if self._host in coordinators else Role.OTHER
-
 
 def _version(entry: HostEntry) -> tuple[str, int]:
     return entry.incarnation, entry.number
--- a/mulberrycleat/entry/decisions.py
+++ b/mulberrycleat/entry/decisions.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 __all__ = ["DecisionLog", "LineWriter", "configure_decision_logging"]
 
@@ -123,7 +123,7 @@
     """Send log records as JSON lines to `writer`; `fixed` fields are in every record."""
     handler = logging.StreamHandler(writer)
     handler.setFormatter(
-        JsonFormatter(
+        MsgspecFormatter(
             "%(levelname)s %(name)s %(message)s",
             timestamp=True,
             static_fields=fixed,
--- a/mulberrycleat/entry/filters/prepaid.py
+++ b/mulberrycleat/entry/filters/prepaid.py
@@ -12,7 +12,7 @@
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.filters.admit import Proceed
-from mulberrycleat.entry.slices import SliceController
+from mulberrycleat.entry.shards import ShardedSlices
 from mulberrycleat.prepaid import Grant, ReservationStatus
 from mulberrycleat.routes import RouteKind
 
@@ -32,7 +32,7 @@
 
     Parameters
     ----------
-    slices : SliceController
+    slices : ShardedSlices
         This host's slices of the prepaid totals.
     decisions : DecisionLog
         Log of reservations and refusals.
@@ -41,7 +41,7 @@
     """
 
     def __init__(
-        self, slices: SliceController, decisions: DecisionLog, now: Callable[[], float]
+        self, slices: ShardedSlices, decisions: DecisionLog, now: Callable[[], float]
     ) -> None:
         self._slices = slices
         self._decisions = decisions
--- a/mulberrycleat/entry/final_records.py
+++ b/mulberrycleat/entry/final_records.py
@@ -15,7 +15,7 @@
 __all__ = ["FinalRecords"]
 
 # A host that stops sends its final record with PUT; its next incarnation requests it with POST.
-FINAL_RECORD_PATH = "/tokens/last-word"
+FINAL_RECORD_PATH = "/tokens/{shard}/final-record"
 
 
 class _FinalRecordRequest(msgspec.Struct):
@@ -41,6 +41,8 @@
         Returns the addresses of the other hosts.
     decisions : DecisionLog
         Log of final records kept and received.
+    shard : int
+        Shard of the accounts.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         peers: PeerCalls,
         other_addresses: Callable[[], Sequence[str]],
         decisions: DecisionLog,
+        shard: int,
     ) -> None:
+        self._path = FINAL_RECORD_PATH.format(shard=shard)
         self._allowance = allowance
         self._peers = peers
         self._other_addresses = other_addresses
@@ -60,19 +64,19 @@
     def routes(self) -> tuple[Route, ...]:
         """Return the HTTP routes that serve other hosts."""
         return (
-            Route("PUT", FINAL_RECORD_PATH, self._store_record),
-            Route("POST", FINAL_RECORD_PATH, self._serve_record),
+            Route("PUT", self._path, self._store_record),
+            Route("POST", self._path, self._serve_record),
         )
 
     async def hand_over(self, record: HolderRecord) -> None:
-        """Send this incarnation's final record to all other hosts."""
+        """Send this incarnation's final record to the other hosts."""
         body = msgspec.msgpack.encode(record)
         async with trio.open_nursery() as nursery:
             for peer in self._other_addresses():
-                nursery.start_soon(self._peers.call, "PUT", peer, FINAL_RECORD_PATH, body)
+                nursery.start_soon(self._peers.call, "PUT", peer, self._path, body)
 
     async def fetch(self) -> None:
-        """Request the previous incarnation's final record from all other hosts, at most once.
+        """Request the previous incarnation's final record from the other hosts, at most once.
 
         Nothing is requested if the store has no record of an earlier incarnation, has its final
         record, or already has a record of this incarnation.
@@ -87,7 +91,7 @@
                 nursery.start_soon(self._fetch_from, peer, body)
 
     async def _fetch_from(self, peer: str, body: bytes) -> None:
-        answer = await self._peers.call("POST", peer, FINAL_RECORD_PATH, body)
+        answer = await self._peers.call("POST", peer, self._path, body)
         if answer is None or answer.status != 200:
             return
         try:
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from random import Random
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 import trio
@@ -22,6 +22,7 @@
     StateStore,
 )
 from mulberrycleat.prepaid import HolderRecord
+from mulberrycleat.prepaid.sharding import SHARDS
 from mulberrycleat.web import Reply, Request, Responder, Route
 from mulberrycleat.web.client import BaseHttpClient
 
@@ -35,6 +36,9 @@
 RELAY_TIMEOUT_S = 1.0
 # Other hosts tried for one call.
 RELAY_ATTEMPTS = 2
+# Other hosts asked for what they remember, if none of them reaches the store. One that was cut off
+# for longer may remember an older state than the others.
+MEMORY_ATTEMPTS = 4
 MESSAGE_TYPE = "application/msgpack"
 RELAY_PATH = "/store/{call}"
 
@@ -45,6 +49,7 @@
     offset: int | None = None
     record: HolderRecord | None = None
     entry: HostEntry | None = None
+    shard: Annotated[int, msgspec.Meta(ge=0, lt=SHARDS)] = 0
 
 
 class RelayedStore:
@@ -112,20 +117,23 @@
             lambda: self._inner.read_entries(offset), "read_entries", arguments, DirectoryUpdate
         )
 
-    async def read_slices(self, offset: int | None) -> Result[RecordUpdate, PeerError]:
-        """Return records of the hosts' slices since `offset`."""
-        arguments = _CallArguments(offset)
+    async def read_slices(self, shard: int, offset: int | None) -> Result[RecordUpdate, PeerError]:
+        """Return records of the hosts' slices of a shard since `offset`."""
+        arguments = _CallArguments(offset, shard=shard)
         return await self._call(
-            lambda: self._inner.read_slices(offset), "read_slices", arguments, RecordUpdate
+            lambda: self._inner.read_slices(shard, offset), "read_slices", arguments, RecordUpdate
         )
 
     async def append_slices(
-        self, record: HolderRecord, at: int
+        self, shard: int, record: HolderRecord, at: int
     ) -> Result[AppendOutcome, PeerError]:
-        """Append a record on condition that the log ends at offset `at`."""
-        arguments = _CallArguments(at, record)
+        """Append a record on condition that the log of the shard ends at offset `at`."""
+        arguments = _CallArguments(at, record, shard=shard)
         return await self._call(
-            lambda: self._inner.append_slices(record, at), "append_slices", arguments, AppendOutcome
+            lambda: self._inner.append_slices(shard, record, at),
+            "append_slices",
+            arguments,
+            AppendOutcome,
         )
 
     async def read_hosts(self, offset: int | None) -> Result[HostUpdate, PeerError]:
@@ -167,12 +175,19 @@
         kind: type[T],
         first: Result[T, PeerError] | None,
     ) -> Result[T, PeerError]:
-        """Send a call through other hosts; `first` is the outcome of the direct call, if any."""
+        """Send a call through other hosts; `first` is the outcome of the direct call, if any.
+
+        If no host that is tried reaches the store, the result is the newest state that one of them
+        remembers.
+        """
+        remembered: list[T] = []
         last = first or Err(PeerError(Step.CALL, "store", "store unreachable", False))
         peers = list(self._peers())
         self._random.shuffle(peers)
         body = msgspec.msgpack.encode(arguments)
-        for peer in peers[:RELAY_ATTEMPTS]:
+        for number, peer in enumerate(peers):
+            if number >= (MEMORY_ATTEMPTS if remembered else RELAY_ATTEMPTS):
+                break
             self._relayed += 1
             outcome = await self._client.request(
                 "POST",
@@ -186,18 +201,22 @@
             match outcome:
                 case Ok(answer) if answer.status == 200:
                     try:
-                        return Ok(msgspec.msgpack.decode(answer.body, type=kind))
+                        update = msgspec.msgpack.decode(answer.body, type=kind)
                     except msgspec.DecodeError as error:
                         last = Err(PeerError(Step.CALL, peer, f"{call}: {error}"))
+                        continue
+                    if not _is_from_memory(update):
+                        return Ok(update)
+                    remembered.append(update)
                 case Ok(answer):
                     # With 503, the other host states that the store has not received the call.
                     sent = answer.status != 503
                     last = Err(PeerError(Step.CALL, peer, f"{call}: {answer.status}", sent))
                 case Err(error):
                     last = Err(error)
-            if call == "append_slices" and last.err_value.sent:
+            if call == "append_slices" and isinstance(last, Err) and last.err_value.sent:
                 return last
-        return last
+        return Ok(max(remembered, key=_version_of)) if remembered else last
 
     def _update_reachability(self, outcome: Result[Any, PeerError]) -> None:
         """Log the start or the end of an outage, as shown by the outcome of a direct call."""
@@ -282,15 +301,30 @@
             case "append_host" if not lost and arguments.entry is not None:
                 return await inner.append_host(arguments.entry)
             case "read_slices" if not lost:
-                return await inner.read_slices(arguments.offset)
+                return await inner.read_slices(arguments.shard, arguments.offset)
             case "append_slices" if (
                 not lost and arguments.record is not None and arguments.offset is not None
             ):
-                return await inner.append_slices(arguments.record, arguments.offset)
+                return await inner.append_slices(
+                    arguments.shard, arguments.record, arguments.offset
+                )
             case "read_slices" | "append_slices" | "append_host":
                 return unreachable
         return None
 
 
+def _is_from_memory(update: Any) -> bool:
+    """Whether another host answered from its memory, since it can't reach the store either."""
+    is_read = isinstance(update, MapUpdate | DirectoryUpdate | HostUpdate)
+    return is_read and update.next is None
+
+
+def _version_of(update: Any) -> int:
+    """Return the version of a remembered route map; the other states have none."""
+    if isinstance(update, MapUpdate) and update.route_map is not None:
+        return update.route_map.version
+    return -1
+
+
 def _ok_or(update: Any, fallback: Result[Any, PeerError]) -> Result[Any, PeerError]:
     return fallback if update is None else Ok(update)
--- a/mulberrycleat/entry/roster.py
+++ b/mulberrycleat/entry/roster.py
@@ -119,9 +119,8 @@
         changed = self._map.update(entries, trio.current_time())
         if changed:
             self._on_change()
-            candidates = self._map.is_candidate
-            hosts = len(self._map.entries)
-            self._decisions.info("hosts changed", hosts=hosts, holds_slices=candidates)
+            hosts, candidates = len(self._map.entries), len(self._map.candidates)
+            self._decisions.info("hosts changed", hosts=hosts, candidates=candidates)
         # A roster from another host's memory may be outdated, and is read again soon.
         from_store = update.next is not None
         if from_store:
--- a/mulberrycleat/entry/settings.py
+++ b/mulberrycleat/entry/settings.py
@@ -51,8 +51,9 @@
     slice_check_interval_s : float
         Longest interval between checks whether the slices need a new record; well below `settle_s`,
         the time after which unused tokens are free again.
-    record_renewal_interval_s : float
-        Age of a host's record from which a new one is written, however little has changed.
+    record_renewal_interval_s, zone_record_renewal_interval_s : float
+        Age from which a coordinator, or a zone coordinator, renews a record whose slices grow,
+        however little has changed; less than half of the age at which they start to grow.
     outage_retry_interval_s : float
         Interval between reads while the store can't be read, neither directly nor through other
         hosts.
@@ -68,6 +69,7 @@
     directory_read_interval_s: float = 0.6
     slice_check_interval_s: float = 0.35
     record_renewal_interval_s: float = 0.3
+    zone_record_renewal_interval_s: float = 0.9
     outage_retry_interval_s: float = 0.3
     store_timeout_s: float = 0.4
     slice_wait_s: float = 0.4
--- /dev/null
+++ b/mulberrycleat/entry/shards.py
@@ -0,0 +1,112 @@
+"""Slices of all accounts, in shards with separate ledgers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import lru_cache
+from typing import Any
+
+import trio
+
+from mulberrycleat.entry.slices import SliceController
+from mulberrycleat.prepaid import Grant
+from mulberrycleat.prepaid.sharding import SHARDS, shard_of
+from mulberrycleat.routes import RouteTable
+from mulberrycleat.web import Route
+
+__all__ = ["ShardedSlices"]
+
+# Shards whose account was looked up recently; a deployment has some hundred accounts.
+SHARD_CACHE_SIZE = 4096
+
+
+class ShardedSlices:
+    """Slices of the prepaid totals, one controller for each shard of accounts.
+
+    The hosts that hold slices of a shard are its coordinator and one zone coordinator in each other
+    availability zone. Only they follow the ledger of the shard, so that its cost grows with the
+    number of zones and not with the number of hosts.
+
+    Parameters
+    ----------
+    make_controller : callable
+        Returns the controller of a shard.
+    """
+
+    def __init__(self, make_controller: Callable[[int], SliceController]) -> None:
+        self._controllers = tuple(make_controller(shard) for shard in range(SHARDS))
+        self._shard_of = lru_cache(SHARD_CACHE_SIZE)(shard_of)
+
+    @property
+    def controllers(self) -> tuple[SliceController, ...]:
+        """The controllers, by shard."""
+        return self._controllers
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests for tokens can be granted in all shards."""
+        return all(controller.ready for controller in self._controllers)
+
+    def controller(self, account: str) -> SliceController:
+        """Return the controller of an account's shard."""
+        return self._controllers[self._shard_of(account)]
+
+    def apply_route_table(self, table: RouteTable) -> None:
+        """Apply the prepaid totals of a new route map."""
+        totals: list[dict[str, int]] = [{} for _ in self._controllers]
+        for name, account in table.accounts.items():
+            if account.prepaid_tokens is not None:
+                totals[self._shard_of(name)][name] = account.prepaid_tokens
+        for controller, found in zip(self._controllers, totals, strict=True):
+            controller.apply_totals(found, table.version)
+
+    def update_roles(self) -> None:
+        """Apply a change of the active hosts."""
+        for controller in self._controllers:
+            controller.update_roles()
+
+    async def reserve(self, account: str, tokens: int, deadline: float) -> Grant:
+        """Reserve tokens for a request; see :meth:`SliceController.reserve`."""
+        return await self.controller(account).reserve(account, tokens, deadline)
+
+    def settle(self, account: str, grant: Grant, used: int) -> None:
+        """Count the tokens of a grant that a request used, and release the others."""
+        self.controller(account).settle(account, grant, used)
+
+    def tokens(self, account: str) -> dict[str, int]:
+        """Return this host's token counts of an account, by kind."""
+        return self.controller(account).tokens(account)
+
+    def describe(self, account: str) -> dict[str, Any]:
+        """Return the inputs of a decision on an account's tokens, as fields of a log line."""
+        return self.controller(account).describe(account)
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the HTTP routes that serve other hosts."""
+        return tuple(route for controller in self._controllers for route in controller.routes())
+
+    def record_start(self) -> None:
+        """Record the start time of the process, from which clock readings count the uptime."""
+        for controller in self._controllers:
+            controller.record_start()
+
+    async def run(self) -> None:
+        """Keep the ledgers up to date until :meth:`end` is called."""
+        await self._for_each(lambda controller: controller.run)
+
+    async def end(self) -> None:
+        """Write the final records, and return once the store holds them."""
+        await self._for_each(lambda controller: controller.end)
+
+    async def run_usage_reports(self) -> None:
+        """Send usage reports to donors until cancelled."""
+        await self._for_each(lambda controller: controller.run_usage_reports)
+
+    async def run_demand_reports(self) -> None:
+        """Report the demand of this host's callers to zone coordinators until cancelled."""
+        await self._for_each(lambda controller: controller.run_demand_reports)
+
+    async def _for_each(self, method: Callable[[SliceController], Callable[[], Any]]) -> None:
+        async with trio.open_nursery() as nursery:
+            for controller in self._controllers:
+                nursery.start_soon(method(controller))
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -1,4 +1,4 @@
-"""Controller of this host's slices of the prepaid totals.
+"""Controller of this host's slices of the prepaid totals of one shard of accounts.
 
 A slice is the part of an account's prepaid total that one host may spend. Each host writes its
 slices to a record in the store; the newest records of all hosts form the ledger.
@@ -34,8 +34,8 @@
     ClockReading,
     Grant,
     ReservationStatus,
+    Role,
 )
-from mulberrycleat.routes import RouteTable
 from mulberrycleat.web import Reply, Request, Responder, Route
 from mulberrycleat.web.client import BaseHttpClient
 
@@ -47,6 +47,9 @@
 CONFLICT_PAUSE_S = 0.01
 # Interval between reads of the ledger while this host has no record to append, in seconds.
 IDLE_READ_INTERVAL_S = 1.0
+# Interval between checks whether a host that follows no ledger has to, in seconds; a request that
+# needs it wakes the loop.
+DORMANT_CHECK_INTERVAL_S = 2.0
 # Shortest time between cycles of the loop, in seconds, so that one record covers the demand of
 # several requests.
 MIN_CYCLE_INTERVAL_S = 0.01
@@ -58,9 +61,9 @@
 # Longest time that another host's transfer request waits until this host's slice is large enough,
 # in seconds; shorter than the time that the other host waits for the reply.
 DONOR_WAIT_S = 0.15
-DEMAND_PATH = "/tokens/demand"
-# Interval between reports of demand to a zone's coordinators, in seconds; the reserve that they
-# hold for an outage changes as slowly.
+DEMAND_PATH = "/tokens/{shard}/demand"
+# Interval between reports of demand to a zone coordinator, in seconds; the reserve that it holds
+# for an outage changes as slowly.
 DEMAND_REPORT_INTERVAL_S = 3.0
 # Highest rate that a report may state, in tokens per second; more is no sound report.
 MAX_REPORTED_RATE = 1e9
@@ -114,6 +117,8 @@
         Returns the heartbeats of endpoints, which measure time independently of the clock.
     wall : callable
         Returns the time of day, in seconds.
+    shard : int
+        The shard.
     """
 
     def __init__(
@@ -127,7 +132,10 @@
         random: Random,
         beats: Callable[[], HeartbeatCount],
         wall: Callable[[], float] = time.time,
+        shard: int = 0,
     ) -> None:
+        self._shard = shard
+        self._demand_path = DEMAND_PATH.format(shard=shard)
         self._count_heartbeats = beats
         self._wall = wall
         self._started_at = float("nan")
@@ -139,13 +147,14 @@
         self._offset: int | None = None
         self._wake = trio.Event()
         self._cycle_ended = trio.Event()
-        self._accounts: tuple[str, ...] = ()
         self._awaited = 0
         self._roster = roster
         self._calls = calls = PeerCalls(client, decisions)
-        self._transfer_client = TransferClient(allowance, calls, decisions)
-        self._transfer_server = TransferServer(allowance)
-        self._final_records = FinalRecords(allowance, calls, self._candidate_addresses, decisions)
+        self._transfer_client = TransferClient(allowance, calls, decisions, shard)
+        self._transfer_server = TransferServer(allowance, shard)
+        self._final_records = FinalRecords(
+            allowance, calls, self._candidate_addresses, decisions, shard
+        )
         self._stopping = False
         self._final_record_written = trio.Event()
         self._store_connected = False
@@ -162,23 +171,16 @@
     def ready(self) -> bool:
         """Whether requests for tokens can be granted.
 
-        For a host that can be a coordinator, the store has a record of this incarnation; until
-        then, its slices are empty. Any other host gets tokens from the coordinators.
+        For a coordinator, the store has a record of this incarnation; until then, its slices are
+        empty. Any other host gets tokens from the coordinators.
         """
-        if not self._roster.coordinators.is_candidate:
-            return self._roster.settled and self._ledger_read
-        return self._allowance.joined
-
-    def apply_route_table(self, table: RouteTable) -> None:
-        """Apply the prepaid totals of a new route map."""
-        totals = {
-            name: account.prepaid_tokens
-            for name, account in table.accounts.items()
-            if account.prepaid_tokens is not None
-        }
-        self._allowance.set_totals(totals, table.version)
-        self._accounts = tuple(totals)
-        self.update_roles()
+        if self._is_coordinator():
+            return self._allowance.joined
+        return self._roster.settled and self._ledger_read
+
+    def apply_totals(self, totals: dict[str, int], map_version: int) -> None:
+        """Apply the prepaid totals of the shard's accounts in a new route map."""
+        self._allowance.set_totals(totals, map_version)
         self._wake.set()
 
     async def reserve(self, account: str, tokens: int, deadline: float) -> Grant:
@@ -186,10 +188,10 @@
 
         The tokens come from the first source that has enough: this host's slice, a transfer from
         the account's coordinators, a larger slice from the store, a transfer from another host with
-        slices. A host that can't be a coordinator enlarges its own slice only if no coordinator
-        answers.
+        slices. A host that is no coordinator enlarges its own slice only if no coordinator answers
+        that reaches the store.
 
-        Each account has one host as its coordinator, where the demand of all hosts meets. One slice
+        Each shard has one host as its coordinator, where the demand of all hosts meets. One slice
         for the whole demand is smaller than separate slices of all hosts that are each large enough
         for a single large request, and hosts conflict less often when they append to the store. In
         each availability zone, one host is the zone coordinator, which serves while the coordinator
@@ -219,12 +221,12 @@
         now = trio.current_time()
         grant = self._allowance.reserve(account, tokens, now)
         wait_s = self._allowance.wait_s(account, tokens, now)
-        coordinators = self._coordinator_addresses(account)
-        use_store = self._roster.coordinators.is_candidate
+        coordinators = self._coordinator_addresses()
+        use_store = self._is_coordinator()
         if grant.status is ReservationStatus.LACKING:
             outcome = await self._transfer_client.reserve(account, tokens, deadline, coordinators)
             grant, wait_s = outcome.grant, min(wait_s, outcome.grant.wait_s)
-            use_store = use_store or not outcome.answered
+            use_store = use_store or not outcome.connected
         if grant.status is ReservationStatus.LACKING and self._store_connected and use_store:
             grant = await self._reserve_from_store(account, tokens, deadline)
         if grant.status is ReservationStatus.LACKING:
@@ -247,8 +249,8 @@
     def routes(self) -> tuple[Route, ...]:
         """Return the HTTP routes that serve other hosts."""
         return (
-            Route("POST", TRANSFER_PATH, self._answer_transfer),
-            Route("POST", DEMAND_PATH, self._accept_demand),
+            Route("POST", TRANSFER_PATH.format(shard=self._shard), self._answer_transfer),
+            Route("POST", self._demand_path, self._accept_demand),
             *self._transfer_server.routes(),
             *self._final_records.routes(),
         )
@@ -258,21 +260,19 @@
         await self._transfer_client.run()
 
     async def run_demand_reports(self) -> None:
-        """Report the demand of this host's callers to its zone's coordinators until cancelled.
+        """Report the demand of this host's callers to the zone coordinator until cancelled.
 
-        Only a host without slices does so; the records of others state it.
+        A coordinator states its demand in its own records instead.
         """
         while True:
             await trio.sleep(DEMAND_REPORT_INTERVAL_S)
-            coordinators = self._roster.coordinators
             rates = self._allowance.demand_rates(trio.current_time())
-            if coordinators.is_candidate or not rates:
+            if self._is_coordinator() or not rates:
                 continue
             body = msgspec.msgpack.encode(_DemandReport(self._allowance.host, rates))
-            in_zone = coordinators.candidates_in(self._allowance.zone)
-            async with trio.open_nursery() as nursery:
-                for peer in coordinators.addresses_of(in_zone):
-                    nursery.start_soon(self._calls.call, "POST", peer, DEMAND_PATH, body)
+            # The last coordinator is the one of this zone.
+            for peer in self._coordinator_addresses()[-1:]:
+                await self._calls.call("POST", peer, self._demand_path, body)
 
     async def _accept_demand(self, request: Request, responder: Responder) -> Reply:
         try:
@@ -340,6 +340,7 @@
             self._allowance.incarnation,
             None if omits_wait else max(0.0, wait_s),
             not donated and self._allowance.is_exhausted(wanted.account, wanted.tokens),
+            self._store_connected,
         )
         return Reply(200, msgspec.msgpack.encode(reply))
 
@@ -368,7 +369,9 @@
             cycle_ended, self._cycle_ended = self._cycle_ended, trio.Event()
             cycle_ended.set()
             await trio.sleep(MIN_CYCLE_INTERVAL_S)
-            with trio.move_on_after(self._times.slice_check_interval_s):
+            active = self._participates()
+            check_s = self._times.slice_check_interval_s if active else DORMANT_CHECK_INTERVAL_S
+            with trio.move_on_after(check_s):
                 await self._wake.wait()
             self._wake = trio.Event()
         await self._write_final_record()
@@ -385,7 +388,6 @@
         self._wake.set()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._transfer_client.report_usage)
-            nursery.start_soon(self._roster.end)
             if not self._store_connected:
                 nursery.start_soon(self._final_records.hand_over, final_record)
             await self._final_record_written.wait()
@@ -419,11 +421,11 @@
         for _ in range(APPEND_ATTEMPTS):
             now = trio.current_time()
             age_s = now - self._written_at
-            due = self._allowance.grows and age_s >= self._times.record_renewal_interval_s
+            due = self._allowance.grows and age_s >= self._renewal_interval_s()
             record = self._allowance.draft_record(now, self._clock_reading(), ended, due)
             if record is None:
                 return False
-            match await self._store.append_slices(record, self._allowance.ledger.end):
+            match await self._store.append_slices(self._shard, record, self._allowance.ledger.end):
                 case Ok(outcome) if outcome.done:
                     self._log_stranded()
                     self._allowance.record_appended(record, outcome.offset, self._clock_reading())
@@ -451,7 +453,7 @@
 
     async def _read_ledger(self) -> bool:
         """Read the records appended since the last read; return whether the store answered."""
-        match await self._store.read_slices(self._offset):
+        match await self._store.read_slices(self._shard, self._offset):
             case Ok(update):
                 for fault in update.faults:
                     self._decisions.warning("record unreadable", why=fault)
@@ -477,33 +479,43 @@
                 return False
 
     def _participates(self) -> bool:
-        """Whether this host follows the ledger: it can be a coordinator, or holds or needs tokens.
+        """Whether this host follows the ledger: it is a coordinator, or holds or needs tokens.
 
         A host that can't reach the store goes on trying.
         """
         return (
-            self._roster.coordinators.is_candidate
+            self._is_coordinator()
             or self._allowance.holds_tokens
             or self._awaited > 0
             or not self._store_connected
         )
 
-    def _coordinator_addresses(self, account: str) -> tuple[str, ...]:
-        """Return the addresses of an account's coordinator and its zone coordinator in this zone.
+    def _is_coordinator(self) -> bool:
+        """Whether this host is the coordinator or a zone coordinator of the shard."""
+        return self._roster.coordinators.role(self._shard) is not Role.OTHER
+
+    def _renewal_interval_s(self) -> float:
+        """Return the age from which a record with a growing slice is renewed, in seconds."""
+        if self._roster.coordinators.role(self._shard) is Role.COORDINATOR:
+            return self._times.record_renewal_interval_s
+        return self._times.zone_record_renewal_interval_s
+
+    def _coordinator_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of the shard's coordinator and its zone coordinator in this zone.
 
         This host and hosts without a known address are left out.
         """
         coordinators = self._roster.coordinators
-        return coordinators.addresses_of(coordinators.coordinators(account))
+        return coordinators.addresses_of(coordinators.coordinators(self._shard))
 
     def _candidate_addresses(self) -> tuple[str, ...]:
         """Return the addresses of the other hosts that can be coordinators."""
         return self._roster.coordinators.addresses_of(self._roster.coordinators.candidates)
 
     def update_roles(self) -> None:
-        """Apply a change of the active hosts or of the accounts."""
+        """Apply a change of the active hosts."""
         coordinators = self._roster.coordinators
-        self._allowance.set_roles(coordinators.roles(self._accounts), coordinators.zones)
+        self._allowance.set_role(coordinators.role(self._shard), coordinators.zones)
         self._wake.set()
 
     def _clock_reading(self) -> ClockReading:
--- a/mulberrycleat/entry/store.py
+++ b/mulberrycleat/entry/store.py
@@ -136,14 +136,14 @@
         """Return changes of the endpoints' entries since `offset`."""
         ...
 
-    async def read_slices(self, offset: int | None) -> Result[RecordUpdate, PeerError]:
-        """Return records of the hosts' slices since `offset`."""
+    async def read_slices(self, shard: int, offset: int | None) -> Result[RecordUpdate, PeerError]:
+        """Return records of the hosts' slices of a shard since `offset`."""
         ...
 
     async def append_slices(
-        self, record: HolderRecord, at: int
+        self, shard: int, record: HolderRecord, at: int
     ) -> Result[AppendOutcome, PeerError]:
-        """Append a record on condition that the log ends at offset `at`."""
+        """Append a record on condition that the log of the shard ends at offset `at`."""
         ...
 
     async def read_hosts(self, offset: int | None) -> Result[HostUpdate, PeerError]:
--- a/mulberrycleat/entry/transfers.py
+++ b/mulberrycleat/entry/transfers.py
@@ -39,8 +39,9 @@
 # A host that did not answer gets no transfer request for this time, doubled after each further
 # failure up to the maximum, in seconds.
 BACKOFF_S, MAX_BACKOFF_S = 1.0, 4.0
-TRANSFER_PATH = "/tokens"
-USAGE_PATH = "/tokens/use"
+# Paths of the calls of one shard, whose number is in the path.
+TRANSFER_PATH = "/tokens/{shard}"
+USAGE_PATH = "/tokens/{shard}/use"
 # Interval between usage reports, in seconds.
 USAGE_REPORT_INTERVAL_S = 0.3
 # A usage report that the donor has not accepted is sent again for up to this time, in seconds.
@@ -87,12 +88,15 @@
         None if it will not, or if tokens were donated.
     exhausted : bool
         Whether the account's total does not cover the tokens.
+    connected : bool
+        Whether the donor reaches the store, and so could have enlarged its slice.
     """
 
     tokens: Annotated[int, msgspec.Meta(ge=0)]
     incarnation: str
     wait_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
     exhausted: bool = False
+    connected: bool = False
 
 
 class TransferOutcome(NamedTuple):
@@ -103,12 +107,12 @@
     grant : Grant
         The reservation. If no host has enough, `wait_s` is the shortest time in the replies, in
         seconds; infinite if none states one.
-    answered : bool
-        Whether any host has answered.
+    connected : bool
+        Whether any host has answered that reaches the store.
     """
 
     grant: Grant
-    answered: bool
+    connected: bool
 
 
 class _UsageReport(msgspec.Struct):
@@ -183,9 +187,15 @@
         Calls to other hosts.
     decisions : DecisionLog
         Log of transfers.
+    shard : int
+        Shard of the accounts.
     """
 
-    def __init__(self, allowance: Allowance, peers: PeerCalls, decisions: DecisionLog) -> None:
+    def __init__(
+        self, allowance: Allowance, peers: PeerCalls, decisions: DecisionLog, shard: int
+    ) -> None:
+        self._transfer_path = TRANSFER_PATH.format(shard=shard)
+        self._usage_path = USAGE_PATH.format(shard=shard)
         self._allowance = allowance
         self._peers = peers
         self._decisions = decisions
@@ -216,9 +226,9 @@
         Returns
         -------
         TransferOutcome
-            The reservation, and whether any host has answered.
+            The reservation, and whether any host has answered that reaches the store.
         """
-        wait_s, answered = math.inf, False
+        wait_s, connected = math.inf, False
         for peer in peers:
             now = trio.current_time()
             if now < self._backoffs.get(peer, _NO_BACKOFF).until:
@@ -228,9 +238,9 @@
             reply = await self._request(account, tokens, peer, deadline - now)
             if reply is None:
                 continue
-            answered = True
+            connected = connected or reply.connected
             if reply.exhausted:
-                return TransferOutcome(Grant(ReservationStatus.EXHAUSTED), answered)
+                return TransferOutcome(Grant(ReservationStatus.EXHAUSTED), connected)
             if reply.wait_s is not None:
                 wait_s = min(wait_s, reply.wait_s)
             if reply.tokens:
@@ -239,8 +249,8 @@
                 )
             grant = self._allowance.reserve(account, tokens, trio.current_time())
             if grant.status is not ReservationStatus.LACKING:
-                return TransferOutcome(grant, answered)
-        return TransferOutcome(Grant(ReservationStatus.LACKING, wait_s=wait_s), answered)
+                return TransferOutcome(grant, connected)
+        return TransferOutcome(Grant(ReservationStatus.LACKING, wait_s=wait_s), connected)
 
     async def run(self) -> None:
         """Send usage reports to the donors at regular intervals, until cancelled."""
@@ -273,7 +283,7 @@
         answered = False
         try:
             answer = await self._peers.call(
-                "POST", peer, TRANSFER_PATH, msgspec.msgpack.encode(wanted), bound_s
+                "POST", peer, self._transfer_path, msgspec.msgpack.encode(wanted), bound_s
             )
             if answer is None:
                 self._back_off(peer)
@@ -298,7 +308,7 @@
     async def _send_report(self, giver: Donor, outbox: _Outbox) -> None:
         if not outbox.message:
             self._compose_report(giver, outbox)
-        answer = await self._peers.call("POST", giver.address, USAGE_PATH, outbox.message)
+        answer = await self._peers.call("POST", giver.address, self._usage_path, outbox.message)
         if answer is not None and answer.status == DONOR_ENDED_STATUS:
             self._drop_outbox(giver, outbox, "the donor's incarnation has ended")
             self._report_numbers.pop(giver, None)
@@ -357,15 +367,18 @@
     ----------
     allowance : Allowance
         The slices that tokens are donated from.
+    shard : int
+        Shard of the accounts.
     """
 
-    def __init__(self, allowance: Allowance) -> None:
+    def __init__(self, allowance: Allowance, shard: int) -> None:
+        self._usage_path = USAGE_PATH.format(shard=shard)
         self._allowance = allowance
         self._outstanding = TransferTracker()
 
     def routes(self) -> tuple[Route, ...]:
         """Return the HTTP routes that serve other hosts."""
-        return (Route("POST", USAGE_PATH, self._accept_report),)
+        return (Route("POST", self._usage_path, self._accept_report),)
 
     def donate(self, wanted: TransferRequest) -> int:
         """Donate tokens if the slice has enough and the recipient still waits for them.
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -24,6 +24,8 @@
 
 # The deployment sheets state that the store answers within 4 ms.
 STORE_LATENCY_S = 0.004
+# Interval between the bytes of a stalled stream, in seconds.
+TRICKLE_INTERVAL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,6 +203,9 @@
         Whether it declines every request with 503 and ``Not-Executed``.
     refuses_connections : bool
         Whether connections are refused.
+    trickle_after : int or None
+        Number of events after which a stream sends single bytes of the next event, one each
+        ``TRICKLE_INTERVAL_S``, without ever completing it; None for a sound stream.
     never_answers : bool
         Whether it runs requests without ever answering.
     break_after : int or None
@@ -230,6 +235,7 @@
     refuses_connections: bool = False
     never_answers: bool = False
     break_after: int | None = None
+    trickle_after: int | None = None
     trailing_bytes: bytes = b""
     repeats_answers: bool = False
     omits_request_id: bool = False
@@ -415,6 +421,9 @@
                 await send(h11.Data(data=b"id: %d\nda" % number))
                 await stream.send_all(RESET)
                 raise trio.BrokenResourceError
+            while server.trickle_after is not None and number - first >= server.trickle_after:
+                await send(h11.Data(data=b"x"))
+                await trio.sleep(TRICKLE_INTERVAL_S)
             await send(h11.Data(data=b"id: %d\ndata: x\n\n" % number))
             await trio.sleep(server.work_s)
         await send(h11.EndOfMessage())
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -31,6 +31,7 @@
 # Topic of the operators' records, and the key of the configuration in it.
 ROUTE_MAP_TOPIC, ROUTE_MAP_KEY = "keyed.op", "config"
 ENTRY_TOPIC = "keyed.servers"
+# Each shard has a topic of this name, a dot and its number.
 SLICE_TOPIC = "keyed.slices"
 HOST_TOPIC = "keyed.hosts"
 PRECONDITION_FAILED, GONE = 412, 410
@@ -162,9 +163,9 @@
         path = f"/log-append?topic={HOST_TOPIC}&part=0"
         return await self._append(path, entry.host, msgspec.msgpack.encode(entry))
 
-    async def read_slices(self, offset: int | None) -> Result[RecordUpdate, PeerError]:
-        """Return the slice records appended since `offset`."""
-        match await self._read_changes(SLICE_TOPIC, offset):
+    async def read_slices(self, shard: int, offset: int | None) -> Result[RecordUpdate, PeerError]:
+        """Return the slice records of a shard appended since `offset`."""
+        match await self._read_changes(f"{SLICE_TOPIC}.{shard}", offset):
             case Err(error):
                 return Err(error)
             case Ok(changes):
@@ -172,10 +173,10 @@
                 return Ok(RecordUpdate(changes.next, changes.snapshot, records, faults))
 
     async def append_slices(
-        self, record: HolderRecord, at: int
+        self, shard: int, record: HolderRecord, at: int
     ) -> Result[AppendOutcome, PeerError]:
-        """Append a slice record if the topic still ends at offset `at`."""
-        path = f"/log-append?topic={SLICE_TOPIC}&part=0&at={at}"
+        """Append a slice record if the topic of the shard still ends at offset `at`."""
+        path = f"/log-append?topic={SLICE_TOPIC}.{shard}&part=0&at={at}"
         return await self._append(path, record.host, msgspec.msgpack.encode(record))
 
     async def _append(self, path: str, name: str, value: bytes) -> Result[AppendOutcome, PeerError]:
--- a/mulberrycleat/platform/tests/test_whole_path.py
+++ b/mulberrycleat/platform/tests/test_whole_path.py
@@ -161,6 +161,40 @@
     assert answer.status == 504
 
 
+async def test_a_slow_but_sound_stream_is_completed():
+    """Its events come later than the route's targets for the first event and for pauses."""
+    for count in (1, 2, 3):
+        servers = [engine(f"e{n}", work_s=0.85) for n in range(1, count + 1)]
+        async with entry_host(*servers) as harness:
+            answer = await harness.send_request(
+                "/ask/x", timeout_remaining="12000", **PROMPT_HEADERS
+            )
+        assert (answer.status, answer.complete) == (200, True)
+        assert answer.body.decode() == "".join(f"id: {n}\ndata: x\n\n" for n in (1, 2, 3, 4))
+
+
+async def test_a_stalled_stream_that_sends_a_byte_now_and_then_resumes_elsewhere():
+    stalled, sound = engine("e1", trickle_after=2), engine("e2", zone="z-b")
+    async with entry_host(stalled, sound) as harness:
+        answer = await harness.send_request("/ask/x", model="m", token_counts="900,20")
+        await trio.sleep(0.5)
+        assert stalled.running == 0
+    assert answer.complete
+    assert answer.body.decode() == "".join(f"id: {n}\ndata: x\n\n" for n in (1, 2, 3, 4))
+    assert sound.seen[0]["last-event-id"] == "2"
+
+
+async def test_a_stalled_stream_without_another_endpoint_ends_at_the_time_limit():
+    stalled = engine("e1", trickle_after=2)
+    async with entry_host(stalled) as harness:
+        began = trio.current_time()
+        answer = await harness.send_request("/ask/x", **PROMPT_HEADERS)
+        assert trio.current_time() - began <= 3.1
+        await trio.sleep(0.5)
+        assert stalled.running == 0
+    assert not answer.complete
+
+
 async def test_a_stream_ends_when_the_caller_disconnects():
     server = engine(work_s=0.3)
     async with entry_host(server) as harness:
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -113,7 +113,7 @@
         self._peer_address = peer_address
         self._accounts: dict[str, _Account] = {}
         self._totals: dict[str, int] = {}
-        self._roles: Mapping[str, Role] = {}
+        self._role = Role.COORDINATOR
         self._zones = 1
         self._map_version = 0
         self._number = 0
@@ -199,12 +199,9 @@
         self._totals = dict(totals)
         self._map_version = map_version
 
-    def set_roles(self, roles: Mapping[str, Role], zones: int) -> None:
-        """Set this host's role for each account, and the number of availability zones.
-
-        The host is the coordinator of accounts that `roles` does not name.
-        """
-        self._roles = roles
+    def set_role(self, role: Role, zones: int) -> None:
+        """Set this host's role for the accounts, and the number of availability zones."""
+        self._role = role
         self._zones = zones
 
     def record_demand(self, name: str, tokens: int, now: float) -> None:
@@ -539,7 +536,7 @@
         )
 
     def _slice_inputs(self, name: str, account: _Account, held: int, now: float) -> SliceInputs:
-        ledger, role = self._ledger, self._roles.get(name, Role.COORDINATOR)
+        ledger, role = self._ledger, self._role
         total = self._totals.get(name, 0)
         spent_by_others = ledger.surely_spent(name, self._host)
         zone = self._zone if role is Role.ZONE_COORDINATOR else None
