--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -32,7 +32,7 @@
 from mulberrycleat.entry.relay import RelayedStore, RelayServer
 from mulberrycleat.entry.retries import FleetRetryBudget
 from mulberrycleat.entry.roster import HostRoster
-from mulberrycleat.entry.settings import EntrySettings
+from mulberrycleat.entry.settings import EntrySettings, FleetRequirements
 from mulberrycleat.entry.shards import ShardedSlices
 from mulberrycleat.entry.shutdown import GracefulShutdown
 from mulberrycleat.entry.slices import HeartbeatCount, SliceController
@@ -161,11 +161,14 @@
                 shard,
             )
         )
-        self._maps = MapFeed(self._store, settings.times, decisions, self._apply_table)
+        self._maps = MapFeed(
+            self._store, settings.times, self._bounds, decisions, self._apply_table
+        )
         self._directory = DirectoryFeed(
             self._store,
             self._registry.directory,
             settings.times,
+            self._bounds,
             decisions,
             self._forget_absent_endpoints,
         )
@@ -346,6 +349,9 @@
         known.discard(self._settings.peers_listen)
         return tuple(sorted(known))
 
+    def _bounds(self) -> FleetRequirements:
+        return self._settings.bounds
+
     def _apply_roster(self) -> None:
         self._slices.update_roles()
 
--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -9,7 +9,7 @@
 
 from mulberrycleat.endpoint.directory import Directory
 from mulberrycleat.entry.decisions import DecisionLog
-from mulberrycleat.entry.settings import EntryTimes
+from mulberrycleat.entry.settings import EntryTimes, FleetRequirements
 from mulberrycleat.entry.store import DirectoryUpdate, MapUpdate, StateStore
 from mulberrycleat.routes import RouteTable
 
@@ -25,6 +25,8 @@
         Where operators publish route maps.
     times : EntryTimes
         Intervals of the loop.
+    bounds : callable
+        Returns the requirements on the fleet, which the reads follow from.
     decisions : DecisionLog
         Log of new versions and failures.
     on_change : callable
@@ -35,11 +37,13 @@
         self,
         store: StateStore,
         times: EntryTimes,
+        bounds: Callable[[], FleetRequirements],
         decisions: DecisionLog,
         on_change: Callable[[RouteTable], None],
     ) -> None:
         self._store = store
         self._times = times
+        self._bounds = bounds
         self._decisions = decisions
         self._on_change = on_change
         self._offset: int | None = None
@@ -63,7 +67,7 @@
     async def run(self) -> None:
         """Read new route maps until cancelled."""
         while True:
-            wait_s = self._times.map_wait_s if self._table is not None else 0.0
+            wait_s = self._bounds().map_wait_s if self._table is not None else 0.0
             match await self._store.read_map(self._offset, wait_s):
                 case Ok(update):
                     self._apply(update)
@@ -106,6 +110,8 @@
         The directory to update.
     times : EntryTimes
         Intervals of the loop.
+    bounds : callable
+        Returns the requirements on the fleet, which the reads follow from.
     decisions : DecisionLog
         Log of changes and failures.
     on_change : callable
@@ -117,12 +123,14 @@
         store: StateStore,
         directory: Directory,
         times: EntryTimes,
+        bounds: Callable[[], FleetRequirements],
         decisions: DecisionLog,
         on_change: Callable[[], None],
     ) -> None:
         self._store = store
         self._directory = directory
         self._times = times
+        self._bounds = bounds
         self._decisions = decisions
         self._on_change = on_change
         self._offset: int | None = None
@@ -158,7 +166,7 @@
             match await self._store.read_entries(self._offset):
                 case Ok(update):
                     self._apply(update)
-                    await trio.sleep(self._times.directory_read_interval_s)
+                    await trio.sleep(self._bounds().directory_read_interval_s)
                 case Err(error):
                     if not self._failing:
                         self._decisions.warning("directory not read", why=str(error))
--- a/mulberrycleat/entry/settings.py
+++ b/mulberrycleat/entry/settings.py
@@ -17,6 +17,8 @@
         Time from the stop signal to the end of the process, in seconds.
     drain_s : float
         Time after which a leaving endpoint gets no more requests, in seconds.
+    config_apply_s : float
+        Time after which a new route map is in force everywhere, in seconds.
     retry_share, retry_slack : float
         Retries that all hosts together may send to a pool: in any window of `retry_window_s`, at
         most `retry_share` times the number of the pool's requests, plus `retry_slack`.
@@ -30,12 +32,30 @@
 
     grace_s: float = 8.0
     drain_s: float = 2.0
+    config_apply_s: float = 2.0
     retry_share: float = 0.1
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
     settle_s: float = 1.5
     reuse_window_s: float = 10.0
 
+    @property
+    def directory_read_interval_s(self) -> float:
+        """Interval between reads of the endpoints' entries, in seconds.
+
+        A failed read and the next one still fall into the time after which a leaving endpoint gets
+        no more requests.
+        """
+        return 0.3 * self.drain_s
+
+    @property
+    def map_wait_s(self) -> float:
+        """Longest time that one read waits at the store for a new route map, in seconds.
+
+        If the connection has gone silent, the next read still finds the map in time.
+        """
+        return 0.75 * self.config_apply_s
+
 
 @dataclass(frozen=True, slots=True)
 class EntryTimes:
@@ -43,11 +63,6 @@
 
     Attributes
     ----------
-    map_wait_s : float
-        Longest time that one read waits at the store for a new route map.
-    directory_read_interval_s : float
-        Interval between reads of the endpoints' entries; well below `drain_s`, the time after which
-        a leaving endpoint gets no more requests.
     slice_check_interval_s : float
         Longest interval between checks whether the slices need a new record; well below `settle_s`,
         the time after which unused tokens are free again.
@@ -65,8 +80,6 @@
         Time without any request after which a stopping process ends.
     """
 
-    map_wait_s: float = 1.5
-    directory_read_interval_s: float = 0.6
     slice_check_interval_s: float = 0.35
     record_renewal_interval_s: float = 0.3
     zone_record_renewal_interval_s: float = 0.9
--- a/mulberrycleat/platform/settings.py
+++ b/mulberrycleat/platform/settings.py
@@ -44,6 +44,7 @@
 
     grace_s: float = 8.0
     drain_ms: float = 2000.0
+    config_apply_ms: float = 2000.0
     retry_budget_ratio: float = 0.1
     budget_window_s: float = 10.0
     retry_slack: float = 0.0
@@ -128,6 +129,7 @@
             bounds=FleetRequirements(
                 grace_s=bounds.grace_s,
                 drain_s=bounds.drain_ms / 1000,
+                config_apply_s=bounds.config_apply_ms / 1000,
                 retry_share=bounds.retry_budget_ratio,
                 retry_window_s=bounds.budget_window_s,
                 retry_slack=bounds.retry_slack,
--- a/mulberrycleat/platform/tests/test_decoding.py
+++ b/mulberrycleat/platform/tests/test_decoding.py
@@ -36,6 +36,13 @@
     assert settings.bounds.retry_share == 0.2
 
 
+def test_intervals_of_reads_follow_from_the_bounds():
+    text = SETTINGS.replace("grace_s = 8", "grace_s = 8\ndrain_ms = 4000\nconfig_apply_ms = 3000")
+    bounds = load_boot_settings(text).ok_value.bounds
+    assert 2 * bounds.directory_read_interval_s < bounds.drain_s == 4.0
+    assert bounds.map_wait_s < bounds.config_apply_s == 3.0
+
+
 def test_faults_of_settings_name_the_field_and_its_line():
     faults = load_boot_settings(SETTINGS.replace('"z-a"', "7")).err_value
     assert "zone" in str(faults[0])
