Report usage and demand of all shards in one loop each

Cause: each of 8 shards had loops of its own for reports, some 30 wake-ups a second in an idle host. Change: one loop for usage reports and one for demand reports, which skip shards without any.

--- a/mulberrycleat/entry/shards.py
+++ b/mulberrycleat/entry/shards.py
@@ -18,6 +18,12 @@
 
 # Shards whose account was looked up recently; a deployment has some hundred accounts.
 SHARD_CACHE_SIZE = 4096
+# Interval between usage reports, in seconds; well within the time after which unused tokens are
+# free again.
+USAGE_REPORT_INTERVAL_S = 0.3
+# Interval between reports of demand to a zone coordinator, in seconds; the reserve that it holds
+# for an outage changes as slowly.
+DEMAND_REPORT_INTERVAL_S = 3.0
 
 
 class ShardedSlices:
@@ -100,11 +106,15 @@
 
     async def run_usage_reports(self) -> None:
         """Send usage reports to donors until cancelled."""
-        await self._for_each(lambda controller: controller.run_usage_reports)
+        while True:
+            await trio.sleep(USAGE_REPORT_INTERVAL_S)
+            await self._for_each(lambda controller: controller.report_usage)
 
     async def run_demand_reports(self) -> None:
         """Report the demand of this host's callers to zone coordinators until cancelled."""
-        await self._for_each(lambda controller: controller.run_demand_reports)
+        while True:
+            await trio.sleep(DEMAND_REPORT_INTERVAL_S)
+            await self._for_each(lambda controller: controller.report_demand)
 
     async def _for_each(self, method: Callable[[SliceController], Callable[[], Any]]) -> None:
         async with trio.open_nursery() as nursery:
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -62,9 +62,6 @@
 # in seconds; shorter than the time that the other host waits for the reply.
 DONOR_WAIT_S = 0.15
 DEMAND_PATH = "/tokens/{shard}/demand"
-# Interval between reports of demand to a zone coordinator, in seconds; the reserve that it holds
-# for an outage changes as slowly.
-DEMAND_REPORT_INTERVAL_S = 3.0
 # Highest rate that a report may state, in tokens per second; more is no sound report.
 MAX_REPORTED_RATE = 1e9
 
@@ -255,24 +252,23 @@
             *self._final_records.routes(),
         )
 
-    async def run_usage_reports(self) -> None:
-        """Send usage reports to donors until cancelled."""
-        await self._transfer_client.run()
+    async def report_usage(self) -> None:
+        """Report the usage of received tokens to their donors, if there is any."""
+        if self._transfer_client.has_reports:
+            await self._transfer_client.report_usage()
 
-    async def run_demand_reports(self) -> None:
-        """Report the demand of this host's callers to the zone coordinator until cancelled.
+    async def report_demand(self) -> None:
+        """Report the demand of this host's callers, if there is any, to the zone coordinator.
 
         A coordinator states its demand in its own records instead.
         """
-        while True:
-            await trio.sleep(DEMAND_REPORT_INTERVAL_S)
-            rates = self._allowance.demand_rates(trio.current_time())
-            if self._is_coordinator() or not rates:
-                continue
-            body = msgspec.msgpack.encode(_DemandReport(self._allowance.host, rates))
-            # The last coordinator is the one of this zone.
-            for peer in self._coordinator_addresses()[-1:]:
-                await self._calls.call("POST", peer, self._demand_path, body)
+        rates = self._allowance.demand_rates(trio.current_time())
+        if self._is_coordinator() or not rates:
+            return
+        body = msgspec.msgpack.encode(_DemandReport(self._allowance.host, rates))
+        # The last coordinator is the one of this zone.
+        for peer in self._coordinator_addresses()[-1:]:
+            await self._calls.call("POST", peer, self._demand_path, body)
 
     async def _accept_demand(self, request: Request, responder: Responder) -> Reply:
         try:
--- a/mulberrycleat/entry/transfers.py
+++ b/mulberrycleat/entry/transfers.py
@@ -42,8 +42,6 @@
 # Paths of the calls of one shard, whose number is in the path.
 TRANSFER_PATH = "/tokens/{shard}"
 USAGE_PATH = "/tokens/{shard}/use"
-# Interval between usage reports, in seconds.
-USAGE_REPORT_INTERVAL_S = 0.3
 # A usage report that the donor has not accepted is sent again for up to this time, in seconds.
 # That is about the longest time that a host may be partitioned. After that, the report is dropped
 # and the donor goes on counting its tokens as donated.
@@ -252,11 +250,10 @@
                 return TransferOutcome(grant, connected)
         return TransferOutcome(Grant(ReservationStatus.LACKING, wait_s=wait_s), connected)
 
-    async def run(self) -> None:
-        """Send usage reports to the donors at regular intervals, until cancelled."""
-        while True:
-            await trio.sleep(USAGE_REPORT_INTERVAL_S)
-            await self.report_usage()
+    @property
+    def has_reports(self) -> bool:
+        """Whether there is something to report to a donor."""
+        return bool(self._outboxes or self._unanswered or self._allowance.has_usage)
 
     async def report_usage(self) -> None:
         """Report spent tokens to their donors, and return unspent tokens."""
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -182,6 +182,11 @@
             for account in self._accounts.values()
         )
 
+    @property
+    def has_usage(self) -> bool:
+        """Whether there are received tokens whose usage was not collected yet."""
+        return any(account.received or account.used for account in self._accounts.values())
+
     @property
     def grows(self) -> bool:
         """Whether a slice grows with the age of its record, so that the record must be renewed."""
