Split the placer, the allowance and the slices' controller by subject

The data that a placement is computed from moves to endpoint/placement, the state of an allowance to prepaid/account_state, and reports of demand to entry/demand_exchange. No change of behaviour; tests of platform, entry, prepaid and endpoint pass.

--- a/mulberrycleat/endpoint/placer.py
+++ b/mulberrycleat/endpoint/placer.py
@@ -10,220 +10,25 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, field
 from functools import lru_cache
 from random import Random
-from typing import NamedTuple
 
 from mulberrycleat.endpoint.directory import Entry
+from mulberrycleat.endpoint.placement import (
+    EndpointState,
+    InFlightRequest,
+    Part,
+    Placement,
+    PlacerSettings,
+    Work,
+    ZonePartition,
+)
 from mulberrycleat.membership.rendezvous import first_by_rank
 
 __all__ = ["Part", "Placement", "Placer", "PlacerSettings", "Work"]
 
 
-class Part(NamedTuple):
-    """A part of a prompt that several requests may share, with its length in tokens."""
-
-    id: str
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class Work:
-    """Work that a request causes at an endpoint.
-
-    Attributes
-    ----------
-    prompt_tokens : int
-        Length of the prompt; 0 for a service other than a model.
-    parts : tuple of Part
-        Shared parts of the prompt, in order. The rest of the prompt, which only this request has,
-        is not included.
-    """
-
-    prompt_tokens: int = 0
-    parts: tuple[Part, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class PlacerSettings:
-    """Parameters for comparing endpoints. Times are in seconds.
-
-    Attributes
-    ----------
-    prefill_tokens_per_s : float
-        Assumed prefill speed of an engine, in prompt tokens per second. The data sheets of the
-        engines state 56,000.
-    base_s : float
-        Time to an answer, or to the first event of a streamed one, without queueing and prefill.
-    affinity : float
-        Weight of the time to prefill shared parts again. It is more than 1 because a prefill also
-        delays the tokens of the requests that run at the same time.
-    other_zone_penalty_s : float
-        Time that an endpoint of another availability zone must save to be preferred.
-    failure_cost_s : float
-        Time that a failure costs the caller; multiplied by the failure rate.
-    outcome_half_life_s, slowness_half_life_s : float
-        Half-life of the counts of outcomes; and half-life of the difference in slowness between an
-        endpoint that gets no work and the best one.
-    load_report_ttl_s : float
-        A load report of an endpoint is used for this time.
-    silence_s : float
-        An endpoint with requests in flight is left out after it has sent no byte for this time.
-    ejection_s, max_ejection_s : float
-        First and longest ejection of an unreachable endpoint, or pause of a partitioned zone; the
-        time doubles with each one in a row.
-    near_s : float
-        The choice is random among the endpoints whose score, the expected time plus penalties, is
-        within this time of the best.
-    cache_ttl_s : float
-        A part is assumed to be cached for this time after its last use.
-    """
-
-    prefill_tokens_per_s: float = 50_000.0
-    base_s: float = 0.04
-    affinity: float = 3.0
-    other_zone_penalty_s: float = 0.003
-    failure_cost_s: float = 1.0
-    outcome_half_life_s: float = 4.0
-    slowness_half_life_s: float = 10.0
-    load_report_ttl_s: float = 1.0
-    silence_s: float = 1.0
-    ejection_s: float = 1.0
-    max_ejection_s: float = 4.0
-    near_s: float = 0.002
-    cache_ttl_s: float = 60.0
-
-
-class Placement(NamedTuple):
-    """A chosen endpoint.
-
-    Attributes
-    ----------
-    expected_s : float
-        Expected time until the answer, or the first event, in seconds.
-    cached_tokens : int
-        Prompt tokens that the endpoint is assumed to have cached.
-    candidates : int
-        Number of endpoints compared.
-    slowness : float
-        Expected response time relative to that of an endpoint of normal speed.
-    """
-
-    entry: Entry
-    expected_s: float
-    cached_tokens: int
-    candidates: int
-    slowness: float = 1.0
-
-
-@dataclass(slots=True)
-class _InFlightRequest:
-    sent_at: float
-    expected_s: float
-    uncached_tokens: int
-    slowness: float
-    first_byte_at: float | None = None
-
-
-@dataclass(slots=True)
-class _EndpointState:
-    """State that one entry host keeps of one endpoint.
-
-    Attributes
-    ----------
-    parts : OrderedDict of str to float
-        Time of last use for each sequence of leading prompt parts, least recently used first.
-    slowness : float
-        Smoothed response time, relative to that of an endpoint of normal speed.
-    failures, samples : float
-        Failed requests, and all with a known outcome; both decay, as of `decayed_at`.
-    other_requests : float
-        Requests of other hosts at the endpoint, as of the load report at `load_reported_at`.
-    ejections : int
-        Ejections as unreachable since the last success.
-    cold_until : float
-        Time until which the endpoint is assumed to be slow after its start.
-    newest_answered_sent_at : float
-        Latest send time of those requests that have been answered.
-    """
-
-    entry: Entry
-    in_flight: dict[str, _InFlightRequest] = field(default_factory=dict)
-    parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
-    slowness: float = 1.0
-    failures: float = 0.0
-    samples: float = 0.0
-    decayed_at: float = 0.0
-    last_activity_at: float = 0.0
-    other_requests: float = 0.0
-    load_reported_at: float = float("-inf")
-    ejections: int = 0
-    ejected_until: float = float("-inf")
-    cold_until: float = 0.0
-    newest_answered_sent_at: float = float("-inf")
-
-    def longest_wait_s(self, now: float) -> float:
-        """Return the longest time that a request has been waiting for its first byte, in seconds.
-
-        This is a lower bound of the endpoint's response time. A request is not counted if one that
-        was sent after it has been answered: the answer to the earlier one is assumed to be lost.
-        """
-        waiting = [f.sent_at for f in self.in_flight.values() if f.first_byte_at is None]
-        return now - min((at for at in waiting if at > self.newest_answered_sent_at), default=now)
-
-
-@dataclass(slots=True)
-class _ZonePartition:
-    """Detection of a partition between this host and another availability zone.
-
-    While a zone is paused, its endpoints are left out if there are others.
-
-    Attributes
-    ----------
-    silent : dict of str to float
-        Time of the last connection attempt that got no answer at all, by endpoint id.
-    times : int
-        Number of pauses in a row; the length of a pause doubles each time.
-    pause_until : float
-        End of the latest pause.
-    """
-
-    silent: dict[str, float] = field(default_factory=dict)
-    times: int = 0
-    pause_until: float = float("-inf")
-
-    def record_silence(self, entry_id: str, now: float, settings: PlacerSettings) -> None:
-        """Record that a connection attempt got no answer; pause a partitioned zone."""
-        self.silent = {i: at for i, at in self.silent.items() if now - at < PARTITION_WINDOW_S}
-        self.silent[entry_id] = now
-        if now - self.pause_until > settings.max_ejection_s:
-            self.times = 0
-        if (
-            len(self.silent) >= PARTITION_MIN_ENDPOINTS or self.times
-        ) and now >= self.pause_until - PARTITION_TRIAL_S:
-            self.pause_until = now + min(
-                settings.ejection_s * 2**self.times, settings.max_ejection_s
-            )
-            self.times += 1
-
-    def record_trial(self, now: float) -> None:
-        """Record that a request is sent to the zone.
-
-        After a pause, no other request is sent there for ``PARTITION_TRIAL_S`` seconds.
-        """
-        if self.times:
-            self.pause_until = max(self.pause_until, now + PARTITION_TRIAL_S)
-
-
-# A zone is taken to be partitioned when this many of its endpoints did not answer a connection
-# attempt within this time, in seconds.
-PARTITION_MIN_ENDPOINTS, PARTITION_WINDOW_S = 2, 1.5
-# After a pause, one request is sent to the zone in each period of this length, in seconds. A
-# failure to open a connection is detected in less time.
-PARTITION_TRIAL_S = 0.4
 # Most endpoints compared for one request.
 MAX_COMPARED = 16
 # Share of the host's own zone in a random sample of endpoints.
@@ -260,8 +65,8 @@
         self._settings = settings
         self._zone = zone
         self._random = random
-        self._states: dict[str, _EndpointState] = {}
-        self._partitions: dict[str, _ZonePartition] = {}
+        self._states: dict[str, EndpointState] = {}
+        self._partitions: dict[str, ZonePartition] = {}
 
     def choose(
         self, entries: Sequence[Entry], work: Work, now: float, tried: Collection[str] = ()
@@ -300,7 +105,7 @@
         if not state.in_flight:
             state.last_activity_at = now
         uncached = max(0, work.prompt_tokens - placement.cached_tokens)
-        state.in_flight[request_id] = _InFlightRequest(
+        state.in_flight[request_id] = InFlightRequest(
             now, placement.expected_s, uncached, placement.slowness
         )
         prefix = ""
@@ -364,7 +169,7 @@
         if state is None:
             return
         if silent and state.entry.zone != self._zone:
-            self._partitions.setdefault(state.entry.zone, _ZonePartition()).record_silence(
+            self._partitions.setdefault(state.entry.zone, ZonePartition()).record_silence(
                 entry_id, now, self._settings
             )
         if now < state.ejected_until:
@@ -389,10 +194,10 @@
         state = self._states.get(entry_id)
         return len(state.in_flight) if state else 0
 
-    def _state(self, entry: Entry, now: float) -> _EndpointState:
+    def _state(self, entry: Entry, now: float) -> EndpointState:
         state = self._states.get(entry.id)
         if state is None or (state.entry.address, state.entry.born) != (entry.address, entry.born):
-            state = self._states[entry.id] = _EndpointState(
+            state = self._states[entry.id] = EndpointState(
                 entry, last_activity_at=now, decayed_at=now
             )
             state.cold_until = now + entry.cold_s
@@ -400,8 +205,8 @@
         return state
 
     def _sample(
-        self, states: list[_EndpointState], work: Work, home: str | None
-    ) -> list[_EndpointState]:
+        self, states: list[EndpointState], work: Work, home: str | None
+    ) -> list[EndpointState]:
         """Return the endpoints to compare, so that a choice takes as long among many as among few.
 
         These are the preferred one, those that have cached the last shared part, and random others,
@@ -423,7 +228,7 @@
         kept += self._random.sample(near, min(len(near), round(NEAR_SHARE * free)))
         return kept + self._random.sample(far, min(len(far), MAX_COMPARED - len(kept)))
 
-    def _usable(self, states: list[_EndpointState], now: float) -> list[_EndpointState]:
+    def _usable(self, states: list[EndpointState], now: float) -> list[EndpointState]:
         """Return the endpoints that are not partitioned, ejected or silent.
 
         Each of these conditions is dropped when no endpoint would remain.
@@ -435,7 +240,7 @@
         reachable = [s for s in states if now >= s.ejected_until]
         return good or reachable or states
 
-    def _is_silent(self, state: _EndpointState, now: float) -> bool:
+    def _is_silent(self, state: EndpointState, now: float) -> bool:
         """Whether an endpoint with requests in flight has sent no byte for `silence_s` seconds."""
         if not state.in_flight or now - state.last_activity_at <= self._settings.silence_s:
             return False
@@ -443,7 +248,7 @@
         return now - oldest > self._settings.silence_s
 
     def _cached_tokens(
-        self, state: _EndpointState, work: Work, now: float, is_preferred: bool
+        self, state: EndpointState, work: Work, now: float, is_preferred: bool
     ) -> int:
         """Return the tokens of the shared parts that the endpoint is assumed to have cached.
 
@@ -459,7 +264,7 @@
             tokens += part.tokens
         return tokens
 
-    def _slowness(self, state: _EndpointState, now: float, lowest_slowness: float) -> float:
+    def _slowness(self, state: EndpointState, now: float, lowest_slowness: float) -> float:
         """Return the expected slowness.
 
         While an endpoint gets no work, its slowness decays toward the lowest of the endpoints
@@ -472,7 +277,7 @@
         return slowness * (COLD_SLOWNESS if now < state.cold_until else 1.0)
 
     def _score(
-        self, state: _EndpointState, work: Work, cached: int, now: float, slowness: float
+        self, state: EndpointState, work: Work, cached: int, now: float, slowness: float
     ) -> tuple[float, float]:
         """Return the expected time and the score (lower is better), both in seconds."""
         settings = self._settings
@@ -502,7 +307,7 @@
             expected_s + reprefill_s + zone_penalty_s + failing * settings.failure_cost_s,
         )
 
-    def _decay(self, state: _EndpointState, now: float) -> None:
+    def _decay(self, state: EndpointState, now: float) -> None:
         kept = 0.5 ** (max(0.0, now - state.decayed_at) / self._settings.outcome_half_life_s)
         state.failures *= kept
         state.samples *= kept
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -10,13 +10,14 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from random import Random
-from typing import Annotated, Any, NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 import trio
 from result import Err, Ok
 
 from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.demand_exchange import DemandExchange
 from mulberrycleat.entry.final_records import FinalRecords
 from mulberrycleat.entry.peers import PeerCalls
 from mulberrycleat.entry.roster import HostRoster
@@ -61,16 +62,6 @@
 # Longest time that another host's transfer request waits until this host's slice is large enough,
 # in seconds; shorter than the time that the other host waits for the reply.
 DONOR_WAIT_S = 0.15
-DEMAND_PATH = "/tokens/{shard}/demand"
-# Highest rate that a report may state, in tokens per second; more is no sound report.
-MAX_REPORTED_RATE = 1e9
-
-
-class _DemandReport(msgspec.Struct):
-    """Demand of a host's callers by account, in tokens per second."""
-
-    host: str
-    rates: dict[str, Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORTED_RATE)]]
 
 
 class HeartbeatCount(NamedTuple):
@@ -132,7 +123,6 @@
         shard: int = 0,
     ) -> None:
         self._shard = shard
-        self._demand_path = DEMAND_PATH.format(shard=shard)
         self._count_heartbeats = beats
         self._wall = wall
         self._started_at = float("nan")
@@ -146,7 +136,8 @@
         self._cycle_ended = trio.Event()
         self._awaited = 0
         self._roster = roster
-        self._calls = calls = PeerCalls(client, decisions)
+        calls = PeerCalls(client, decisions)
+        self._demand_exchange = DemandExchange(allowance, calls, shard)
         self._transfer_client = TransferClient(allowance, calls, decisions, shard)
         self._transfer_server = TransferServer(allowance, shard)
         self._final_records = FinalRecords(
@@ -247,7 +238,7 @@
         """Return the HTTP routes that serve other hosts."""
         return (
             Route("POST", TRANSFER_PATH.format(shard=self._shard), self._answer_transfer),
-            Route("POST", self._demand_path, self._accept_demand),
+            *self._demand_exchange.routes(),
             *self._transfer_server.routes(),
             *self._final_records.routes(),
         )
@@ -262,21 +253,9 @@
 
         A coordinator states its demand in its own records instead.
         """
-        rates = self._allowance.demand_rates(trio.current_time())
-        if self._is_coordinator() or not rates:
-            return
-        body = msgspec.msgpack.encode(_DemandReport(self._allowance.host, rates))
-        # The last coordinator is the one of this zone.
-        for peer in self._coordinator_addresses()[-1:]:
-            await self._calls.call("POST", peer, self._demand_path, body)
-
-    async def _accept_demand(self, request: Request, responder: Responder) -> Reply:
-        try:
-            report = msgspec.msgpack.decode(request.body, type=_DemandReport)
-        except msgspec.DecodeError as error:
-            return Reply(400, str(error).encode())
-        self._allowance.report_demand(report.host, report.rates, trio.current_time())
-        return Reply(204)
+        if not self._is_coordinator():
+            # The last coordinator is the one of this zone.
+            await self._demand_exchange.report(self._coordinator_addresses()[-1:])
 
     async def _reserve_from_store(self, account: str, tokens: int, deadline: float) -> Grant:
         """Wait for the loop to record a larger slice, and reserve tokens from it."""
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -4,9 +4,8 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
-from mulberrycleat.prepaid.demand import TokenRate
+from mulberrycleat.prepaid.account_state import AccountState, DemandReports, Draft
 from mulberrycleat.prepaid.grants import Donor, Grant, Inherited, ReservationStatus, TransferUsage
 from mulberrycleat.prepaid.ledger import (
     AccountShare,
@@ -26,59 +25,6 @@
 
 __all__ = ["Allowance"]
 
-# A report of another host's demand counts for this time, in seconds: longer than an outage of the
-# store, in which the reserve for that demand is needed.
-DEMAND_REPORT_TTL_S = 15.0
-
-
-@dataclass(slots=True)
-class _Account:
-    """State of one client account at this host; numbers are in tokens.
-
-    Attributes
-    ----------
-    past_limit, past_spent : int
-        Upper and lower bound on what earlier incarnations of the host have spent.
-    spent, reserved, donated : int
-        Parts of the slice that were spent, that are reserved for requests, and that were donated
-        to other hosts which have not yet reported their usage.
-    received, used : dict
-        Unused and used tokens received from each donor, since the last report to it.
-    share : AccountShare
-        Share in the newest record of this incarnation in the store.
-    pending_demand : int
-        Tokens that waiting requests lack.
-    demand, served : TokenRate
-        Rate of tokens granted to this host's own callers, from any source; and rate of tokens taken
-        from the slice, by own callers or other hosts.
-    """
-
-    past_limit: int = 0
-    past_spent: int = 0
-    spent: int = 0
-    reserved: int = 0
-    donated: int = 0
-    received: dict[Donor, int] = field(default_factory=dict)
-    used: dict[Donor, int] = field(default_factory=dict)
-    share: AccountShare = AccountShare()
-    pending_demand: int = 0
-    demand: TokenRate = field(default_factory=TokenRate)
-    served: TokenRate = field(default_factory=TokenRate)
-
-
-@dataclass(slots=True)
-class _Draft:
-    """A record that can be appended to the store at offset `at` only.
-
-    `unconfirmed` is set once an append of the record got no answer; the answer to a later attempt
-    does not change that. `drafted_at` is in seconds on trio's clock.
-    """
-
-    record: HolderRecord
-    at: int
-    drafted_at: float
-    unconfirmed: bool = False
-
 
 class Allowance:
     """Slices of the prepaid totals that one incarnation of a host holds.
@@ -111,19 +57,19 @@
         self._host = host
         self._incarnation = incarnation
         self._peer_address = peer_address
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, AccountState] = {}
         self._totals: dict[str, int] = {}
         self._role = Role.COORDINATOR
         self._zones = 1
         self._map_version = 0
         self._number = 0
         self._joined = False
-        self._drafts: list[_Draft] = []
+        self._drafts: list[Draft] = []
         self._ledger = SliceLedger()
         self._record_drafted_at = 0.0
         self._draft_times: dict[int, float] = {}
         self._inherited: tuple[Inherited, ...] = ()
-        self._reported_demand: dict[str, tuple[float, dict[str, float]]] = {}
+        self._reported_demand = DemandReports()
         self._closed = False
         self._superseded = False
         self._final_record: HolderRecord | None = None
@@ -386,12 +332,9 @@
     def report_demand(self, host: str, rates: Mapping[str, float], now: float) -> None:
         """Record the demand of another host of this zone that writes no record of its own.
 
-        It replaces that host's earlier report, and counts for `DEMAND_REPORT_TTL_S` seconds.
+        It replaces that host's earlier report, and counts for a limited time.
         """
-        recent = {
-            h: r for h, r in self._reported_demand.items() if now - r[0] < DEMAND_REPORT_TTL_S
-        }
-        self._reported_demand = {**recent, host: (now, dict(rates))}
+        self._reported_demand.add(host, rates, now)
 
     def wait_s(self, name: str, tokens: int, now: float) -> float:
         """Return the time until the own slice has grown enough to reserve `tokens`, in seconds.
@@ -445,7 +388,7 @@
             return None
         self._number += 1
         record = self._record(shares, ended, reading)
-        self._drafts.append(_Draft(record, self._ledger.end, now))
+        self._drafts.append(Draft(record, self._ledger.end, now))
         self._draft_times[record.number] = now
         return record
 
@@ -489,9 +432,9 @@
     def _account_names(self) -> set[str]:
         return set(self._totals) | set(self._accounts)
 
-    def _account(self, name: str) -> _Account:
+    def _account(self, name: str) -> AccountState:
         if name not in self._accounts:
-            self._accounts[name] = _Account()
+            self._accounts[name] = AccountState()
         return self._accounts[name]
 
     def _count_past_incarnation(self, record: HolderRecord, age_s: float) -> None:
@@ -507,7 +450,7 @@
             inherited.append(Inherited(name, age_s, share.spent, share.limit, counted))
         self._inherited = tuple(inherited)
 
-    def _free(self, name: str, account: _Account, now: float) -> int:
+    def _free(self, name: str, account: AccountState, now: float) -> int:
         if self._closed:
             return 0
         limit = account.share.limit_after(now - self._record_drafted_at)
@@ -540,7 +483,7 @@
             round(demand, 1),
         )
 
-    def _slice_inputs(self, name: str, account: _Account, held: int, now: float) -> SliceInputs:
+    def _slice_inputs(self, name: str, account: AccountState, held: int, now: float) -> SliceInputs:
         ledger, role = self._ledger, self._role
         total = self._totals.get(name, 0)
         spent_by_others = ledger.surely_spent(name, self._host)
@@ -552,7 +495,7 @@
             pending_demand=account.pending_demand,
             served=account.served.at(now),
             expected=ledger.demand(name, self._host, zone)
-            + self._demand_reported(name, now)
+            + self._reported_demand.total(name, now)
             + account.demand.at(now),
             largest_request=max(account.served.largest, account.demand.largest),
             total=total,
@@ -560,12 +503,6 @@
             unspent=max(0, total - spent_by_others - account.past_limit - held),
         )
 
-    def _demand_reported(self, name: str, now: float) -> float:
-        """Return the demand that hosts without records have reported, in tokens per second."""
-        reports = self._reported_demand.values()
-        recent = [rates for at, rates in reports if now - at < DEMAND_REPORT_TTL_S]
-        return sum(rates.get(name, 0.0) for rates in recent)
-
     def _is_worth_writing(self, shares: dict[str, AccountShare]) -> bool:
         """Whether a record would change slices, or spent tokens, by enough to be worth writing."""
         record = self._ledger.records.get(self._host)
