Wait for the retry budget in the tests of endless bytes, and follow a rename in a test

Shown by sending the request 0.01 s after the start: the same test fails each time. Change: the test waits until the host is ready and has a budget, instead of for a time.

--- a/mulberrycleat/platform/tests/test_endless_bytes.py
+++ b/mulberrycleat/platform/tests/test_endless_bytes.py
@@ -39,8 +39,10 @@
                 return await harnesses[0].servers.connect(address, settings)
 
             standins = (standin, good) if good else (standin,)
-            async with entry_host(*standins, connect=connect, wait_s=0.3) as harness:
+            async with entry_host(*standins, connect=connect, wait_s=0.0) as harness:
                 harnesses.append(harness)
+                while not (harness.host.ready and harness.host._retry_budget.left(pool, 0.0)):
+                    await trio.sleep(0.01)
                 before = resident_bytes()
                 answers.append(await harness.send_request(path, "r1", "POST", model="m"))
                 assert endless.peak_bytes - before < MAX_GROWTH_BYTES
--- a/mulberrycleat/platform/tests/test_many_hosts.py
+++ b/mulberrycleat/platform/tests/test_many_hosts.py
@@ -157,7 +157,7 @@
             await send_to_each(others, f"r{number}")
             await trio.sleep(0.5)
         reported = [
-            harness.host._slices.controller("rangers")._allowance._demand_reported(
+            harness.host._slices.controller("rangers")._allowance._reported_demand.total(
                 "rangers", trio.current_time()
             )
             for harness in candidates(harnesses)
