Test what callers of each kind of request get over the whole path

Long streams complete although engines break off, short requests are answered in time while long ones wait, requests that must run once do so while answers are lost and hosts are killed, lookups get their own answers.

--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -203,6 +203,9 @@
         Whether it declines every request with 503 and ``Not-Executed``.
     refuses_connections : bool
         Whether connections are refused.
+    loses_answers : bool
+        Whether a plain service resets the connection instead of sending the answer to a request
+        that it has run.
     trickle_after : int or None
         Number of events after which a stream sends single bytes of the next event, one each
         ``TRICKLE_INTERVAL_S``, without ever completing it; None for a sound stream.
@@ -235,6 +238,7 @@
     refuses_connections: bool = False
     never_answers: bool = False
     break_after: int | None = None
+    loses_answers: bool = False
     trickle_after: int | None = None
     trailing_bytes: bytes = b""
     repeats_answers: bool = False
@@ -401,6 +405,9 @@
         if server.never_answers:
             await trio.sleep_forever()
         await trio.sleep(server.work_s)
+        if server.loses_answers:
+            await stream.send_all(RESET)
+            raise trio.BrokenResourceError
         answer_headers = [*common_headers, ("Response-Seal", f"seal-of-{server.id}")]
         if not server.events:
             body = f"{server.id}:{headers[':target']}".encode()
