--- a/mulberrycleat/platform/tests/test_request_kinds.py
+++ b/mulberrycleat/platform/tests/test_request_kinds.py
@@ -57,19 +57,19 @@
 async def test_short_requests_are_answered_in_time_while_long_ones_wait_at_an_engine():
     """One engine has not answered its long requests yet; the short ones go to another."""
     busy, free = engine("e1", events=4, never_answers=True), engine("e2", events=4, zone="z-b")
-    async with entry_host(busy, free, config=with_prepaid(1_000_000)) as harness:
-        async with trio.open_nursery() as nursery:
-            for number in range(3):
-                nursery.start_soon(
-                    lambda n=number: harness.send_request("/ask/x", f"long{n}", **LONG)
-                )
-            await trio.sleep(0.25)
-            for number in range(6):
-                began = trio.current_time()
-                answer = await harness.send_request("/ask/x", f"short{number}", **SHORT)
-                assert answer.complete
-                assert trio.current_time() - began < SHORT_TARGET_S
-            nursery.cancel_scope.cancel()
+    async with (
+        entry_host(busy, free, config=with_prepaid(1_000_000)) as harness,
+        trio.open_nursery() as nursery,
+    ):
+        for number in range(3):
+            nursery.start_soon(lambda n=number: harness.send_request("/ask/x", f"long{n}", **LONG))
+        await trio.sleep(0.25)
+        for number in range(6):
+            began = trio.current_time()
+            answer = await harness.send_request("/ask/x", f"short{number}", **SHORT)
+            assert answer.complete
+            assert trio.current_time() - began < SHORT_TARGET_S
+        nursery.cancel_scope.cancel()
 
 
 async def play_bookings(seed: int) -> None:
