Keep at most 1 MiB of an answer in the caller of tests

Cause: a test of an endless forwarded body failed once beside load on its bound for resident memory. The caller of the test kept all that it got, in the same process; in three runs with a bounded caller the host forwarded 60 to 79 MB while the process grew by 2.2 to 2.7 MB. Change: the caller keeps 1 MiB. The bound of the check is as it was.

--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -20,6 +20,8 @@
 from mulberrycleat.web import BaseHttpClient, StreamedAnswer
 from mulberrycleat.web.upstream import ConnectionSettings, Pipe
 
+# A caller keeps no more of an answer than this, so that tests can measure the memory of the host.
+MAX_KEPT_BYTES = 1_048_576
 Connect = Callable[[str, ConnectionSettings], Awaitable[Pipe]]
 
 ENGINE = {"slots": 8, "kv_capacity": 400_000, "stride": 5}
@@ -201,7 +203,7 @@
                 answer.status = message["status"]
                 answer.headers = {k.decode(): v.decode() for k, v in message["headers"]}
             else:
-                answer.body += message["body"]
+                answer.body += message["body"][: MAX_KEPT_BYTES - len(answer.body)]
                 answer.complete = not message["more_body"]
 
         path, _, query = path.partition("?")
