Log the shared prompt parts of attempts that ended without a complete answer

Cause: the line of a failed attempt named the endpoint and the reason, but nothing that requests have in common. Change: 'send failed' has the field parts. The server stand-in can crash on a prompt part. Conclusion: crashes in which the same part occurs again and again can now be found in the lines.

--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -262,7 +262,10 @@
             "events": call.progress.delivered_events,
         }
         match outcome:
-            case ExchangeFailed(reason=reason) | ConnectionFailed(reason=reason):
+            case ExchangeFailed(reason=reason):
+                parts = [part.id for part in call.facts.shared_parts]
+                self._decisions.warning("send failed", why=reason, parts=parts, **fields)
+            case ConnectionFailed(reason=reason):
                 self._decisions.warning("send failed", why=reason, **fields)
             case Declined(status):
                 self._decisions.warning("turned away", status=status, **fields)
--- a/mulberrycleat/entry/protocol.py
+++ b/mulberrycleat/entry/protocol.py
@@ -53,6 +53,11 @@
         """Largest number of tokens that the request can consume."""
         return self.prompt_tokens + self.max_output_tokens
 
+    @property
+    def shared_parts(self) -> tuple[Part, ...]:
+        """Parts that other requests may have too: all but the last."""
+        return self.parts[:-1]
+
 
 class EndpointLoad(NamedTuple):
     """An endpoint's load report."""
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -5,7 +5,7 @@
 import base64
 import struct
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -220,6 +220,11 @@
         Whether it sends the previous answer of a connection once more, in place of the next one.
     omits_request_id : bool
         Whether its answers do not state which request they belong to.
+    crash_part : str
+        Id of a prompt part: the server crashes when it begins the answer to a request with this
+        part, unless it is the last one. All its connections are reset, and it accepts no others.
+    open_streams : list of trio.StapledStream
+        Its open connections.
     seen : list of dict
         Headers of each request that it began to run, with the target as ``:target`` and the body
         as ``:body``.
@@ -243,6 +248,8 @@
     trailing_bytes: bytes = b""
     repeats_answers: bool = False
     omits_request_id: bool = False
+    crash_part: str = ""
+    open_streams: list[trio.StapledStream] = field(default_factory=list)
     seen: list[dict[str, str]] = field(default_factory=list)
     running: int = 0
 
@@ -256,6 +263,19 @@
             "slots": 8,
         }
 
+    def crashes_on(self, headers: dict[str, str]) -> bool:
+        """Whether the answer to a request with these headers crashes the server."""
+        parts = headers.get("prompt-prefix", "").split(",")[:-1]
+        return bool(self.crash_part) and self.crash_part in [p.partition(":")[0] for p in parts]
+
+    async def crash(self) -> None:
+        """Reset all connections, and refuse others from now on."""
+        self.refuses_connections = True
+        for stream in self.open_streams[:]:
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                await stream.send_all(RESET)
+                stream.send_stream.close()
+
     @property
     def ran(self) -> list[str]:
         """Ids of the requests that it began to run, in order."""
@@ -320,6 +340,7 @@
 async def _serve_connection(server: ServerStandin, stream: trio.StapledStream) -> None:
     connection = h11.Connection(h11.SERVER)
     recorder = _Recorder(server, stream)
+    server.open_streams.append(stream)
     try:
         while await _serve_request(server, recorder, connection):
             if server.trailing_bytes:
@@ -328,6 +349,7 @@
     except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
         return
     finally:
+        server.open_streams.remove(stream)
         stream.send_stream.close()
 
 
@@ -408,6 +430,9 @@
         if server.loses_answers:
             await stream.send_all(RESET)
             raise trio.BrokenResourceError
+        if server.crashes_on(headers):
+            await server.crash()
+            raise trio.BrokenResourceError
         answer_headers = [*common_headers, ("Response-Seal", f"seal-of-{server.id}")]
         if not server.events:
             body = f"{server.id}:{headers[':target']}".encode()
