Reproduce requests with one prompt part that crash endpoint after endpoint

Three hosts and nine endpoints, each replaced two seconds after its crash; requests with the part come at all hosts, beside sound ones of the same caller and first part.

--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -5,7 +5,7 @@
 import base64
 import struct
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -222,12 +222,14 @@
         Whether its answers do not state which request they belong to.
     crash_part : str
         Id of a prompt part: the server crashes when it begins the answer to a request with this
-        part, unless it is the last one. All its connections are reset, and it accepts no others.
+        part, unless it is the last one. All its connections end, and it accepts no others.
+    crashed_at : float or None
+        When it crashed, in seconds on trio's clock.
     open_streams : list of trio.StapledStream
         Its open connections.
     seen : list of dict
-        Headers of each request that it began to run, with the target as ``:target`` and the body
-        as ``:body``.
+        Headers of each request that it began to run, with the target as ``:target``, the body as
+        ``:body``, and the time of arrival on trio's clock as ``:at``.
     running : int
         Number of requests that it is running, which its load reports state.
     """
@@ -249,6 +251,7 @@
     repeats_answers: bool = False
     omits_request_id: bool = False
     crash_part: str = ""
+    crashed_at: float | None = None
     open_streams: list[trio.StapledStream] = field(default_factory=list)
     seen: list[dict[str, str]] = field(default_factory=list)
     running: int = 0
@@ -268,13 +271,12 @@
         parts = headers.get("prompt-prefix", "").split(",")[:-1]
         return bool(self.crash_part) and self.crash_part in [p.partition(":")[0] for p in parts]
 
-    async def crash(self) -> None:
-        """Reset all connections, and refuse others from now on."""
+    def crash(self) -> None:
+        """End all connections, and refuse others from now on."""
+        self.crashed_at = trio.current_time()
         self.refuses_connections = True
-        for stream in self.open_streams[:]:
-            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-                await stream.send_all(RESET)
-                stream.send_stream.close()
+        for stream in self.open_streams:
+            stream.send_stream.close()
 
     @property
     def ran(self) -> list[str]:
@@ -393,6 +395,7 @@
             return False
     headers = {name.decode(): value.decode() for name, value in request.headers}
     headers |= {":target": request.target.decode(), ":body": body.decode("latin-1")}
+    headers[":at"] = str(trio.current_time())
     await _answer(server, stream, connection, headers)
     stream.end_answer()
     return True
@@ -431,7 +434,7 @@
             await stream.send_all(RESET)
             raise trio.BrokenResourceError
         if server.crashes_on(headers):
-            await server.crash()
+            server.crash()
             raise trio.BrokenResourceError
         answer_headers = [*common_headers, ("Response-Seal", f"seal-of-{server.id}")]
         if not server.events:
--- a/mulberrycleat/platform/tests/test_crashing_parts.py
+++ b/mulberrycleat/platform/tests/test_crashing_parts.py
@@ -3,13 +3,27 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import trio
 
 from mulberrycleat.entry.tests.test_decisions import RecordCollector
 from mulberrycleat.platform.standin import ServerStandin
-from mulberrycleat.platform.tests.fixtures import entry_host
+from mulberrycleat.platform.tests.fixtures import CONFIG, HostHarness, entry_host, entry_hosts
 from mulberrycleat.testing import fixture
 
 CRASHING_PART = "dead"
+ENGINES = 9
+RESTART_S = 2.0
+SOUND_INTERVAL_S = 0.05
+# The platform's limit: so many requests with the part may reach endpoints after so many crashes and
+# this time, in seconds.
+MAX_LATE, CRASHES, CONTACT_S = 3, 5, 3.0
+TENANTS = [{"name": "rangers", "api_keys": ["key-1"], "priority": 1, "prepaid": 10_000_000}]
+ROUTES = [{**CONFIG["routes"][0], "stream_resume": False}]
+FLEET_CONFIG: dict[str, Any] = {**CONFIG, "tenants": TENANTS, "routes": ROUTES}
 
 
 def engine(number: int) -> ServerStandin:
@@ -38,3 +52,101 @@
         await harness.send_request("/ask/x", **prompt("aa", CRASHING_PART, "cc"))
     failed = [record for record in records if record.msg == "send failed"]
     assert failed[0].parts == ["aa", CRASHING_PART]
+
+
+class Play:
+    """Requests with and without the crashing part, sent to the hosts in turn.
+
+    All have the same caller and first part. A crashed endpoint is replaced after `RESTART_S`.
+    """
+
+    def __init__(self, harnesses: list[HostHarness], engines: list[ServerStandin]) -> None:
+        self.harnesses = harnesses
+        self.engines = engines
+        self.sound: list[bool] = []
+        self.refused = 0
+        self._count = 0
+
+    async def run(self, duration_s: float, crashing_interval_s: float) -> None:
+        """Send requests for `duration_s` seconds, and wait until all have ended."""
+        async with trio.open_nursery() as nursery:
+            with trio.move_on_after(duration_s):
+                next_crashing_at = trio.current_time()
+                while True:
+                    nursery.start_soon(self._send_sound)
+                    if trio.current_time() >= next_crashing_at:
+                        nursery.start_soon(self._send_crashing)
+                        next_crashing_at += crashing_interval_s
+                    await trio.sleep(SOUND_INTERVAL_S)
+                    self._replace_crashed()
+
+    @property
+    def reached_late(self) -> int:
+        """Number of crashing requests that reached endpoints too late."""
+        crashes = sorted(e.crashed_at for e in self.engines if e.crashed_at is not None)
+        if len(crashes) < CRASHES:
+            return 0
+        bound = crashes[CRASHES - 1] + CONTACT_S
+        return sum(
+            float(request[":at"]) > bound and CRASHING_PART in request["prompt-prefix"]
+            for engine in self.engines
+            for request in engine.seen
+        )
+
+    async def _send_crashing(self) -> None:
+        answer = await self._send(CRASHING_PART)
+        self.refused += answer.status == 503
+
+    async def _send_sound(self) -> None:
+        answer = await self._send(f"ab{self._count % 5}")
+        self.sound.append(answer.status == 200 and answer.complete)
+
+    async def _send(self, part: str) -> Any:
+        self._count += 1
+        harness = self.harnesses[self._count % len(self.harnesses)]
+        headers = prompt("aa", part, f"{self._count:x}")
+        return await harness.send_request("/ask/x", f"r{self._count}", **headers)
+
+    def _replace_crashed(self) -> None:
+        store, now = self.harnesses[0].store, trio.current_time()
+        for old in self.engines[:]:
+            if old.crashed_at is None or now < old.crashed_at + RESTART_S:
+                continue
+            if old.id not in store.newest("keyed.servers"):
+                continue
+            new = engine(len(self.engines) + 1)
+            self.engines.append(new)
+            self.harnesses[0].servers.add(new)
+            store.put("keyed.servers", old.id, None)
+            store.put("keyed.servers", new.id, new.entry())
+
+
+@asynccontextmanager
+async def fleet(hosts: int = 3) -> AsyncIterator[Play]:
+    """Run hosts and endpoints while the block is executed."""
+    engines = [engine(number) for number in range(1, ENGINES + 1)]
+    async with entry_hosts(hosts, *engines, config=FLEET_CONFIG, wait_s=2.0) as harnesses:
+        yield Play(harnesses, engines)
+
+
+async def test_a_part_that_crashes_endpoints_is_refused_by_all_hosts():
+    for interval_s in (0.15, 0.5, 1.5):
+        async with fleet() as play:
+            await play.run(20.0, interval_s)
+            assert play.reached_late <= MAX_LATE, (interval_s, play.reached_late)
+
+
+async def test_requests_that_share_other_parts_are_served_while_a_part_is_refused():
+    async with fleet() as play:
+        await play.run(10.0, 0.5)
+        play.sound.clear()
+        await play.run(10.0, 0.5)
+        assert sum(play.sound) >= 0.95 * len(play.sound)
+
+
+async def test_a_refused_part_stays_refused_after_all_hosts_have_restarted():
+    async with fleet() as play:
+        await play.run(20.0, 0.5)
+        play.harnesses[:] = [h.restart(f"a{n}") for n, h in enumerate(play.harnesses, 1)]
+        await play.run(20.0, 0.5)
+        assert play.reached_late <= MAX_LATE
