Refuse requests with a prompt part that crashes endpoints

Callers saw 502 and broken streams: each request with one prompt part crashed the endpoint that began to answer it, and all streams there broke.

Cause: failures were recorded for each endpoint and host, never for what requests have in common, and no host knew what the others saw.

Change: hosts share crash reports in a log topic and draw the same conclusions from it: a part is refused after a chain of three crashes of different endpoints, each by a request sent after its host had read the report before, without an answer in between. Answers clear a part; one trial after the other, each twice as long after the last, finds out when it has been mended. The store stand-in answers a waiting read as soon as a record is appended, as the store does.

Conclusion: the evidence of a crash is spread over the hosts, so it has to be shared; the order of the log is what tells a cause from endpoints that crash together.

--- /dev/null
+++ b/mulberrycleat/endpoint/crashing_parts.py
@@ -0,0 +1,314 @@
+"""Prompt parts that crash endpoints, found from what all entry hosts report. Free of I/O.
+
+A request may crash every endpoint that begins to answer it, because of one part of its prompt. A
+host sees that a connection broke before any part of an answer came. That says little by itself,
+since the requests of all hosts that ran at the endpoint break at the same time. The hosts therefore
+share what they see in one log, and each of them draws the same conclusions from it: a part is
+refused after a chain of `CHAIN_LENGTH` crashes of different endpoints, with no answer to any
+request with the part since the first of them. Each request of a chain was sent by a host that had
+read the report of the previous crash, so that endpoints that crash together, for another reason,
+do not form a chain.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+__all__ = [
+    "AnswerReport",
+    "CrashRecord",
+    "CrashReport",
+    "CrashingParts",
+    "PartChange",
+    "RefusalRenewal",
+    "RefusedPart",
+]
+
+# Crashes in a chain after which a part is refused.
+CHAIN_LENGTH = 3
+# Crashes in a chain from which on an answer is reported to the other hosts.
+REPORTED_CHAIN_LENGTH = 2
+# A chain without a further crash for this time is dropped, in seconds.
+CHAIN_TTL_S = 60.0
+# Time after which one request with a refused part is tried, in seconds; doubled after each trial
+# that crashed an endpoint, up to the maximum.
+TRIAL_INTERVAL_S, MAX_TRIAL_INTERVAL_S = 20.0, 640.0
+# A host may try this time later than the host before it in the order for the part, in seconds: long
+# enough for most trials to end and be reported.
+TRIAL_STEP_S = 2.0
+# A trial without a known end is repeated after this time, in seconds.
+TRIAL_TIMEOUT_S = 10.0
+# Age of the latest record of a refusal from which on it is renewed, in seconds, so that the store's
+# history always has one; and the further time that each next host in the order waits.
+RENEWAL_INTERVAL_S, RENEWAL_STEP_S = 5.0, 0.5
+# A host renews a refusal for this time after its latest request with the part; a refusal that no
+# host has renewed for this time is dropped. In seconds.
+REFUSAL_TTL_S = 120.0
+# Largest number of parts that are tracked.
+MAX_TRACKED_PARTS = 4096
+# Retry-after of a refused request, in seconds.
+MIN_RETRY_AFTER_S = 1.0
+
+PartId = Annotated[str, msgspec.Meta(max_length=128)]
+Parts = Annotated[tuple[PartId, ...], msgspec.Meta(max_length=64)]
+
+
+class CrashReport(msgspec.Struct, frozen=True, tag="crash"):
+    """An endpoint closed the connection before any part of an answer came.
+
+    Attributes
+    ----------
+    endpoint : str
+        The endpoint and its start.
+    parts : tuple of str
+        Prompt parts of the request that other requests may have too.
+    read_to : int
+        Offset to which the host had read the log when it sent the request.
+    """
+
+    endpoint: Annotated[str, msgspec.Meta(max_length=256)]
+    parts: Parts
+    read_to: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class AnswerReport(msgspec.Struct, frozen=True, tag="answer"):
+    """An answer to a request with these parts has begun, so none of them crashes endpoints."""
+
+    parts: Parts
+
+
+class RefusalRenewal(msgspec.Struct, frozen=True, tag="refusal"):
+    """A part is still refused; `failed_trials` counts the trials that crashed an endpoint."""
+
+    part: PartId
+    failed_trials: Annotated[int, msgspec.Meta(ge=0, le=32)]
+
+
+CrashRecord = CrashReport | AnswerReport | RefusalRenewal
+
+
+class RefusedPart(NamedTuple):
+    """A refused part, and the time until the next trial, in seconds."""
+
+    part: str
+    retry_after_s: float
+
+
+class PartChange(NamedTuple):
+    """A part that is refused from now on, or no longer.
+
+    Attributes
+    ----------
+    endpoints : tuple of str
+        The endpoints that crashed; empty if another host's renewal states the refusal.
+    """
+
+    part: str
+    refused: bool
+    endpoints: tuple[str, ...]
+    failed_trials: int
+
+
+@dataclass(slots=True)
+class _TrackedPart:
+    """What is known of a part; times are in seconds, on the clock of the calling code.
+
+    Attributes
+    ----------
+    endpoints : list of str
+        The endpoints that crashed.
+    chain, chain_offset : int
+        Length of the chain of crashes, and offset of the report that lengthened it last. Of a
+        refused part, `chain_offset` is where it was refused, or where its last trial failed.
+    changed_at : float
+        When the chain was last lengthened.
+    answered : bool
+        Whether this host has seen an answer since the first crash.
+    refused_at : float or None
+        Start of the refusal or of its last trial interval; None if the part is not refused.
+    renewed_at : float
+        When the latest record of the refusal was read.
+    requested_at : float
+        When this host last had a request with the part.
+    tried_at : float
+        When this host last sent a trial.
+    """
+
+    changed_at: float
+    endpoints: list[str] = field(default_factory=list)
+    chain: int = 0
+    chain_offset: int = -1
+    answered: bool = False
+    refused_at: float | None = None
+    renewed_at: float = float("-inf")
+    requested_at: float = float("-inf")
+    tried_at: float = float("-inf")
+    failed_trials: int = 0
+
+
+class CrashingParts:
+    """The parts that are refused, and those that may have crashed endpoints.
+
+    Times `now` are in seconds, on any clock that does not go back.
+
+    Parameters
+    ----------
+    rank : callable
+        Returns this host's place, from 0, in the order of all hosts for a part, which is the same
+        at all hosts. Trials and renewals follow it, so that few hosts make them at the same time.
+
+    Examples
+    --------
+    >>> parts = CrashingParts(lambda part: 0)
+    >>> for offset, endpoint in enumerate(("e1", "e2", "e3")):
+    ...     changes = parts.apply(CrashReport(endpoint, ("p", "q"), offset), offset, now=1.0)
+    ...     _ = parts.record_answer(("q",))
+    >>> parts.apply(AnswerReport(("q",)), 3, now=1.0)
+    (PartChange(part='q', refused=False, endpoints=('e1', 'e2', 'e3'), failed_trials=0),)
+    >>> parts.refusal(("q",), now=1.0), parts.refusal(("p",), now=1.0)
+    (None, RefusedPart(part='p', retry_after_s=20.0))
+    """
+
+    def __init__(self, rank: Callable[[str], int]) -> None:
+        self._rank = rank
+        self._tracked: dict[str, _TrackedPart] = {}
+
+    @property
+    def refused(self) -> tuple[str, ...]:
+        """The parts that are refused."""
+        return tuple(p for p, found in self._tracked.items() if found.refused_at is not None)
+
+    def apply(self, record: CrashRecord, offset: int, now: float) -> tuple[PartChange, ...]:
+        """Apply the record at an offset of the log; return the parts refused or freed by it."""
+        self._drop_expired(now)
+        match record:
+            case CrashReport():
+                changes = [self._apply_crash(part, record, offset, now) for part in record.parts]
+            case AnswerReport():
+                changes = [self._free(part) for part in record.parts]
+            case RefusalRenewal():
+                changes = [self._apply_renewal(record, offset, now)]
+        return tuple(change for change in changes if change is not None)
+
+    def refusal(self, parts: Sequence[str], now: float) -> RefusedPart | None:
+        """Return the first part because of which a request must not be sent now, or None.
+
+        None is also returned for a trial; the request must then be sent at once.
+        """
+        found = [(part, self._tracked[part]) for part in parts if part in self._tracked]
+        refused = [(part, tracked) for part, tracked in found if tracked.refused_at is not None]
+        for part, tracked in refused:
+            tracked.requested_at = now
+            due_in_s = self._trial_due_at(part, tracked, now) - now
+            if due_in_s > 0:
+                return RefusedPart(part, max(due_in_s, MIN_RETRY_AFTER_S))
+        for _, tracked in refused:
+            tracked.tried_at = now
+        return None
+
+    def record_answer(self, parts: Iterable[str]) -> AnswerReport | None:
+        """Note that an answer has begun; return what to report to the other hosts, if anything."""
+        cleared = []
+        for part in parts:
+            tracked = self._tracked.get(part)
+            if tracked is None:
+                continue
+            if not tracked.answered and _is_reported(tracked):
+                cleared.append(part)
+            tracked.answered = True
+        return AnswerReport(tuple(cleared)) if cleared else None
+
+    def answered_parts(self, record: CrashReport) -> AnswerReport | None:
+        """Return what to report after a crash report: parts answered since their first crash."""
+        cleared = []
+        for part in record.parts:
+            tracked = self._tracked.get(part)
+            if tracked is not None and tracked.answered and _is_reported(tracked):
+                cleared.append(part)
+        return AnswerReport(tuple(cleared)) if cleared else None
+
+    def renewals(self, now: float) -> tuple[RefusalRenewal, ...]:
+        """Return the renewals that this host has to append now, and drop what has expired."""
+        self._drop_expired(now)
+        found = []
+        for part, tracked in self._tracked.items():
+            if tracked.refused_at is None or now - tracked.requested_at >= REFUSAL_TTL_S:
+                continue
+            age_s = now - tracked.renewed_at - RENEWAL_INTERVAL_S
+            if age_s >= 0 and age_s >= RENEWAL_STEP_S * self._rank(part):
+                found.append(RefusalRenewal(part, tracked.failed_trials))
+        return tuple(found)
+
+    def _apply_crash(
+        self, part: str, report: CrashReport, offset: int, now: float
+    ) -> PartChange | None:
+        tracked = self._tracked.setdefault(part, _TrackedPart(now))
+        if tracked.refused_at is not None:
+            # The request was sent by a host that refused the part: it was a trial.
+            if report.read_to > tracked.chain_offset:
+                tracked.failed_trials += 1
+                return self._refuse(part, tracked, offset, now)
+            return None
+        if report.endpoint in tracked.endpoints:
+            return None
+        tracked.endpoints.append(report.endpoint)
+        if tracked.chain and report.read_to <= tracked.chain_offset:
+            return None
+        tracked.chain += 1
+        tracked.chain_offset, tracked.changed_at = offset, now
+        if tracked.chain < CHAIN_LENGTH:
+            return None
+        tracked.requested_at = now
+        return self._refuse(part, tracked, offset, now)
+
+    def _apply_renewal(self, renewal: RefusalRenewal, offset: int, now: float) -> PartChange | None:
+        tracked = self._tracked.setdefault(renewal.part, _TrackedPart(now))
+        tracked.renewed_at = now
+        tracked.failed_trials = max(tracked.failed_trials, renewal.failed_trials)
+        if tracked.refused_at is not None:
+            return None
+        return self._refuse(renewal.part, tracked, offset, now)
+
+    def _refuse(self, part: str, tracked: _TrackedPart, offset: int, now: float) -> PartChange:
+        """Refuse a part from now on, for a whole trial interval."""
+        tracked.refused_at = tracked.renewed_at = now
+        tracked.chain_offset, tracked.answered = offset, False
+        return self._change(part, tracked)
+
+    def _free(self, part: str) -> PartChange | None:
+        tracked = self._tracked.pop(part, None)
+        if tracked is None or tracked.refused_at is None:
+            return None
+        return self._change(part, tracked, refused=False)
+
+    def _change(self, part: str, tracked: _TrackedPart, refused: bool = True) -> PartChange:
+        return PartChange(part, refused, tuple(tracked.endpoints), tracked.failed_trials)
+
+    def _trial_due_at(self, part: str, tracked: _TrackedPart, now: float) -> float:
+        interval_s = min(TRIAL_INTERVAL_S * 2**tracked.failed_trials, MAX_TRIAL_INTERVAL_S)
+        due_at = tracked.refused_at + interval_s
+        if now >= due_at:
+            due_at += TRIAL_STEP_S * self._rank(part)
+        return max(due_at, tracked.tried_at + TRIAL_TIMEOUT_S)
+
+    def _drop_expired(self, now: float) -> None:
+        for part, tracked in list(self._tracked.items()):
+            if tracked.refused_at is None:
+                expired = now - tracked.changed_at >= CHAIN_TTL_S
+            else:
+                expired = now - tracked.renewed_at >= REFUSAL_TTL_S
+            if expired:
+                del self._tracked[part]
+        excess = len(self._tracked) - MAX_TRACKED_PARTS
+        if excess > 0:
+            free = [p for p, tracked in self._tracked.items() if tracked.refused_at is None]
+            for part in sorted(free, key=lambda p: self._tracked[p].changed_at)[:excess]:
+                del self._tracked[part]
+
+
+def _is_reported(tracked: _TrackedPart) -> bool:
+    return tracked.chain >= REPORTED_CHAIN_LENGTH or tracked.refused_at is not None
--- /dev/null
+++ b/mulberrycleat/endpoint/tests/test_crashing_parts.py
@@ -0,0 +1,145 @@
+"""Which parts of prompts are refused after crashes, and for how long."""
+
+from __future__ import annotations
+
+from mulberrycleat.endpoint.crashing_parts import (
+    REFUSAL_TTL_S,
+    TRIAL_INTERVAL_S,
+    TRIAL_STEP_S,
+    AnswerReport,
+    CrashingParts,
+    CrashReport,
+    RefusalRenewal,
+)
+from mulberrycleat.testing import fixture
+
+
+class Log:
+    """Log of reports that several hosts read."""
+
+    def __init__(self, hosts: int) -> None:
+        self.hosts = [CrashingParts(lambda part, rank=rank: rank) for rank in range(hosts)]
+        self.end = 0
+
+    def append(self, record, now=0.0) -> None:
+        """Append a record, and have all hosts read it."""
+        for host in self.hosts:
+            host.apply(record, self.end, now)
+        self.end += 1
+
+    def crash(self, endpoint, *parts, now=0.0, read_to=None) -> None:
+        """Append a crash report of a request that was sent after all records had been read."""
+        self.append(CrashReport(endpoint, parts, self.end if read_to is None else read_to), now)
+
+
+@fixture
+def log() -> Log:
+    return Log(2)
+
+
+def refuse(log: Log, part="p") -> None:
+    for endpoint in ("e1", "e2", "e3"):
+        log.crash(endpoint, part)
+
+
+def test_a_part_is_refused_by_all_hosts_after_three_crashes_in_a_row(log):
+    log.crash("e1", "p")
+    log.crash("e2", "p")
+    assert [host.refused for host in log.hosts] == [(), ()]
+    log.crash("e3", "p")
+    assert [host.refused for host in log.hosts] == [("p",), ("p",)]
+
+
+def test_endpoints_that_crash_together_do_not_have_a_part_refused(log):
+    for number in range(20):
+        log.crash(f"e{number}", "p", read_to=0)
+    assert log.hosts[0].refused == ()
+
+
+def test_crashes_of_one_endpoint_do_not_have_a_part_refused(log):
+    for _ in range(20):
+        log.crash("e1", "p")
+    assert log.hosts[0].refused == ()
+
+
+def test_a_part_that_another_host_saw_answered_is_not_refused(log):
+    here, other = log.hosts
+    log.crash("e1", "p", "q")
+    assert other.record_answer(("q",)) is None
+    report = CrashReport("e2", ("p", "q"), log.end)
+    log.append(report)
+    log.append(other.answered_parts(report))
+    log.crash("e3", "p", "q")
+    assert here.refused == ("p",)
+
+
+def test_an_answer_in_a_later_step_of_a_chain_is_reported_at_once(log):
+    log.crash("e1", "q")
+    log.crash("e2", "q")
+    assert log.hosts[0].record_answer(("q",)) == AnswerReport(("q",))
+
+
+def test_crashes_a_long_time_apart_do_not_form_a_chain(log):
+    log.crash("e1", "p", now=0.0)
+    log.crash("e2", "p", now=100.0)
+    log.crash("e3", "p", now=200.0)
+    assert log.hosts[0].refused == ()
+
+
+def test_hosts_try_one_request_each_one_after_the_other(log):
+    refuse(log)
+    first, second = log.hosts
+    assert first.refusal(("p",), TRIAL_INTERVAL_S - 1).retry_after_s == 1.0
+    assert first.refusal(("p",), TRIAL_INTERVAL_S) is None
+    assert first.refusal(("p",), TRIAL_INTERVAL_S) is not None
+    assert second.refusal(("p",), TRIAL_INTERVAL_S) is not None
+    assert second.refusal(("p",), TRIAL_INTERVAL_S + TRIAL_STEP_S) is None
+
+
+def test_a_trial_that_crashes_an_endpoint_doubles_the_time_to_the_next(log):
+    refuse(log)
+    log.crash("e4", "p", now=TRIAL_INTERVAL_S)
+    assert log.hosts[0].refusal(("p",), TRIAL_INTERVAL_S).retry_after_s == 2 * TRIAL_INTERVAL_S
+
+
+def test_a_crash_of_a_request_sent_before_the_refusal_is_not_taken_for_a_trial(log):
+    refuse(log)
+    log.crash("e4", "p", now=10.0, read_to=1)
+    assert log.hosts[0].refusal(("p",), 10.0).retry_after_s == TRIAL_INTERVAL_S - 10.0
+
+
+def test_a_trial_that_is_answered_ends_the_refusal_at_all_hosts(log):
+    refuse(log)
+    first, second = log.hosts
+    assert first.refusal(("p",), TRIAL_INTERVAL_S) is None
+    log.append(first.record_answer(("p",)))
+    assert second.refusal(("p",), TRIAL_INTERVAL_S) is None
+    assert second.refused == ()
+
+
+def test_a_host_without_the_first_reports_learns_a_refusal_from_its_renewal(log):
+    refuse(log)
+    log.hosts[0].refusal(("p",), 6.0)
+    late = CrashingParts(lambda part: 2)
+    for renewal in log.hosts[0].renewals(6.0):
+        late.apply(renewal, log.end, 6.0)
+    assert late.refusal(("p",), 6.0) is not None
+
+
+def test_the_next_host_renews_only_when_the_first_does_not(log):
+    refuse(log)
+    first, second = log.hosts
+    assert first.renewals(5.0) == (RefusalRenewal("p", 0),)
+    assert second.renewals(5.0) == ()
+    assert second.renewals(5.5) == (RefusalRenewal("p", 0),)
+    log.append(RefusalRenewal("p", 0), now=5.0)
+    assert second.renewals(6.0) == ()
+
+
+def test_a_refusal_ends_after_requests_with_the_part_have_ceased(log):
+    refuse(log)
+    for now in range(int(3 * REFUSAL_TTL_S)):
+        for host in log.hosts:
+            for renewal in host.renewals(float(now)):
+                log.append(renewal, float(now))
+    assert [host.refused for host in log.hosts] == [(), ()]
--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -16,11 +16,13 @@
 from mulberrycleat.core import Refusal, Served, new_id
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.coordinators import HostEntry
+from mulberrycleat.entry.crash_reports import CrashReports
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.endpoints import EndpointRegistry
 from mulberrycleat.entry.feeds import DirectoryFeed, MapFeed
 from mulberrycleat.entry.filters import (
     AccountFilter,
+    CrashingPartFilter,
     DeadlineFilter,
     DispatchFilter,
     PrepaidFilter,
@@ -172,6 +174,14 @@
             decisions,
             self._forget_absent_endpoints,
         )
+        self._crashes = CrashReports(
+            settings.host,
+            self._store,
+            settings.times,
+            self._bounds,
+            decisions,
+            self._roster.coordinators.rank,
+        )
         self._relay = RelayServer(
             self._store, self._maps.snapshot, self._directory.snapshot, self._roster.snapshot
         )
@@ -181,9 +191,15 @@
                 RouteFilter(lambda: self._maps.table, random),
                 AccountFilter(),
                 DeadlineFilter(),
+                CrashingPartFilter(self._crashes),
                 PrepaidFilter(self._slices, decisions, trio.current_time),
                 DispatchFilter(
-                    codec, self._registry, self._retry_budget, self._connections, decisions
+                    codec,
+                    self._registry,
+                    self._retry_budget,
+                    self._connections,
+                    self._crashes,
+                    decisions,
                 ),
             )
         )
@@ -210,6 +226,11 @@
         """Return this host's token counts of an account, by kind."""
         return self._slices.tokens(account)
 
+    @property
+    def refused_parts(self) -> tuple[str, ...]:
+        """Prompt parts that are refused because they crash endpoints."""
+        return self._crashes.refused
+
     @property
     def ready(self) -> bool:
         """Whether the host is ready to accept callers' connections, as readiness checks report."""
@@ -253,6 +274,8 @@
                 "slices": self._run_slices,
                 "demand reports": self._slices.run_demand_reports,
                 "usage reports": self._slices.run_usage_reports,
+                "crash reports": self._crashes.run_reads,
+                "own crash reports": self._crashes.run_appends,
                 "housekeeping": self._run_housekeeping,
                 "metrics": self._metrics.watch_loop,
             }
@@ -309,6 +332,7 @@
         self._metrics.hosts.set(self._roster.coordinators.host_count(now))
         self._metrics.relayed_calls.set(self._store.relayed)
         self._metrics.store_lost.set(self._store.lost)
+        self._metrics.refused_parts.set(len(self._crashes.refused))
         self._metrics.lines_left_out.set(sum(self._decisions.left_out.values()))
         for pool in self._retry_budget.pools:
             self._metrics.repeats_left.labels(pool).set(self._retry_budget.left(pool, now))
--- a/mulberrycleat/entry/coordinators.py
+++ b/mulberrycleat/entry/coordinators.py
@@ -158,6 +158,14 @@
             return Role.COORDINATOR
         return Role.ZONE_COORDINATOR if self._host in coordinators else Role.OTHER
 
+    def rank(self, task: str) -> int:
+        """Return this host's place in the order of the active hosts for a task, from 0.
+
+        A host that is not active itself, as after its start, is the last.
+        """
+        order = ranked(task, self._active)
+        return order.index(self._host) if self._host in self._active else len(order)
+
     def addresses_of(self, names: Iterable[str]) -> tuple[str, ...]:
         """Return the addresses of other hosts; those without a known address are left out."""
         changes = [self._last_changes.get(name) for name in names if name != self._host]
--- /dev/null
+++ b/mulberrycleat/entry/crash_reports.py
@@ -0,0 +1,185 @@
+"""Controller of the parts of prompts that crash endpoints, which all hosts report in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import trio
+from result import Err, Ok
+
+from mulberrycleat.endpoint.crashing_parts import (
+    AnswerReport,
+    CrashingParts,
+    CrashRecord,
+    CrashReport,
+    PartChange,
+    RefusedPart,
+)
+from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.settings import EntryTimes, FleetRequirements
+from mulberrycleat.entry.store import CrashUpdate, StateStore
+
+__all__ = ["CrashReports"]
+
+# Interval between checks whether a refusal has to be renewed, in seconds.
+RENEWAL_CHECK_INTERVAL_S = 1.0
+# Shortest time between two reads, and between two appends, in seconds, so that one call covers what
+# several requests or hosts have seen.
+MIN_READ_INTERVAL_S, MIN_APPEND_INTERVAL_S = 0.05, 0.01
+# Most reports that wait to be appended; the oldest are dropped.
+MAX_PENDING = 256
+
+
+class CrashReports:
+    """Reports crashes to the other hosts, and refuses the parts that cause them.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    store : StateStore
+        Where the hosts' reports are kept.
+    times : EntryTimes
+        Intervals of the loops.
+    bounds : callable
+        Returns the requirements on the fleet, which the reads follow from.
+    decisions : DecisionLog
+        Log of refused parts and failures.
+    rank : callable
+        Returns this host's place in the order of all hosts for a part, from 0.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        store: StateStore,
+        times: EntryTimes,
+        bounds: Callable[[], FleetRequirements],
+        decisions: DecisionLog,
+        rank: Callable[[str], int],
+    ) -> None:
+        self._host = host
+        self._store = store
+        self._times = times
+        self._bounds = bounds
+        self._decisions = decisions
+        self._parts = CrashingParts(rank)
+        self._offset = 0
+        self._pending: list[CrashRecord] = []
+        self._wake = trio.Event()
+        self._failing = False
+
+    @property
+    def read_to(self) -> int:
+        """Offset to which the reports have been read."""
+        return self._offset
+
+    @property
+    def refused(self) -> tuple[str, ...]:
+        """The parts that are refused."""
+        return self._parts.refused
+
+    def refusal(self, parts: Sequence[str]) -> RefusedPart | None:
+        """Return the part because of which a request must not be sent now, or None."""
+        return self._parts.refusal(parts, trio.current_time())
+
+    def record_crash(self, endpoint: str, parts: Sequence[str], read_to: int) -> None:
+        """Report that a connection ended before any part of an answer came.
+
+        Parameters
+        ----------
+        endpoint : str
+            The endpoint and its start.
+        parts : sequence of str
+            Parts of the request's prompt that other requests may have too.
+        read_to : int
+            The value of `read_to` when the request was sent.
+        """
+        if parts:
+            self._report(CrashReport(endpoint, tuple(parts), read_to))
+
+    def record_answer(self, parts: Sequence[str]) -> None:
+        """Note that an endpoint has begun an answer to a request with these parts."""
+        self._report(self._parts.record_answer(parts))
+
+    async def run_reads(self) -> None:
+        """Read reports until cancelled."""
+        while True:
+            began = trio.current_time()
+            wait_s = self._bounds().crash_report_wait_s
+            match await self._store.read_crashes(self._offset, wait_s):
+                case Ok(update):
+                    self._apply(update)
+                    waited = bool(update.records) or trio.current_time() - began >= wait_s / 2
+                    interval_s = (
+                        MIN_READ_INTERVAL_S if waited else self._times.outage_retry_interval_s
+                    )
+                case Err(error):
+                    self._log_failure("read", str(error))
+                    interval_s = self._times.outage_retry_interval_s
+            await trio.sleep(interval_s)
+
+    async def run_appends(self) -> None:
+        """Append this host's reports and renewals until cancelled."""
+        while True:
+            with trio.move_on_after(RENEWAL_CHECK_INTERVAL_S):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            for renewal in self._parts.renewals(trio.current_time()):
+                if renewal not in self._pending:
+                    self._report(renewal)
+            while self._pending:
+                await self._append_pending()
+
+    async def _append_pending(self) -> None:
+        """Append all pending reports; those that fail stay pending.
+
+        A report may be appended twice if an answer of the store is lost, which changes nothing.
+        """
+        records = tuple(self._pending)
+        match await self._store.append_crashes(self._host, records):
+            case Ok(_):
+                del self._pending[: len(records)]
+                self._failing = False
+                await trio.sleep(MIN_APPEND_INTERVAL_S)
+            case Err(error):
+                self._log_failure("append", str(error))
+                await trio.sleep(self._times.outage_retry_interval_s)
+
+    def _report(self, record: CrashRecord | None) -> None:
+        """Append a record soon; None is ignored."""
+        if record is None:
+            return
+        if len(self._pending) >= MAX_PENDING:
+            self._decisions.warning("crash report dropped", step="append", why="too many pending")
+            return
+        self._pending.append(record)
+        self._wake.set()
+
+    def _apply(self, update: CrashUpdate) -> None:
+        now = trio.current_time()
+        for fault in update.faults:
+            self._decisions.warning("crash report unreadable", why=fault)
+        cleared: list[AnswerReport | None] = []
+        for offset, record in update.records:
+            for change in self._parts.apply(record, offset, now):
+                self._log_change(change)
+            if isinstance(record, CrashReport):
+                cleared.append(self._parts.answered_parts(record))
+        for report in dict.fromkeys(cleared):
+            self._report(report)
+        self._offset = update.next
+        self._failing = False
+
+    def _log_change(self, change: PartChange) -> None:
+        self._decisions.warning(
+            "part refused" if change.refused else "part allowed",
+            part=change.part,
+            endpoints=list(change.endpoints),
+            failed_trials=change.failed_trials,
+        )
+
+    def _log_failure(self, step: str, why: str) -> None:
+        if not self._failing:
+            self._decisions.warning("crash reports not reached", step=step, peer="store", why=why)
+        self._failing = True
--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -78,9 +78,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeFailed:
-    """No complete and valid answer came; the endpoint may have run the request."""
+    """No complete and valid answer came; the endpoint may have run the request.
+
+    `broken` says whether the endpoint ended the connection before the answer was complete.
+    """
 
     reason: str
+    broken: bool = False
 
 
 Outcome = ConnectionFailed | Declined | FullResponse | ForwardedResponse | ExchangeFailed
@@ -99,6 +103,8 @@
         Called when data of the answer arrives.
     on_facts : callable
         Called with the facts read from the answer's headers.
+    on_answer : callable
+        Called when the first event of a stream, or a complete answer, has arrived with success.
     """
 
     def __init__(
@@ -107,11 +113,13 @@
         connections: ConnectionPool,
         on_data: Callable[[], None],
         on_facts: Callable[[AnswerFacts], None],
+        on_answer: Callable[[], None],
     ) -> None:
         self._codec = codec
         self._connections = connections
         self._on_data = on_data
         self._on_facts = on_facts
+        self._on_answer = on_answer
 
     async def run(
         self, call: EntryCall, placement: Placement, first_s: float, pause_s: float
@@ -141,7 +149,7 @@
                 kept = isinstance(outcome, Declined | FullResponse | ForwardedResponse)
                 return outcome
             except ExchangeError as error:
-                return ExchangeFailed(str(error))
+                return ExchangeFailed(str(error), error.broken)
             except EventTooLargeError as error:
                 return ExchangeFailed(f"receive {placement.entry.address}: {error}")
             finally:
@@ -207,6 +215,8 @@
                 first.deadline = float("inf")
                 return await self._forward_rest(call, connection, head, b"".join(chunks))
         self._on_data()
+        if 200 <= head.status < 300:
+            self._on_answer()
         return FullResponse(head, b"".join(chunks))
 
     async def _forward_rest(
@@ -236,10 +246,14 @@
         held = b""
         pause = trio.CancelScope(deadline=first.deadline)
         first.deadline = float("inf")
+        answered = False
         with pause:
             while chunk := await connection.read_chunk():
                 self._on_data()
                 events = splitter.feed(chunk)
+                if events.count and not answered:
+                    answered = True
+                    self._on_answer()
                 if not events.count:
                     if call.responder.started:
                         await call.responder.write(events.data)
--- a/mulberrycleat/entry/filters/__init__.py
+++ b/mulberrycleat/entry/filters/__init__.py
@@ -1,7 +1,15 @@
 """Filters of an entry host, in the order in which they handle a request."""
 
 from mulberrycleat.entry.filters.admit import AccountFilter, DeadlineFilter, RouteFilter
+from mulberrycleat.entry.filters.crashing_parts import CrashingPartFilter
 from mulberrycleat.entry.filters.dispatch import DispatchFilter
 from mulberrycleat.entry.filters.prepaid import PrepaidFilter
 
-__all__ = ["AccountFilter", "DeadlineFilter", "DispatchFilter", "PrepaidFilter", "RouteFilter"]
+__all__ = [
+    "AccountFilter",
+    "CrashingPartFilter",
+    "DeadlineFilter",
+    "DispatchFilter",
+    "PrepaidFilter",
+    "RouteFilter",
+]
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -11,6 +11,7 @@
 from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
 from mulberrycleat.endpoint.placer import Placement
 from mulberrycleat.entry.call import EntryCall
+from mulberrycleat.entry.crash_reports import CrashReports
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.endpoints import EndpointRegistry, work_of
 from mulberrycleat.entry.exchange import (
@@ -94,6 +95,26 @@
     expected_s: float | None = None
 
 
+@dataclass(slots=True)
+class _Attempt:
+    """One attempt in progress.
+
+    Attributes
+    ----------
+    sent_at : float
+        When it began, in seconds on trio's clock.
+    crashes_read_to : int
+        Offset to which the hosts' reports of crashes had been read then.
+    answered : bool
+        Whether an answer has begun.
+    """
+
+    placement: Placement
+    sent_at: float
+    crashes_read_to: int
+    answered: bool = False
+
+
 class DispatchFilter:
     """Send a request, and retry it where that is safe and the retry budget allows it.
 
@@ -109,6 +130,8 @@
         Limits the retries to each pool.
     connections : ConnectionPool
         Connections to endpoints.
+    crashes : CrashReports
+        Reports crashes of endpoints; a request that may cause them is not retried.
     decisions : DecisionLog
         Log of each attempt and its end.
     """
@@ -119,12 +142,14 @@
         registry: EndpointRegistry,
         retry_budget: FleetRetryBudget,
         connections: ConnectionPool,
+        crashes: CrashReports,
         decisions: DecisionLog,
     ) -> None:
         self._codec = codec
         self._registry = registry
         self._retry_budget = retry_budget
         self._connections = connections
+        self._crashes = crashes
         self._decisions = decisions
 
     async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
@@ -161,6 +186,8 @@
             return None
         if progress.runs and not call.route.retryable:
             return None
+        if progress.sends and self._crashes.refusal(_shared_parts(call)) is not None:
+            return None
         placement = self._registry.choose(call, tries.endpoint_ids)
         if placement is None:
             return None
@@ -188,8 +215,8 @@
         tries.endpoint_ids.add(entry.id)
         tries.count += 1
         call.progress.endpoint = entry.id
-        now = trio.current_time()
-        placer.sent(placement, request_id, work_of(call.facts), now)
+        attempt = _Attempt(placement, trio.current_time(), self._crashes.read_to)
+        placer.sent(placement, request_id, work_of(call.facts), attempt.sent_at)
         self._decisions.info(
             "sent",
             request=request_id,
@@ -210,13 +237,17 @@
                 load = facts.load
                 placer.apply_load_report(entry.id, load.running, load.waiting, trio.current_time())
 
-        exchange = Exchange(self._codec, self._connections, heard, record_facts)
+        def record_answer() -> None:
+            attempt.answered = True
+            self._crashes.record_answer(_shared_parts(call))
+
+        exchange = Exchange(self._codec, self._connections, heard, record_facts, record_answer)
         timeouts = self._timeouts(call, placement, tries)
         outcome: Outcome | None = None
         try:
             outcome = await exchange.run(call, placement, timeouts.first_s, timeouts.pause_s)
         finally:
-            self._record_end(call, placement, outcome, now)
+            self._record_end(call, attempt, outcome)
         return outcome
 
     def _timeouts(self, call: EntryCall, placement: Placement, tries: _Attempts) -> _Timeouts:
@@ -236,18 +267,21 @@
         )
         return _Timeouts(first_s, PAUSE_TIMEOUT_FACTOR * call.route.pause_s)
 
-    def _record_end(
-        self, call: EntryCall, placement: Placement, outcome: Outcome | None, sent_at: float
-    ) -> None:
+    def _record_end(self, call: EntryCall, attempt: _Attempt, outcome: Outcome | None) -> None:
         """Apply the end of an attempt to the placement and log it; no outcome if cancelled."""
-        entry_id, request_id = placement.entry.id, call.facts.request_id
+        entry, request_id = attempt.placement.entry, call.facts.request_id
+        entry_id = entry.id
         placer, now = self._registry.placer(call.pool.name), trio.current_time()
         failed: bool | None = None
         match outcome:
             case ForwardedResponse() | FullResponse():
                 failed = isinstance(outcome, FullResponse) and outcome.head.status >= SERVER_ERROR
-            case ExchangeFailed():
+            case ExchangeFailed(broken=broken):
                 failed = True
+                if broken and not attempt.answered:
+                    self._crashes.record_crash(
+                        f"{entry_id}/{entry.born:g}", _shared_parts(call), attempt.crashes_read_to
+                    )
             case ConnectionFailed(timed_out=timed_out):
                 placer.note_unreachable(entry_id, now, timed_out)
             case Declined(misdirected=False):
@@ -258,12 +292,12 @@
         fields = {
             "request": request_id,
             "endpoint": entry_id,
-            "took_s": round(now - sent_at, 4),
+            "took_s": round(now - attempt.sent_at, 4),
             "events": call.progress.delivered_events,
         }
         match outcome:
             case ExchangeFailed(reason=reason):
-                parts = [part.id for part in call.facts.shared_parts]
+                parts = _shared_parts(call)
                 self._decisions.warning("send failed", why=reason, parts=parts, **fields)
             case ConnectionFailed(reason=reason):
                 self._decisions.warning("send failed", why=reason, **fields)
@@ -305,6 +339,11 @@
         return NotRun(Step.DISPATCH, progress.endpoint, tries.last, 503, retry_s, "turned_away")
 
 
+def _shared_parts(call: EntryCall) -> list[str]:
+    """Return the ids of the prompt parts that other requests may have too."""
+    return [part.id for part in call.facts.shared_parts]
+
+
 def _caller_wait_s(call: EntryCall, now: float) -> float:
     """Return how long the caller waits for the first part of an answer, in seconds."""
     left_s = call.deadline - now
--- a/mulberrycleat/entry/metrics.py
+++ b/mulberrycleat/entry/metrics.py
@@ -64,6 +64,11 @@
         self.connections_idle = Gauge(
             f"{PREFIX}connections_idle", "Idle connections to endpoints", registry=registry
         )
+        self.refused_parts = Gauge(
+            f"{PREFIX}refused_parts",
+            "Prompt parts that are refused because they crash endpoints",
+            registry=registry,
+        )
         self.hosts = Gauge(f"{PREFIX}hosts", "Hosts that share budgets", registry=registry)
         self.relayed_calls = Gauge(
             f"{PREFIX}relayed_calls", "Store calls through other hosts so far", registry=registry
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -11,10 +11,12 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import PeerError, Step
+from mulberrycleat.endpoint.crashing_parts import CrashRecord
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.store import (
     AppendOutcome,
+    CrashUpdate,
     DirectoryUpdate,
     HostUpdate,
     MapUpdate,
@@ -50,6 +52,8 @@
     record: HolderRecord | None = None
     entry: HostEntry | None = None
     shard: Annotated[int, msgspec.Meta(ge=0, lt=SHARDS)] = 0
+    host: str = ""
+    crashes: tuple[CrashRecord, ...] = ()
 
 
 class RelayedStore:
@@ -150,6 +154,25 @@
             lambda: self._inner.append_host(entry), "append_host", arguments, AppendOutcome
         )
 
+    async def read_crashes(self, offset: int, wait_s: float) -> Result[CrashUpdate, PeerError]:
+        """Return reports of crashes since `offset`; calls through other hosts don't wait."""
+        arguments = _CallArguments(offset)
+        return await self._call(
+            lambda: self._inner.read_crashes(offset, wait_s), "read_crashes", arguments, CrashUpdate
+        )
+
+    async def append_crashes(
+        self, host: str, records: tuple[CrashRecord, ...]
+    ) -> Result[AppendOutcome, PeerError]:
+        """Append reports of a host."""
+        arguments = _CallArguments(host=host, crashes=records)
+        return await self._call(
+            lambda: self._inner.append_crashes(host, records),
+            "append_crashes",
+            arguments,
+            AppendOutcome,
+        )
+
     async def _call(
         self,
         direct: Callable[[], Awaitable[Result[T, PeerError]]],
@@ -308,7 +331,13 @@
                 return await inner.append_slices(
                     arguments.shard, arguments.record, arguments.offset
                 )
-            case "read_slices" | "append_slices" | "append_host":
+            case "read_crashes" if not lost and arguments.offset is not None:
+                return await inner.read_crashes(arguments.offset, 0.0)
+            case "append_crashes" if not lost and arguments.crashes:
+                return await inner.append_crashes(arguments.host, arguments.crashes)
+            case (
+                "read_slices" | "append_slices" | "append_host" | "read_crashes" | "append_crashes"
+            ):
                 return unreachable
         return None
 
--- a/mulberrycleat/entry/settings.py
+++ b/mulberrycleat/entry/settings.py
@@ -28,6 +28,9 @@
         Longest time until the unused tokens of an ended request are free again, in seconds.
     reuse_window_s : float
         Shared prompt parts that were used within this time are worth caching, in seconds.
+    contact_s : float
+        Time within which what one host has learned is known to all hosts in touch with the store,
+        in seconds.
     """
 
     grace_s: float = 8.0
@@ -38,6 +41,7 @@
     retry_slack: float = 0.0
     settle_s: float = 1.5
     reuse_window_s: float = 10.0
+    contact_s: float = 3.0
 
     @property
     def directory_read_interval_s(self) -> float:
@@ -56,6 +60,14 @@
         """
         return 0.75 * self.config_apply_s
 
+    @property
+    def crash_report_wait_s(self) -> float:
+        """Longest time that one read waits at the store for crash reports, in seconds.
+
+        If the connection has gone silent, the next read still finds them in time.
+        """
+        return 0.75 * self.contact_s
+
 
 @dataclass(frozen=True, slots=True)
 class EntryTimes:
--- a/mulberrycleat/entry/store.py
+++ b/mulberrycleat/entry/store.py
@@ -7,6 +7,7 @@
 from result import Result
 
 from mulberrycleat.core import PeerError
+from mulberrycleat.endpoint.crashing_parts import CrashRecord
 from mulberrycleat.endpoint.directory import Entry
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.prepaid import HolderRecord
@@ -14,6 +15,7 @@
 
 __all__ = [
     "AppendOutcome",
+    "CrashUpdate",
     "DirectoryUpdate",
     "HostUpdate",
     "MapUpdate",
@@ -107,6 +109,24 @@
     faults: tuple[str, ...] = ()
 
 
+class CrashUpdate(NamedTuple):
+    """Result of a read of the hosts' reports of crashes.
+
+    Attributes
+    ----------
+    next : int
+        Offset to read from next.
+    records : tuple of (int, CrashRecord)
+        Offsets and records, in the order of the store.
+    faults : tuple of str
+        Descriptions of what could not be decoded.
+    """
+
+    next: int
+    records: tuple[tuple[int, CrashRecord], ...]
+    faults: tuple[str, ...] = ()
+
+
 class AppendOutcome(NamedTuple):
     """Result of a conditional append.
 
@@ -153,3 +173,16 @@
     async def append_host(self, entry: HostEntry) -> Result[AppendOutcome, PeerError]:
         """Append the entry of an entry host."""
         ...
+
+    async def read_crashes(self, offset: int, wait_s: float) -> Result[CrashUpdate, PeerError]:
+        """Return reports of crashes since `offset`, waiting up to `wait_s` seconds for one.
+
+        Reports that have expired are left out.
+        """
+        ...
+
+    async def append_crashes(
+        self, host: str, records: tuple[CrashRecord, ...]
+    ) -> Result[AppendOutcome, PeerError]:
+        """Append reports of a host; all of them or none."""
+        ...
--- a/mulberrycleat/platform/settings.py
+++ b/mulberrycleat/platform/settings.py
@@ -50,6 +50,7 @@
     retry_slack: float = 0.0
     settle_ms: float = 1500.0
     reuse_window_s: float = 10.0
+    contact_ms: float = 3000.0
 
 
 class _StoreAddress(msgspec.Struct):
@@ -135,6 +136,7 @@
                 retry_slack=bounds.retry_slack,
                 settle_s=bounds.settle_ms / 1000,
                 reuse_window_s=bounds.reuse_window_s,
+                contact_s=bounds.contact_ms / 1000,
             ),
         )
     )
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -58,6 +58,7 @@
         self._topics: dict[str, list[_StoredRecord]] = {}
         self._first_offsets: dict[str, int] = {}
         self._compacted: dict[str, dict[str, _StoredRecord]] = {}
+        self._appended: dict[str, trio.Event] = {}
         self._random = Random(seed)
         self.down = False
         self.turned_away: set[str] = set()
@@ -77,8 +78,14 @@
         """Append a record and return its offset."""
         offset = self.end(topic)
         self._topics.setdefault(topic, []).append(_StoredRecord(key, value))
+        if topic in self._appended:
+            self._appended.pop(topic).set()
         return offset
 
+    async def wait_for_append(self, topic: str) -> None:
+        """Wait until the next record of a topic is appended."""
+        await self._appended.setdefault(topic, trio.Event()).wait()
+
     def expire_history(self, topic: str) -> None:
         """Expire all records of the topic.
 
@@ -166,15 +173,16 @@
         if self._host in self._store.turned_away:
             yield StreamedAnswer(503, {}, _one_chunk(b""))
             return
-        wait_s = float(parse_qs(urlsplit(url).query).get("wait_ms", ["0"])[0]) / 1000
+        query = parse_qs(urlsplit(url).query)
+        wait_s = float(query.get("wait_ms", ["0"])[0]) / 1000
         answer = self._store.answer(method, url, body)
         if answer is None:
             await trio.sleep(timeout_s)
             raise httpcore.ReadTimeout("the answer is lost")
-        # A body of 16 bytes has no records. The read then waits for the whole `wait_ms` and runs
-        # once more.
+        # A body of 16 bytes has no records. The read then waits for one, and runs once more.
         if wait_s and len(answer[1]) == 16:
-            await trio.sleep(wait_s)
+            with trio.move_on_after(wait_s):
+                await self._store.wait_for_append(query["topic"][0])
             answer = self._store.answer(method, url, body)
         yield StreamedAnswer(answer[0], {}, _one_chunk(answer[1]))
 
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -11,9 +11,11 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import PeerError, Step
+from mulberrycleat.endpoint.crashing_parts import CrashRecord
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.store import (
     AppendOutcome,
+    CrashUpdate,
     DirectoryUpdate,
     HostUpdate,
     MapUpdate,
@@ -34,7 +36,9 @@
 # Each shard has a topic of this name, a dot and its number.
 SLICE_TOPIC = "keyed.slices"
 HOST_TOPIC = "keyed.hosts"
-PRECONDITION_FAILED, GONE = 412, 410
+# Its records expire, as they say nothing about the present after a while.
+CRASH_TOPIC = "crashes"
+PRECONDITION_FAILED, GONE, NOT_FOUND = 412, 410, 404
 MAX_READ_KB = 1024
 
 
@@ -63,6 +67,12 @@
     offset: int = -1
 
 
+class _Expired(msgspec.Struct):
+    """Reply to a read of expired records; `first` is the first offset that can be read."""
+
+    first: int
+
+
 class _Record(NamedTuple):
     key: str
     value: bytes
@@ -179,10 +189,42 @@
         path = f"/log-append?topic={SLICE_TOPIC}.{shard}&part=0&at={at}"
         return await self._append(path, record.host, msgspec.msgpack.encode(record))
 
-    async def _append(self, path: str, name: str, value: bytes) -> Result[AppendOutcome, PeerError]:
-        key = name.encode()
-        payload = bytes([len(key)]) + key + value
-        body = struct.pack(">I", len(payload)) + payload
+    async def read_crashes(self, offset: int, wait_s: float) -> Result[CrashUpdate, PeerError]:
+        """Return the reports of crashes since `offset`, waiting for up to `wait_s` seconds."""
+        while True:
+            path = _read_path(CRASH_TOPIC, offset, wait_s)
+            match await self._call("GET", path, b"", Step.READ, wait_s):
+                case Err(error):
+                    return Err(error)
+                case Ok(answer) if answer.status == NOT_FOUND:
+                    return Ok(CrashUpdate(offset, ()))
+                case Ok(answer) if answer.status == GONE:
+                    try:
+                        first = msgspec.json.decode(answer.body, type=_Expired).first
+                    except msgspec.DecodeError as error:
+                        return Err(PeerError(Step.READ, self._url, f"{path}: {error}"))
+                    if first <= offset:
+                        reason = f"{path}: expired, though the first offset is {first}"
+                        return Err(PeerError(Step.READ, self._url, reason))
+                    offset = first
+                case Ok(answer) if answer.status == 200:
+                    return self._decode_read(answer.body, offset, path).map(
+                        lambda changes, offset=offset: _decode_crashes(changes, offset)
+                    )
+                case Ok(answer):
+                    return Err(self._status_error(answer, Step.READ, path))
+
+    async def append_crashes(
+        self, host: str, records: tuple[CrashRecord, ...]
+    ) -> Result[AppendOutcome, PeerError]:
+        """Append reports of a host."""
+        path = f"/log-append?topic={CRASH_TOPIC}&part=0"
+        return await self._append(path, host, *map(msgspec.msgpack.encode, records))
+
+    async def _append(
+        self, path: str, name: str, *values: bytes
+    ) -> Result[AppendOutcome, PeerError]:
+        body = b"".join(_encode_record(name.encode(), value) for value in values)
         match await self._call("POST", path, body, Step.APPEND):
             case Err(error):
                 return Err(error)
@@ -206,9 +248,7 @@
         """Return the records since `offset`, or a snapshot if `offset` is None or has expired."""
         if offset is None:
             return await self._read_newest(topic)
-        path = f"/log-read?topic={topic}&part=0&from={offset}&max_kb={MAX_READ_KB}"
-        if wait_s:
-            path += f"&wait_ms={int(wait_s * 1000)}"
+        path = _read_path(topic, offset, wait_s)
         match await self._call("GET", path, b"", Step.READ, wait_s):
             case Err(error):
                 return Err(error)
@@ -236,7 +276,7 @@
                         ]
                     except (msgspec.DecodeError, ValueError) as error:
                         return Err(PeerError(Step.READ, self._url, f"{path}: {error}"))
-                case Ok(answer) if answer.status == 404:
+                case Ok(answer) if answer.status == NOT_FOUND:
                     return Ok(_Changes(0, True, ()))
                 case Ok(answer):
                     return Err(self._status_error(answer, Step.READ, path))
@@ -271,6 +311,27 @@
         return PeerError(step, self._url, f"{path}: status {answer.status}", sent=sent)
 
 
+def _read_path(topic: str, offset: int, wait_s: float) -> str:
+    path = f"/log-read?topic={topic}&part=0&from={offset}&max_kb={MAX_READ_KB}"
+    return f"{path}&wait_ms={int(wait_s * 1000)}" if wait_s else path
+
+
+def _encode_record(key: bytes, value: bytes) -> bytes:
+    payload = bytes([len(key)]) + key + value
+    return struct.pack(">I", len(payload)) + payload
+
+
+def _decode_crashes(changes: _Changes, offset: int) -> CrashUpdate:
+    """Decode reports of crashes, the first of which is at `offset`."""
+    found, faults = [], []
+    for position, record in enumerate(changes.records, offset):
+        try:
+            found.append((position, msgspec.msgpack.decode(record.value, type=CrashRecord)))
+        except msgspec.DecodeError as error:
+            faults.append(f"crash report of {record.key}: {error}")
+    return CrashUpdate(changes.next, tuple(found), tuple(faults))
+
+
 def _decode_values(
     records: Iterable[_Record], kind: type[T]
 ) -> tuple[tuple[T, ...], tuple[str, ...]]:
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -51,7 +51,14 @@
 
 
 class ExchangeError(Exception):
-    """The exchange failed after the request may have been sent."""
+    """The exchange failed after the request may have been sent.
+
+    `broken` says whether the endpoint ended the connection before the response was complete.
+    """
+
+    def __init__(self, reason: str, broken: bool = False) -> None:
+        super().__init__(reason)
+        self.broken = broken
 
 
 class AnswerHead(NamedTuple):
@@ -228,15 +235,19 @@
         self._pipe.close()
 
     async def _next_event(self) -> h11.Event:
+        ended = False
         try:
             while True:
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
                 data = await self._pipe.receive_some(RECEIVE_BYTES)
+                ended = not data
                 self._http.receive_data(bytes(data))
         except (h11.RemoteProtocolError, trio.BrokenResourceError, trio.ClosedResourceError) as e:
-            raise ExchangeError(f"receive {self._address}: {e or type(e).__name__}") from e
+            broken = ended or isinstance(e, trio.BrokenResourceError)
+            reason = f"receive {self._address}: {e or type(e).__name__}"
+            raise ExchangeError(reason, broken) from e
 
     def _apply_keep_alive(self, response: h11.Response) -> None:
         for name, value in response.headers:
