Take a stream without length that ends before its first event for broken

Cause: an answer may have neither a length nor chunks and end with its connection. When an endpoint crashed before the first event of such a stream, the end of the connection was taken for the end of an empty stream: the caller got a complete answer without any event, and the crash was not reported to the other hosts. A stream that ended within an event was not reported either. Change: an unframed stream without an event, and one that ends within an event, are broken off. Conclusion: without a length, an end of the connection says nothing unless an event came before it.

--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -276,7 +276,9 @@
                 pause.deadline = trio.current_time() + pause_s
             pause.deadline = float("inf")
             if splitter.rest.strip():
-                return ExchangeFailed("the stream ends within an event")
+                return ExchangeFailed("the stream ends within an event", broken=True)
+            if not answered and not head.framed:
+                return ExchangeFailed("the stream ends without an event", broken=True)
             if not call.responder.started:
                 await start_answer(call, head.status, self._codec.answer_headers(head))
             await call.responder.finish(held)
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -228,6 +228,8 @@
         Whether it sends the previous answer of a connection once more, in place of the next one.
     omits_request_id : bool
         Whether its answers do not state which request they belong to.
+    unframed : bool
+        Whether its streams have neither a length nor chunks and end with the connection.
     crash_part : str
         Id of a prompt part: the server crashes when it begins the answer to a request with this
         part, unless it is the last one. All its connections end, and it accepts no others.
@@ -258,6 +260,7 @@
     trailing_bytes: bytes = b""
     repeats_answers: bool = False
     omits_request_id: bool = False
+    unframed: bool = False
     crash_part: str = ""
     crashed_at: float | None = None
     open_streams: list[trio.StapledStream] = field(default_factory=list)
@@ -418,6 +421,12 @@
     async def send(event: Any) -> None:
         await stream.send_all(connection.send(event))
 
+    async def send_events(data: bytes) -> None:
+        if server.unframed:
+            await stream.send_all(data)
+        else:
+            await send(h11.Data(data=data))
+
     common_headers = [("Server-Load", f"{server.running},0,8")]
     if not server.omits_request_id:
         common_headers.append(("Attempt-Id", headers["attempt-id"]))
@@ -441,9 +450,6 @@
         if server.loses_answers:
             await stream.send_all(RESET)
             raise trio.BrokenResourceError
-        if server.crashes_on(headers):
-            server.crash()
-            raise trio.BrokenResourceError
         answer_headers = [*common_headers, ("Response-Seal", f"seal-of-{server.id}")]
         if not server.events:
             body = f"{server.id}:{headers[':target']}".encode()
@@ -452,23 +458,34 @@
             await send(h11.Data(data=body))
             await send(h11.EndOfMessage())
             return
-        head = [
-            *answer_headers,
-            ("Content-Type", "text/event-stream"),
-            ("Transfer-Encoding", "chunked"),
-        ]
-        await send(h11.Response(status_code=200, headers=head))
+        head = [*answer_headers, ("Content-Type", "text/event-stream")]
+        if server.unframed:
+            await stream.send_all(_unframed_head(head))
+        else:
+            head.append(("Transfer-Encoding", "chunked"))
+            await send(h11.Response(status_code=200, headers=head))
+        if server.crashes_on(headers):
+            server.crash()
+            raise trio.BrokenResourceError
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, server.events + 1):
             if server.break_after is not None and number - first >= server.break_after:
-                await send(h11.Data(data=b"id: %d\nda" % number))
+                await send_events(b"id: %d\nda" % number)
                 await stream.send_all(RESET)
                 raise trio.BrokenResourceError
             while server.trickle_after is not None and number - first >= server.trickle_after:
-                await send(h11.Data(data=b"x"))
+                await send_events(b"x")
                 await trio.sleep(TRICKLE_INTERVAL_S)
-            await send(h11.Data(data=b"id: %d\ndata: x\n\n" % number))
+            await send_events(b"id: %d\ndata: x\n\n" % number)
             await trio.sleep(server.work_s)
+        if server.unframed:
+            raise trio.BrokenResourceError
         await send(h11.EndOfMessage())
     finally:
         server.running -= 1
+
+
+def _unframed_head(headers: list[tuple[str, str]]) -> bytes:
+    """Return the head of an answer without a length or chunks, which h11 does not send."""
+    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers), "", ""]
+    return "\r\n".join(lines).encode()
--- a/mulberrycleat/platform/tests/test_crashing_parts.py
+++ b/mulberrycleat/platform/tests/test_crashing_parts.py
@@ -192,3 +192,11 @@
         play.harnesses[0].store.turned_away.add("a1")
         await play.run(8.0, 0.5)
         assert play.harnesses[0].host.refused_parts == (CRASHING_PART,)
+
+
+async def test_a_part_is_refused_when_the_broken_streams_have_no_length_and_no_chunks():
+    async with fleet() as play:
+        for server in play.engines:
+            server.unframed = True
+        await play.run(6.0, 0.5)
+        assert {harness.host.refused_parts for harness in play.harnesses} == {(CRASHING_PART,)}
--- a/mulberrycleat/platform/tests/test_whole_path.py
+++ b/mulberrycleat/platform/tests/test_whole_path.py
@@ -52,6 +52,20 @@
     assert len(first.seen) + len(second.seen) == 1
 
 
+async def test_a_stream_without_length_or_chunks_is_forwarded_completely():
+    async with entry_host(engine(unframed=True)) as harness:
+        answer = await harness.send_request("/ask/x", **PROMPT_HEADERS)
+    assert (answer.status, answer.complete) == (200, True)
+    assert answer.body.decode() == "".join(f"id: {n}\ndata: x\n\n" for n in (1, 2, 3, 4))
+
+
+async def test_a_stream_without_length_that_ends_before_its_first_event_is_not_complete():
+    server = engine(unframed=True, crash_part="aa")
+    async with entry_host(server) as harness:
+        answer = await harness.send_request("/ask/x", **PROMPT_HEADERS)
+    assert answer.status == 502
+
+
 async def test_callers_can_not_set_headers_reserved_for_this_system():
     server = engine()
     forged = {"tenant": "others", "hold": "1", "kv_from": "10.0.0.1:1/2", "pin_duration": "9"}
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -67,6 +67,11 @@
     status: int
     headers: RawHeaders
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body has a length or chunks; otherwise it ends with the connection."""
+        return any(name in (b"content-length", b"transfer-encoding") for name, _ in self.headers)
+
     def get(self, name: bytes) -> str | None:
         """Return the first value of a header, or None."""
         for found, value in self.headers:
