Name the hosts' shared log after what it holds: reports on endpoints

The log of crash reports, its controller and its calls are named for crashes, but the order of the log and the way to it serve any report on endpoints.

--- a/mulberrycleat/endpoint/crashing_parts.py
+++ b/mulberrycleat/endpoint/crashing_parts.py
@@ -14,19 +14,16 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
-from typing import Annotated, NamedTuple
+from typing import NamedTuple
 
-import msgspec
+from mulberrycleat.endpoint.reports import (
+    AnswerReport,
+    CrashReport,
+    EndpointReport,
+    RefusalRenewal,
+)
 
-__all__ = [
-    "AnswerReport",
-    "CrashRecord",
-    "CrashReport",
-    "CrashingParts",
-    "PartChange",
-    "RefusalRenewal",
-    "RefusedPart",
-]
+__all__ = ["CrashingParts", "PartChange", "RefusedPart"]
 
 # Crashes in a chain after which a part is refused.
 CHAIN_LENGTH = 3
@@ -53,43 +50,6 @@
 # Retry-after of a refused request, in seconds.
 MIN_RETRY_AFTER_S = 1.0
 
-PartId = Annotated[str, msgspec.Meta(max_length=128)]
-Parts = Annotated[tuple[PartId, ...], msgspec.Meta(max_length=64)]
-
-
-class CrashReport(msgspec.Struct, frozen=True, tag="crash"):
-    """An endpoint closed the connection before any part of an answer came.
-
-    Attributes
-    ----------
-    endpoint : str
-        The endpoint and its start.
-    parts : tuple of str
-        Prompt parts of the request that other requests may have too.
-    read_to : int
-        Offset to which the host had read the log when it sent the request.
-    """
-
-    endpoint: Annotated[str, msgspec.Meta(max_length=256)]
-    parts: Parts
-    read_to: Annotated[int, msgspec.Meta(ge=0)]
-
-
-class AnswerReport(msgspec.Struct, frozen=True, tag="answer"):
-    """An answer to a request with these parts has begun, so none of them crashes endpoints."""
-
-    parts: Parts
-
-
-class RefusalRenewal(msgspec.Struct, frozen=True, tag="refusal"):
-    """A part is still refused; `failed_trials` counts the trials that crashed an endpoint."""
-
-    part: PartId
-    failed_trials: Annotated[int, msgspec.Meta(ge=0, le=32)]
-
-
-CrashRecord = CrashReport | AnswerReport | RefusalRenewal
-
 
 class RefusedPart(NamedTuple):
     """A refused part, and the time until the next trial, in seconds."""
@@ -182,7 +142,7 @@
         """The parts that are refused."""
         return tuple(p for p, found in self._tracked.items() if found.refused_at is not None)
 
-    def apply(self, record: CrashRecord, offset: int, now: float) -> tuple[PartChange, ...]:
+    def apply(self, record: EndpointReport, offset: int, now: float) -> tuple[PartChange, ...]:
         """Apply the record at an offset of the log; return the parts refused or freed by it."""
         self._drop_expired(now)
         match record:
--- a/mulberrycleat/endpoint/tests/test_crashing_parts.py
+++ b/mulberrycleat/endpoint/tests/test_crashing_parts.py
@@ -6,11 +6,9 @@
     REFUSAL_TTL_S,
     TRIAL_INTERVAL_S,
     TRIAL_STEP_S,
-    AnswerReport,
     CrashingParts,
-    CrashReport,
-    RefusalRenewal,
 )
+from mulberrycleat.endpoint.reports import AnswerReport, CrashReport, RefusalRenewal
 from mulberrycleat.testing import fixture
 
 
--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -16,8 +16,8 @@
 from mulberrycleat.core import Refusal, Served, new_id
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.coordinators import HostEntry
-from mulberrycleat.entry.crash_reports import CrashReports
 from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.endpoint_reports import EndpointReports
 from mulberrycleat.entry.endpoints import EndpointRegistry
 from mulberrycleat.entry.feeds import DirectoryFeed, MapFeed
 from mulberrycleat.entry.filters import (
@@ -174,7 +174,7 @@
             decisions,
             self._forget_absent_endpoints,
         )
-        self._crashes = CrashReports(
+        self._reports = EndpointReports(
             settings.host,
             self._store,
             settings.times,
@@ -191,14 +191,14 @@
                 RouteFilter(lambda: self._maps.table, random),
                 AccountFilter(),
                 DeadlineFilter(),
-                CrashingPartFilter(self._crashes),
+                CrashingPartFilter(self._reports),
                 PrepaidFilter(self._slices, decisions, trio.current_time),
                 DispatchFilter(
                     codec,
                     self._registry,
                     self._retry_budget,
                     self._connections,
-                    self._crashes,
+                    self._reports,
                     decisions,
                 ),
             )
@@ -229,7 +229,7 @@
     @property
     def refused_parts(self) -> tuple[str, ...]:
         """Prompt parts that are refused because they crash endpoints."""
-        return self._crashes.refused
+        return self._reports.refused
 
     @property
     def ready(self) -> bool:
@@ -274,8 +274,8 @@
                 "slices": self._run_slices,
                 "demand reports": self._slices.run_demand_reports,
                 "usage reports": self._slices.run_usage_reports,
-                "crash reports": self._crashes.run_reads,
-                "own crash reports": self._crashes.run_appends,
+                "endpoint reports": self._reports.run_reads,
+                "own endpoint reports": self._reports.run_appends,
                 "housekeeping": self._run_housekeeping,
                 "metrics": self._metrics.watch_loop,
             }
@@ -332,7 +332,7 @@
         self._metrics.hosts.set(self._roster.coordinators.host_count(now))
         self._metrics.relayed_calls.set(self._store.relayed)
         self._metrics.store_lost.set(self._store.lost)
-        self._metrics.refused_parts.set(len(self._crashes.refused))
+        self._metrics.refused_parts.set(len(self._reports.refused))
         self._metrics.lines_left_out.set(sum(self._decisions.left_out.values()))
         for pool in self._retry_budget.pools:
             self._metrics.repeats_left.labels(pool).set(self._retry_budget.left(pool, now))
--- a/mulberrycleat/entry/crash_reports.py
+++ b/mulberrycleat/entry/endpoint_reports.py
@@ -1,4 +1,4 @@
-"""Controller of the parts of prompts that crash endpoints, which all hosts report in the store."""
+"""Controller of what all hosts report about endpoints in the store, and of what follows from it."""
 
 from __future__ import annotations
 
@@ -7,19 +7,13 @@
 import trio
 from result import Err, Ok
 
-from mulberrycleat.endpoint.crashing_parts import (
-    AnswerReport,
-    CrashingParts,
-    CrashRecord,
-    CrashReport,
-    PartChange,
-    RefusedPart,
-)
+from mulberrycleat.endpoint.crashing_parts import CrashingParts, PartChange, RefusedPart
+from mulberrycleat.endpoint.reports import AnswerReport, CrashReport, EndpointReport
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.settings import EntryTimes, FleetRequirements
-from mulberrycleat.entry.store import CrashUpdate, StateStore
+from mulberrycleat.entry.store import ReportUpdate, StateStore
 
-__all__ = ["CrashReports"]
+__all__ = ["EndpointReports"]
 
 # Interval between checks whether a refusal has to be renewed, in seconds.
 RENEWAL_CHECK_INTERVAL_S = 1.0
@@ -30,8 +24,8 @@
 MAX_PENDING = 256
 
 
-class CrashReports:
-    """Reports crashes to the other hosts, and refuses the parts that cause them.
+class EndpointReports:
+    """Reports crashes to the other hosts, and refuses the prompt parts that cause them.
 
     Parameters
     ----------
@@ -65,7 +59,7 @@
         self._decisions = decisions
         self._parts = CrashingParts(rank)
         self._offset = 0
-        self._pending: list[CrashRecord] = []
+        self._pending: list[EndpointReport] = []
         self._wake = trio.Event()
         self._failing = False
 
@@ -106,8 +100,8 @@
         """Read reports until cancelled."""
         while True:
             began = trio.current_time()
-            wait_s = self._bounds().crash_report_wait_s
-            match await self._store.read_crashes(self._offset, wait_s):
+            wait_s = self._bounds().report_wait_s
+            match await self._store.read_reports(self._offset, wait_s):
                 case Ok(update):
                     self._apply(update)
                     waited = bool(update.records) or trio.current_time() - began >= wait_s / 2
@@ -137,7 +131,7 @@
         A report may be appended twice if an answer of the store is lost, which changes nothing.
         """
         records = tuple(self._pending)
-        match await self._store.append_crashes(self._host, records):
+        match await self._store.append_reports(self._host, records):
             case Ok(_):
                 del self._pending[: len(records)]
                 self._failing = False
@@ -146,20 +140,22 @@
                 self._log_failure("append", str(error))
                 await trio.sleep(self._times.outage_retry_interval_s)
 
-    def _report(self, record: CrashRecord | None) -> None:
+    def _report(self, record: EndpointReport | None) -> None:
         """Append a record soon; None is ignored."""
         if record is None:
             return
         if len(self._pending) >= MAX_PENDING:
-            self._decisions.warning("crash report dropped", step="append", why="too many pending")
+            self._decisions.warning(
+                "endpoint report dropped", step="append", why="too many pending"
+            )
             return
         self._pending.append(record)
         self._wake.set()
 
-    def _apply(self, update: CrashUpdate) -> None:
+    def _apply(self, update: ReportUpdate) -> None:
         now = trio.current_time()
         for fault in update.faults:
-            self._decisions.warning("crash report unreadable", why=fault)
+            self._decisions.warning("endpoint report unreadable", why=fault)
         cleared: list[AnswerReport | None] = []
         for offset, record in update.records:
             for change in self._parts.apply(record, offset, now):
@@ -181,5 +177,7 @@
 
     def _log_failure(self, step: str, why: str) -> None:
         if not self._failing:
-            self._decisions.warning("crash reports not reached", step=step, peer="store", why=why)
+            self._decisions.warning(
+                "endpoint reports not reached", step=step, peer="store", why=why
+            )
         self._failing = True
--- a/mulberrycleat/entry/filters/crashing_parts.py
+++ b/mulberrycleat/entry/filters/crashing_parts.py
@@ -6,7 +6,7 @@
 
 from mulberrycleat.core import NotRun, Refusal, Served, Step
 from mulberrycleat.entry.call import EntryCall
-from mulberrycleat.entry.crash_reports import CrashReports
+from mulberrycleat.entry.endpoint_reports import EndpointReports
 from mulberrycleat.entry.filters.admit import Proceed
 
 __all__ = ["CrashingPartFilter"]
@@ -17,16 +17,16 @@
 
     Parameters
     ----------
-    crashes : CrashReports
+    reports : EndpointReports
         The parts that are refused.
     """
 
-    def __init__(self, crashes: CrashReports) -> None:
-        self._crashes = crashes
+    def __init__(self, reports: EndpointReports) -> None:
+        self._reports = reports
 
     async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
         """Refuse with 503 until the time of the next trial."""
-        refusal = self._crashes.refusal([part.id for part in call.facts.shared_parts])
+        refusal = self._reports.refusal([part.id for part in call.facts.shared_parts])
         if refusal is None:
             return await proceed(call)
         reason = f"requests with the prompt part {refusal.part} crash endpoints"
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -11,8 +11,8 @@
 from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
 from mulberrycleat.endpoint.placer import Placement
 from mulberrycleat.entry.call import EntryCall
-from mulberrycleat.entry.crash_reports import CrashReports
 from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.endpoint_reports import EndpointReports
 from mulberrycleat.entry.endpoints import EndpointRegistry, work_of
 from mulberrycleat.entry.exchange import (
     SERVER_ERROR,
@@ -103,15 +103,15 @@
     ----------
     sent_at : float
         When it began, in seconds on trio's clock.
-    crashes_read_to : int
-        Offset to which the hosts' reports of crashes had been read then.
+    read_to : int
+        Offset to which the hosts' reports had been read then.
     answered : bool
         Whether an answer has begun.
     """
 
     placement: Placement
     sent_at: float
-    crashes_read_to: int
+    read_to: int
     answered: bool = False
 
 
@@ -130,8 +130,8 @@
         Limits the retries to each pool.
     connections : ConnectionPool
         Connections to endpoints.
-    crashes : CrashReports
-        Reports crashes of endpoints; a request that may cause them is not retried.
+    reports : EndpointReports
+        What the hosts report about endpoints; a request that may crash them is not retried.
     decisions : DecisionLog
         Log of each attempt and its end.
     """
@@ -142,14 +142,14 @@
         registry: EndpointRegistry,
         retry_budget: FleetRetryBudget,
         connections: ConnectionPool,
-        crashes: CrashReports,
+        reports: EndpointReports,
         decisions: DecisionLog,
     ) -> None:
         self._codec = codec
         self._registry = registry
         self._retry_budget = retry_budget
         self._connections = connections
-        self._crashes = crashes
+        self._reports = reports
         self._decisions = decisions
 
     async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
@@ -186,7 +186,7 @@
             return None
         if progress.runs and not call.route.retryable:
             return None
-        if progress.sends and self._crashes.refusal(_shared_parts(call)) is not None:
+        if progress.sends and self._reports.refusal(_shared_parts(call)) is not None:
             return None
         placement = self._registry.choose(call, tries.endpoint_ids)
         if placement is None:
@@ -215,7 +215,7 @@
         tries.endpoint_ids.add(entry.id)
         tries.count += 1
         call.progress.endpoint = entry.id
-        attempt = _Attempt(placement, trio.current_time(), self._crashes.read_to)
+        attempt = _Attempt(placement, trio.current_time(), self._reports.read_to)
         placer.sent(placement, request_id, work_of(call.facts), attempt.sent_at)
         self._decisions.info(
             "sent",
@@ -239,7 +239,7 @@
 
         def record_answer() -> None:
             attempt.answered = True
-            self._crashes.record_answer(_shared_parts(call))
+            self._reports.record_answer(_shared_parts(call))
 
         exchange = Exchange(self._codec, self._connections, heard, record_facts, record_answer)
         timeouts = self._timeouts(call, placement, tries)
@@ -279,8 +279,8 @@
             case ExchangeFailed(broken=broken):
                 failed = True
                 if broken and not attempt.answered:
-                    self._crashes.record_crash(
-                        f"{entry_id}/{entry.born:g}", _shared_parts(call), attempt.crashes_read_to
+                    self._reports.record_crash(
+                        f"{entry_id}/{entry.born:g}", _shared_parts(call), attempt.read_to
                     )
             case ConnectionFailed(timed_out=timed_out):
                 placer.note_unreachable(entry_id, now, timed_out)
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -11,16 +11,16 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import PeerError, Step
-from mulberrycleat.endpoint.crashing_parts import CrashRecord
+from mulberrycleat.endpoint.reports import EndpointReport
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.store import (
     AppendOutcome,
-    CrashUpdate,
     DirectoryUpdate,
     HostUpdate,
     MapUpdate,
     RecordUpdate,
+    ReportUpdate,
     StateStore,
 )
 from mulberrycleat.prepaid import HolderRecord
@@ -53,7 +53,7 @@
     entry: HostEntry | None = None
     shard: Annotated[int, msgspec.Meta(ge=0, lt=SHARDS)] = 0
     host: str = ""
-    crashes: tuple[CrashRecord, ...] = ()
+    reports: tuple[EndpointReport, ...] = ()
 
 
 class RelayedStore:
@@ -154,21 +154,24 @@
             lambda: self._inner.append_host(entry), "append_host", arguments, AppendOutcome
         )
 
-    async def read_crashes(self, offset: int, wait_s: float) -> Result[CrashUpdate, PeerError]:
-        """Return reports of crashes since `offset`; calls through other hosts don't wait."""
+    async def read_reports(self, offset: int, wait_s: float) -> Result[ReportUpdate, PeerError]:
+        """Return reports on endpoints since `offset`; calls through other hosts don't wait."""
         arguments = _CallArguments(offset)
         return await self._call(
-            lambda: self._inner.read_crashes(offset, wait_s), "read_crashes", arguments, CrashUpdate
+            lambda: self._inner.read_reports(offset, wait_s),
+            "read_reports",
+            arguments,
+            ReportUpdate,
         )
 
-    async def append_crashes(
-        self, host: str, records: tuple[CrashRecord, ...]
+    async def append_reports(
+        self, host: str, records: tuple[EndpointReport, ...]
     ) -> Result[AppendOutcome, PeerError]:
         """Append reports of a host."""
-        arguments = _CallArguments(host=host, crashes=records)
+        arguments = _CallArguments(host=host, reports=records)
         return await self._call(
-            lambda: self._inner.append_crashes(host, records),
-            "append_crashes",
+            lambda: self._inner.append_reports(host, records),
+            "append_reports",
             arguments,
             AppendOutcome,
         )
@@ -331,12 +334,12 @@
                 return await inner.append_slices(
                     arguments.shard, arguments.record, arguments.offset
                 )
-            case "read_crashes" if not lost and arguments.offset is not None:
-                return await inner.read_crashes(arguments.offset, 0.0)
-            case "append_crashes" if not lost and arguments.crashes:
-                return await inner.append_crashes(arguments.host, arguments.crashes)
+            case "read_reports" if not lost and arguments.offset is not None:
+                return await inner.read_reports(arguments.offset, 0.0)
+            case "append_reports" if not lost and arguments.reports:
+                return await inner.append_reports(arguments.host, arguments.reports)
             case (
-                "read_slices" | "append_slices" | "append_host" | "read_crashes" | "append_crashes"
+                "read_slices" | "append_slices" | "append_host" | "read_reports" | "append_reports"
             ):
                 return unreachable
         return None
--- a/mulberrycleat/entry/settings.py
+++ b/mulberrycleat/entry/settings.py
@@ -61,8 +61,8 @@
         return 0.75 * self.config_apply_s
 
     @property
-    def crash_report_wait_s(self) -> float:
-        """Longest time that one read waits at the store for crash reports, in seconds.
+    def report_wait_s(self) -> float:
+        """Longest time that one read waits at the store for reports on endpoints, in seconds.
 
         If the connection has gone silent, the next read still finds them in time.
         """
--- a/mulberrycleat/entry/store.py
+++ b/mulberrycleat/entry/store.py
@@ -7,15 +7,15 @@
 from result import Result
 
 from mulberrycleat.core import PeerError
-from mulberrycleat.endpoint.crashing_parts import CrashRecord
 from mulberrycleat.endpoint.directory import Entry
+from mulberrycleat.endpoint.reports import EndpointReport
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.prepaid import HolderRecord
 from mulberrycleat.routes import RouteMap
 
 __all__ = [
     "AppendOutcome",
-    "CrashUpdate",
+    "ReportUpdate",
     "DirectoryUpdate",
     "HostUpdate",
     "MapUpdate",
@@ -109,21 +109,21 @@
     faults: tuple[str, ...] = ()
 
 
-class CrashUpdate(NamedTuple):
-    """Result of a read of the hosts' reports of crashes.
+class ReportUpdate(NamedTuple):
+    """Result of a read of the hosts' reports on endpoints.
 
     Attributes
     ----------
     next : int
         Offset to read from next.
-    records : tuple of (int, CrashRecord)
+    records : tuple of (int, EndpointReport)
         Offsets and records, in the order of the store.
     faults : tuple of str
         Descriptions of what could not be decoded.
     """
 
     next: int
-    records: tuple[tuple[int, CrashRecord], ...]
+    records: tuple[tuple[int, EndpointReport], ...]
     faults: tuple[str, ...] = ()
 
 
@@ -174,15 +174,15 @@
         """Append the entry of an entry host."""
         ...
 
-    async def read_crashes(self, offset: int, wait_s: float) -> Result[CrashUpdate, PeerError]:
-        """Return reports of crashes since `offset`, waiting up to `wait_s` seconds for one.
+    async def read_reports(self, offset: int, wait_s: float) -> Result[ReportUpdate, PeerError]:
+        """Return reports on endpoints since `offset`, waiting up to `wait_s` seconds for one.
 
         Reports that have expired are left out.
         """
         ...
 
-    async def append_crashes(
-        self, host: str, records: tuple[CrashRecord, ...]
+    async def append_reports(
+        self, host: str, records: tuple[EndpointReport, ...]
     ) -> Result[AppendOutcome, PeerError]:
         """Append reports of a host; all of them or none."""
         ...
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -11,15 +11,15 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import PeerError, Step
-from mulberrycleat.endpoint.crashing_parts import CrashRecord
+from mulberrycleat.endpoint.reports import EndpointReport
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.store import (
     AppendOutcome,
-    CrashUpdate,
     DirectoryUpdate,
     HostUpdate,
     MapUpdate,
     RecordUpdate,
+    ReportUpdate,
 )
 from mulberrycleat.platform.config import decode_config, decode_entry
 from mulberrycleat.prepaid import HolderRecord
@@ -37,7 +37,7 @@
 SLICE_TOPIC = "keyed.slices"
 HOST_TOPIC = "keyed.hosts"
 # Its records expire, as they say nothing about the present after a while.
-CRASH_TOPIC = "crashes"
+REPORT_TOPIC = "endpoint-reports"
 PRECONDITION_FAILED, GONE, NOT_FOUND = 412, 410, 404
 MAX_READ_KB = 1024
 
@@ -189,15 +189,15 @@
         path = f"/log-append?topic={SLICE_TOPIC}.{shard}&part=0&at={at}"
         return await self._append(path, record.host, msgspec.msgpack.encode(record))
 
-    async def read_crashes(self, offset: int, wait_s: float) -> Result[CrashUpdate, PeerError]:
-        """Return the reports of crashes since `offset`, waiting for up to `wait_s` seconds."""
+    async def read_reports(self, offset: int, wait_s: float) -> Result[ReportUpdate, PeerError]:
+        """Return the reports on endpoints since `offset`, waiting for up to `wait_s` seconds."""
         while True:
-            path = _read_path(CRASH_TOPIC, offset, wait_s)
+            path = _read_path(REPORT_TOPIC, offset, wait_s)
             match await self._call("GET", path, b"", Step.READ, wait_s):
                 case Err(error):
                     return Err(error)
                 case Ok(answer) if answer.status == NOT_FOUND:
-                    return Ok(CrashUpdate(offset, ()))
+                    return Ok(ReportUpdate(offset, ()))
                 case Ok(answer) if answer.status == GONE:
                     try:
                         first = msgspec.json.decode(answer.body, type=_Expired).first
@@ -209,16 +209,16 @@
                     offset = first
                 case Ok(answer) if answer.status == 200:
                     return self._decode_read(answer.body, offset, path).map(
-                        lambda changes, offset=offset: _decode_crashes(changes, offset)
+                        lambda changes, offset=offset: _decode_reports(changes, offset)
                     )
                 case Ok(answer):
                     return Err(self._status_error(answer, Step.READ, path))
 
-    async def append_crashes(
-        self, host: str, records: tuple[CrashRecord, ...]
+    async def append_reports(
+        self, host: str, records: tuple[EndpointReport, ...]
     ) -> Result[AppendOutcome, PeerError]:
         """Append reports of a host."""
-        path = f"/log-append?topic={CRASH_TOPIC}&part=0"
+        path = f"/log-append?topic={REPORT_TOPIC}&part=0"
         return await self._append(path, host, *map(msgspec.msgpack.encode, records))
 
     async def _append(
@@ -321,15 +321,15 @@
     return struct.pack(">I", len(payload)) + payload
 
 
-def _decode_crashes(changes: _Changes, offset: int) -> CrashUpdate:
-    """Decode reports of crashes, the first of which is at `offset`."""
+def _decode_reports(changes: _Changes, offset: int) -> ReportUpdate:
+    """Decode reports on endpoints, the first of which is at `offset`."""
     found, faults = [], []
     for position, record in enumerate(changes.records, offset):
         try:
-            found.append((position, msgspec.msgpack.decode(record.value, type=CrashRecord)))
+            found.append((position, msgspec.msgpack.decode(record.value, type=EndpointReport)))
         except msgspec.DecodeError as error:
-            faults.append(f"crash report of {record.key}: {error}")
-    return CrashUpdate(changes.next, tuple(found), tuple(faults))
+            faults.append(f"endpoint report of {record.key}: {error}")
+    return ReportUpdate(changes.next, tuple(found), tuple(faults))
 
 
 def _decode_values(
--- a/mulberrycleat/platform/tests/test_crashing_parts.py
+++ b/mulberrycleat/platform/tests/test_crashing_parts.py
@@ -171,7 +171,7 @@
     async with fleet() as play:
         store = play.harnesses[0].store
         for value in (b"", b"\xff", msgspec.msgpack.encode({"type": "crash", "endpoint": 7})):
-            store.append("crashes", "a1", value)
+            store.append("endpoint-reports", "a1", value)
         await play.run(6.0, 0.5)
         assert {harness.host.refused_parts for harness in play.harnesses} == {(CRASHING_PART,)}
 
@@ -179,8 +179,8 @@
 async def test_a_host_that_missed_expired_reports_reads_the_later_ones():
     async with fleet() as play:
         for number in range(50):
-            play.harnesses[0].store.append("crashes", "a1", b"%d" % number)
-        play.harnesses[0].store.expire_history("crashes")
+            play.harnesses[0].store.append("endpoint-reports", "a1", b"%d" % number)
+        play.harnesses[0].store.expire_history("endpoint-reports")
         await play.run(6.0, 0.5)
         restarted = play.harnesses[0].restart("a1")
         await trio.sleep(8.0)
