Tell an endpoint's starts apart in crash reports

Cause: the start time, in milliseconds, was written with six digits, so that all starts of an endpoint under one id looked the same, and only the first crash counted. Change: the name of an incarnation has the whole time.

--- a/mulberrycleat/endpoint/directory.py
+++ b/mulberrycleat/endpoint/directory.py
@@ -46,6 +46,11 @@
     cold_s: float = 0.0
     born: float = 0.0
 
+    @property
+    def incarnation(self) -> str:
+        """The endpoint and its start, as one name."""
+        return f"{self.id}/{self.born:.3f}"
+
 
 class Directory:
     """Directory entries by endpoint id.
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -280,7 +280,7 @@
                 failed = True
                 if broken and not attempt.answered:
                     self._reports.record_crash(
-                        f"{entry_id}/{entry.born:g}", _shared_parts(call), attempt.read_to
+                        entry.incarnation, _shared_parts(call), attempt.read_to
                     )
             case ConnectionFailed(timed_out=timed_out):
                 placer.note_unreachable(entry_id, now, timed_out)
--- a/mulberrycleat/platform/tests/test_crashing_parts.py
+++ b/mulberrycleat/platform/tests/test_crashing_parts.py
@@ -95,14 +95,15 @@
         )
 
     async def _send_crashing(self) -> None:
-        answer = await self._send(CRASHING_PART)
+        answer = await self.send(CRASHING_PART)
         self.refused += answer.status == 503
 
     async def _send_sound(self) -> None:
-        answer = await self._send(f"ab{self._count % 5}")
+        answer = await self.send(f"ab{self._count % 5}")
         self.sound.append(answer.status == 200 and answer.complete)
 
-    async def _send(self, part: str) -> Any:
+    async def send(self, part: str) -> Any:
+        """Send a request with this part to the next host and return the answer."""
         self._count += 1
         harness = self.harnesses[self._count % len(self.harnesses)]
         headers = prompt("aa", part, f"{self._count:x}")
@@ -153,6 +154,21 @@
         assert play.reached_late <= MAX_LATE
 
 
+async def test_an_endpoint_that_starts_again_under_its_id_counts_as_another_one():
+    async with fleet() as play:
+        only = play.engines[0]
+        for server in play.engines[1:]:
+            play.harnesses[0].store.put("keyed.servers", server.id, None)
+        for start in range(3):
+            only.refuses_connections = False
+            born_ms = 1_779_000_000_000 + 5000 * start
+            play.harnesses[0].store.put("keyed.servers", only.id, {**only.entry(), "born": born_ms})
+            await trio.sleep(3.0)
+            await play.send(CRASHING_PART)
+            await trio.sleep(0.5)
+        assert all(CRASHING_PART in harness.host.refused_parts for harness in play.harnesses)
+
+
 async def test_parts_are_not_refused_because_all_endpoints_crash_at_once():
     async with fleet() as play:
         await play.run(3.0, float("inf"))
