Find out soon which of two parts crashes endpoints

Cause: if no sound request came between three crashes, every part that the crashing requests shared was refused for at least 20 s, also the first part of all requests of a route with little traffic. Change: a request with only one of the parts that were refused for the same crashes is a trial that is due at once, one host after the other; after a trial that crashed an endpoint the usual times hold.

--- a/mulberrycleat/endpoint/crashing_parts.py
+++ b/mulberrycleat/endpoint/crashing_parts.py
@@ -163,7 +163,8 @@
         refused = [(part, tracked) for part, tracked in found if tracked.refused_at is not None]
         for part, tracked in refused:
             tracked.requested_at = now
-            due_in_s = self._trial_due_at(part, tracked, now) - now
+            ambiguous = self._is_ambiguous(part, tracked, parts)
+            due_in_s = self._trial_due_at(part, tracked, ambiguous, now) - now
             if due_in_s > 0:
                 return RefusedPart(part, max(due_in_s, MIN_RETRY_AFTER_S))
         for _, tracked in refused:
@@ -248,8 +249,25 @@
     def _change(self, part: str, tracked: _TrackedPart, refused: bool = True) -> PartChange:
         return PartChange(part, refused, tuple(tracked.endpoints), tracked.failed_trials)
 
-    def _trial_due_at(self, part: str, tracked: _TrackedPart, now: float) -> float:
+    def _is_ambiguous(self, part: str, tracked: _TrackedPart, parts: Sequence[str]) -> bool:
+        """Whether a request tells a part from another that was refused for the same crashes.
+
+        All requests that crashed had both parts, and the request with `parts` has only one.
+        """
+        if tracked.failed_trials or not tracked.endpoints:
+            return False
+        return any(
+            other.refused_at is not None
+            and other.endpoints == tracked.endpoints
+            and name not in parts
+            and name != part
+            for name, other in self._tracked.items()
+        )
+
+    def _trial_due_at(self, part: str, tracked: _TrackedPart, ambiguous: bool, now: float) -> float:
         interval_s = min(TRIAL_INTERVAL_S * 2**tracked.failed_trials, MAX_TRIAL_INTERVAL_S)
+        if ambiguous:
+            interval_s = 0.0
         due_at = tracked.refused_at + interval_s
         if now >= due_at:
             due_at += TRIAL_STEP_S * self._rank(part)
--- a/mulberrycleat/endpoint/tests/test_crashing_parts.py
+++ b/mulberrycleat/endpoint/tests/test_crashing_parts.py
@@ -94,6 +94,26 @@
     assert second.refusal(("p",), TRIAL_INTERVAL_S + TRIAL_STEP_S) is None
 
 
+def test_a_request_with_only_one_of_two_parts_that_crashed_together_is_tried_soon(log):
+    for endpoint in ("e1", "e2", "e3"):
+        log.crash(endpoint, "shared", "p")
+    first, second = log.hosts
+    assert first.refusal(("shared", "p"), 0.1) is not None
+    assert first.refusal(("shared", "q"), 0.1) is None
+    assert first.refusal(("shared", "q"), 0.2) is not None
+    assert second.refusal(("shared", "q"), 0.2) is not None
+    log.append(first.record_answer(("shared", "q")))
+    assert second.refusal(("shared", "q"), 0.3) is None
+    assert second.refused == ("p",)
+
+
+def test_a_part_is_not_tried_soon_again_after_a_trial_that_crashed_an_endpoint(log):
+    for endpoint in ("e1", "e2", "e3"):
+        log.crash(endpoint, "shared", "p")
+    log.crash("e4", "shared", "q", now=0.2)
+    assert log.hosts[0].refusal(("shared", "q"), 15.0) is not None
+
+
 def test_a_trial_that_crashes_an_endpoint_doubles_the_time_to_the_next(log):
     refuse(log)
     log.crash("e4", "p", now=TRIAL_INTERVAL_S)
