Log the limit that an endpoint states

Change: the header is decoded, and the lines of an attempt's end show it. The server stand-in can state a limit. Conclusion: nothing used the header before.

--- a/mulberrycleat/core/numbers.py
+++ b/mulberrycleat/core/numbers.py
@@ -4,7 +4,7 @@
 
 import math
 
-__all__ = ["parse_count", "parse_seconds"]
+__all__ = ["parse_count", "parse_rate", "parse_seconds"]
 
 # Longest text of a count, in digits; all such counts fit into 64 bits.
 MAX_COUNT_DIGITS = 18
@@ -38,3 +38,16 @@
     except ValueError:
         return None
     return max(0.0, seconds) if math.isfinite(seconds) else None
+
+
+def parse_rate(text: str) -> float | None:
+    """Return the finite non-negative rate that `text` consists of, or None if it is none.
+
+    >>> parse_rate("2.3"), parse_rate("0"), parse_rate("-1"), parse_rate("nan"), parse_rate("")
+    (2.3, 0.0, None, None, None)
+    """
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -107,12 +107,15 @@
         Offset to which the hosts' reports had been read then.
     answered : bool
         Whether an answer has begun.
+    limit_per_s : float or None
+        Requests a second that the endpoint takes from all hosts, if the answer states a limit.
     """
 
     placement: Placement
     sent_at: float
     read_to: int
     answered: bool = False
+    limit_per_s: float | None = None
 
 
 class DispatchFilter:
@@ -233,6 +236,7 @@
             placer.heard(entry.id, request_id, trio.current_time())
 
         def record_facts(facts: AnswerFacts) -> None:
+            attempt.limit_per_s = facts.limit_per_s
             if facts.load is not None:
                 load = facts.load
                 placer.apply_load_report(entry.id, load.running, load.waiting, trio.current_time())
@@ -295,6 +299,8 @@
             "took_s": round(now - attempt.sent_at, 4),
             "events": call.progress.delivered_events,
         }
+        if attempt.limit_per_s is not None:
+            fields["limit_per_s"] = attempt.limit_per_s
         match outcome:
             case ExchangeFailed(reason=reason):
                 parts = _shared_parts(call)
--- a/mulberrycleat/entry/protocol.py
+++ b/mulberrycleat/entry/protocol.py
@@ -85,6 +85,8 @@
         Time after which a retry is suggested, in seconds.
     load : EndpointLoad or None
         Load report, if the answer has one.
+    limit_per_s : float or None
+        Requests that the endpoint takes from all hosts together, a second, if it states a limit.
     """
 
     request_id: str
@@ -93,6 +95,7 @@
     misdirected: bool = False
     retry_after_s: float | None = None
     load: EndpointLoad | None = None
+    limit_per_s: float | None = None
 
 
 class ForwardingFacts(NamedTuple):
--- a/mulberrycleat/platform/headers.py
+++ b/mulberrycleat/platform/headers.py
@@ -4,7 +4,7 @@
 
 import re
 
-from mulberrycleat.core.numbers import parse_count, parse_seconds
+from mulberrycleat.core.numbers import parse_count, parse_rate, parse_seconds
 from mulberrycleat.endpoint.placer import Part
 from mulberrycleat.entry.protocol import (
     AnswerFacts,
@@ -37,6 +37,8 @@
 NOT_EXECUTED = b"not-executed"
 # Three numbers, separated by commas: running requests, waiting requests, slots.
 SERVER_LOAD = b"server-load"
+# Requests a second that the server takes from all machines together; absent without a limit.
+SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 # Status of an answer from another endpoint than ENDPOINT names; the request was not run.
 MISDIRECTED_REQUEST = 421
@@ -142,6 +144,7 @@
             misdirected=misdirected,
             retry_after_s=parse_seconds(head.get(RETRY_AFTER) or ""),
             load=_parse_load(head.get(SERVER_LOAD)),
+            limit_per_s=parse_rate(head.get(SERVER_LIMIT) or ""),
         )
 
     def answer_headers(self, head: AnswerHead) -> RawHeaders:
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -228,6 +228,8 @@
         Whether it sends the previous answer of a connection once more, in place of the next one.
     omits_request_id : bool
         Whether its answers do not state which request they belong to.
+    limit_per_s : float or None
+        Requests a second, from all hosts together, that its answers state as its limit.
     unframed : bool
         Whether its streams have neither a length nor chunks and end with the connection.
     crash_part : str
@@ -260,6 +262,7 @@
     trailing_bytes: bytes = b""
     repeats_answers: bool = False
     omits_request_id: bool = False
+    limit_per_s: float | None = None
     unframed: bool = False
     crash_part: str = ""
     crashed_at: float | None = None
@@ -428,6 +431,8 @@
             await send(h11.Data(data=data))
 
     common_headers = [("Server-Load", f"{server.running},0,8")]
+    if server.limit_per_s is not None:
+        common_headers.append(("Server-Limit", f"{server.limit_per_s:g}"))
     if not server.omits_request_id:
         common_headers.append(("Attempt-Id", headers["attempt-id"]))
     if headers.get("target-instance", server.id) != server.id:
--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -14,6 +14,7 @@
 from mulberrycleat.entry.app import EntryHost, EntryPorts
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.settings import EntrySettings, FleetRequirements
+from mulberrycleat.entry.tests.test_decisions import records  # noqa: F401 (a fixture)
 from mulberrycleat.platform.headers import PlatformHeaderCodec
 from mulberrycleat.platform.standin import Servers, ServerStandin, StoreClient, StoreStandin
 from mulberrycleat.platform.store import PlatformStore
--- a/mulberrycleat/platform/tests/test_crashing_parts.py
+++ b/mulberrycleat/platform/tests/test_crashing_parts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -10,10 +9,8 @@
 import msgspec
 import trio
 
-from mulberrycleat.entry.tests.test_decisions import RecordCollector
 from mulberrycleat.platform.standin import ServerStandin
 from mulberrycleat.platform.tests.fixtures import CONFIG, HostHarness, entry_host, entry_hosts
-from mulberrycleat.testing import fixture
 
 CRASHING_PART = "dead"
 ENGINES = 9
@@ -38,16 +35,6 @@
     return {"model": "m", "token_counts": f"{100 * len(parts)},20", "prompt_prefix": prefix}
 
 
-@fixture
-def records():
-    handler, log = RecordCollector(), logging.getLogger("mulberrycleat.decisions")
-    log.addHandler(handler)
-    before, log.level = log.level, logging.INFO
-    yield handler.records
-    log.removeHandler(handler)
-    log.setLevel(before)
-
-
 async def test_the_line_of_a_broken_attempt_names_the_shared_prompt_parts(records):
     async with entry_host(engine(1)) as harness:
         await harness.send_request("/ask/x", **prompt("aa", CRASHING_PART, "cc"))
