Reproduce endpoints that get more requests than the limit that they state

Nine hosts and six endpoints, 60 requests a second. With two endpoints, and with all, that state a limit of 2.3 requests a second, 107 requests in four seconds reach one of them, where 18.8 are allowed.

--- a/mulberrycleat/platform/tests/test_rate_limits.py
+++ b/mulberrycleat/platform/tests/test_rate_limits.py
@@ -78,3 +78,21 @@
         await play.run(0.5, 2.0)
     answered = [record for record in records if record.msg == "answered"]
     assert {record.limit_per_s for record in answered} == {LIMIT_PER_S}
+
+
+async def test_all_hosts_together_keep_to_the_limit_that_an_endpoint_states():
+    async with fleet(limited=2) as play:
+        began = trio.current_time()
+        await play.run(15.0, 60.0)
+        for server in play.servers[:2]:
+            found = play.most_in_a_window(server, began + CONTACT_S)
+            assert found <= allowed(LIMIT_PER_S), found
+
+
+async def test_hosts_keep_to_the_limits_when_all_endpoints_of_a_pool_state_one():
+    async with fleet(limited=SERVERS) as play:
+        began = trio.current_time()
+        await play.run(15.0, 60.0)
+        for server in play.servers:
+            found = play.most_in_a_window(server, began + CONTACT_S)
+            assert found <= allowed(LIMIT_PER_S), found
