Clear a logger's remembered levels in the fixture of its records

Cause: the fixture assigned the level instead of setting it, so that a logger that had answered before that INFO is off went on to say so, and a test saw no lines of that level, depending on the tests before it. Change: the level is set.

--- a/mulberrycleat/entry/tests/test_decisions.py
+++ b/mulberrycleat/entry/tests/test_decisions.py
@@ -26,7 +26,9 @@
 def records():
     handler, log = RecordCollector(), logging.getLogger("mulberrycleat.decisions")
     log.addHandler(handler)
-    before, log.level = log.level, logging.INFO
+    before = log.level
+    # Unlike an assignment of the level, this clears what the logger remembers about levels.
+    log.setLevel(logging.INFO)
     yield handler.records
     log.removeHandler(handler)
     log.setLevel(before)
