Share the rate that an endpoint states among all hosts

Callers saw late answers and failures: endpoints in need got far more requests than the limit that they state for all hosts together.

Cause: no host read the limit; 20 of the 37 requests to one endpoint came from one host. A limit is for the whole fleet, and no host knows what the others send.

Change: a limit that an answer states is applied at once and reported in the hosts' log. For each endpoint all hosts know the same order of hosts; the first ones share the rate, so few that their token buckets can't pass it by more than 1.5 s of it at once. An endpoint without a part left is not chosen; if none is left, the request is refused at once with the time to the next part. A limit ends with a later answer without it.

In a pool whose six endpoints all state a limit, nine hosts use at least 0.8 of each.

--- a/mulberrycleat/endpoint/crashing_parts.py
+++ b/mulberrycleat/endpoint/crashing_parts.py
@@ -19,7 +19,7 @@
 from mulberrycleat.endpoint.reports import (
     AnswerReport,
     CrashReport,
-    EndpointReport,
+    PartReport,
     RefusalRenewal,
 )
 
@@ -142,7 +142,7 @@
         """The parts that are refused."""
         return tuple(p for p, found in self._tracked.items() if found.refused_at is not None)
 
-    def apply(self, record: EndpointReport, offset: int, now: float) -> tuple[PartChange, ...]:
+    def apply(self, record: PartReport, offset: int, now: float) -> tuple[PartChange, ...]:
         """Apply the record at an offset of the log; return the parts refused or freed by it."""
         self._drop_expired(now)
         match record:
--- a/mulberrycleat/endpoint/reports.py
+++ b/mulberrycleat/endpoint/reports.py
@@ -6,8 +6,16 @@
 
 import msgspec
 
-__all__ = ["AnswerReport", "CrashReport", "EndpointReport", "RefusalRenewal"]
-
+__all__ = [
+    "AnswerReport",
+    "CrashReport",
+    "EndpointReport",
+    "LimitReport",
+    "PartReport",
+    "RefusalRenewal",
+]
+
+IncarnationName = Annotated[str, msgspec.Meta(max_length=256)]
 PartId = Annotated[str, msgspec.Meta(max_length=128)]
 Parts = Annotated[tuple[PartId, ...], msgspec.Meta(max_length=64)]
 
@@ -25,7 +33,7 @@
         Offset to which the host had read the log when it sent the request.
     """
 
-    endpoint: Annotated[str, msgspec.Meta(max_length=256)]
+    endpoint: IncarnationName
     parts: Parts
     read_to: Annotated[int, msgspec.Meta(ge=0)]
 
@@ -43,4 +51,20 @@
     failed_trials: Annotated[int, msgspec.Meta(ge=0, le=32)]
 
 
-EndpointReport = CrashReport | AnswerReport | RefusalRenewal
+class LimitReport(msgspec.Struct, frozen=True, tag="limit"):
+    """An endpoint states a limit for the requests of all hosts, or no longer states one.
+
+    Attributes
+    ----------
+    endpoint : str
+        The endpoint and its start.
+    limit_per_s : float or None
+        Requests a second; None for no limit.
+    """
+
+    endpoint: IncarnationName
+    limit_per_s: Annotated[float, msgspec.Meta(ge=0)] | None
+
+
+PartReport = CrashReport | AnswerReport | RefusalRenewal
+EndpointReport = PartReport | LimitReport
--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -14,6 +14,7 @@
 from result import Result
 
 from mulberrycleat.core import Refusal, Served, new_id
+from mulberrycleat.endpoint.rate_limits import EndpointLimits, HostPlace
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.decisions import DecisionLog
@@ -135,7 +136,8 @@
         random = Random(settings.host)
         self._peer_http = ports.peer_http
         self._shutdown = GracefulShutdown(settings.bounds, settings.times)
-        self._registry = EndpointRegistry(settings.zone, random)
+        limits = EndpointLimits(self._place_for)
+        self._registry = EndpointRegistry(settings.zone, random, limits)
         self._retry_budget = FleetRetryBudget(settings.bounds)
         self._connections = ConnectionPool(_connection_settings(settings), ports.connect)
         self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
@@ -181,6 +183,7 @@
             self._bounds,
             decisions,
             self._roster.coordinators.rank,
+            limits,
         )
         self._relay = RelayServer(
             self._store, self._maps.snapshot, self._directory.snapshot, self._roster.snapshot
@@ -373,6 +376,10 @@
         known.discard(self._settings.peers_listen)
         return tuple(sorted(known))
 
+    def _place_for(self, task: str, zone: str) -> HostPlace:
+        """Return this host's place in the order of the active hosts for a task."""
+        return self._roster.coordinators.place(task, zone)
+
     def _bounds(self) -> FleetRequirements:
         return self._settings.bounds
 
--- a/mulberrycleat/entry/coordinators.py
+++ b/mulberrycleat/entry/coordinators.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mulberrycleat.endpoint.rate_limits import HostPlace
 from mulberrycleat.membership.rendezvous import ranked
 from mulberrycleat.prepaid import Role
 
@@ -21,6 +22,8 @@
 # Hosts of a larger zone that hold slices. There are two, so that the zone has one if the other
 # dies; each more makes the ledger longer, which all of them read.
 CANDIDATES_PER_ZONE = 2
+# Most places in orders of hosts that are remembered.
+MAX_PLACES = 4096
 
 
 class HostEntry(msgspec.Struct, frozen=True):
@@ -91,6 +94,7 @@
         self._active: tuple[str, ...] = ()
         self._candidates: tuple[str, ...] = ()
         self._by_shard: dict[int, tuple[str, ...]] = {}
+        self._places: dict[tuple[str, str], HostPlace] = {}
 
     @property
     def zones(self) -> int:
@@ -137,6 +141,7 @@
         self._active = active
         self._candidates = self._choose_candidates()
         self._by_shard.clear()
+        self._places.clear()
         return True
 
     def coordinators(self, shard: int) -> tuple[str, ...]:
@@ -159,12 +164,24 @@
         return Role.ZONE_COORDINATOR if self._host in coordinators else Role.OTHER
 
     def rank(self, task: str) -> int:
-        """Return this host's place in the order of the active hosts for a task, from 0.
+        """Return this host's place in the order of the active hosts for a task, from 0."""
+        return self.place(task, "").rank
 
-        A host that is not active itself, as after its start, is the last.
+    def place(self, task: str, zone: str) -> HostPlace:
+        """Return this host's place in the order for a task, in which hosts of `zone` come first.
+
+        A host that is not active itself, as after its start, is the last and not the first.
         """
-        order = ranked(task, self._active)
-        return order.index(self._host) if self._host in self._active else len(order)
+        key = (task, zone)
+        if key not in self._places:
+            if len(self._places) >= MAX_PLACES:
+                self._places.clear()
+            order = ranked(task, self._active)
+            order.sort(key=lambda name: self._zone_of(name) != zone)
+            is_active = self._host in self._active
+            rank = order.index(self._host) if is_active else max(1, len(order))
+            self._places[key] = HostPlace(rank, len(order))
+        return self._places[key]
 
     def addresses_of(self, names: Iterable[str]) -> tuple[str, ...]:
         """Return the addresses of other hosts; those without a known address are left out."""
--- a/mulberrycleat/entry/endpoint_reports.py
+++ b/mulberrycleat/entry/endpoint_reports.py
@@ -8,7 +8,14 @@
 from result import Err, Ok
 
 from mulberrycleat.endpoint.crashing_parts import CrashingParts, PartChange, RefusedPart
-from mulberrycleat.endpoint.reports import AnswerReport, CrashReport, EndpointReport
+from mulberrycleat.endpoint.directory import Entry
+from mulberrycleat.endpoint.rate_limits import EndpointLimits, LimitChange
+from mulberrycleat.endpoint.reports import (
+    AnswerReport,
+    CrashReport,
+    EndpointReport,
+    LimitReport,
+)
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.settings import EntryTimes, FleetRequirements
 from mulberrycleat.entry.store import ReportUpdate, StateStore
@@ -25,7 +32,10 @@
 
 
 class EndpointReports:
-    """Reports crashes to the other hosts, and refuses the prompt parts that cause them.
+    """Reports crashes and stated limits to the other hosts, and applies their reports.
+
+    Prompt parts that crash endpoints are refused, and endpoints get no more requests than they
+    state.
 
     Parameters
     ----------
@@ -41,6 +51,8 @@
         Log of refused parts and failures.
     rank : callable
         Returns this host's place in the order of all hosts for a part, from 0.
+    limits : EndpointLimits
+        The limits that endpoints state.
     """
 
     def __init__(
@@ -51,6 +63,7 @@
         bounds: Callable[[], FleetRequirements],
         decisions: DecisionLog,
         rank: Callable[[str], int],
+        limits: EndpointLimits,
     ) -> None:
         self._host = host
         self._store = store
@@ -58,6 +71,7 @@
         self._bounds = bounds
         self._decisions = decisions
         self._parts = CrashingParts(rank)
+        self._limits = limits
         self._offset = 0
         self._pending: list[EndpointReport] = []
         self._wake = trio.Event()
@@ -96,6 +110,32 @@
         """Note that an endpoint has begun an answer to a request with these parts."""
         self._report(self._parts.record_answer(parts))
 
+    def record_limit(
+        self, entry: Entry, limit_per_s: float | None, has_run: bool, sent_at: float
+    ) -> None:
+        """Note the limit that an answer states, or that it states none.
+
+        Parameters
+        ----------
+        entry : Entry
+            The endpoint that answered.
+        limit_per_s : float or None
+            The limit, in requests per second.
+        has_run : bool
+            Whether the endpoint has run the request.
+        sent_at : float
+            When the request was sent, in seconds on trio's clock.
+        """
+        now = trio.current_time()
+        report = self._limits.observe(entry.incarnation, limit_per_s, has_run, sent_at, now)
+        if report is not None:
+            self._log_limit(LimitChange(report.endpoint, report.limit_per_s))
+            self._report(report)
+
+    def record_send(self, entry: Entry) -> None:
+        """Note that a request is sent to an endpoint."""
+        self._limits.record_send(entry, trio.current_time())
+
     async def run_reads(self) -> None:
         """Read reports until cancelled."""
         while True:
@@ -158,6 +198,9 @@
             self._decisions.warning("endpoint report unreadable", why=fault)
         cleared: list[AnswerReport | None] = []
         for offset, record in update.records:
+            if isinstance(record, LimitReport):
+                self._log_limit(self._limits.apply(record, now))
+                continue
             for change in self._parts.apply(record, offset, now):
                 self._log_change(change)
             if isinstance(record, CrashReport):
@@ -175,6 +218,12 @@
             failed_trials=change.failed_trials,
         )
 
+    def _log_limit(self, change: LimitChange | None) -> None:
+        if change is not None:
+            self._decisions.info(
+                "limit known", endpoint=change.endpoint, limit_per_s=change.limit_per_s
+            )
+
     def _log_failure(self, step: str, why: str) -> None:
         if not self._failing:
             self._decisions.warning(
--- a/mulberrycleat/entry/endpoints.py
+++ b/mulberrycleat/entry/endpoints.py
@@ -9,6 +9,7 @@
 
 from mulberrycleat.endpoint.directory import Directory
 from mulberrycleat.endpoint.placer import Placement, Placer, PlacerSettings, Work
+from mulberrycleat.endpoint.rate_limits import EndpointLimits
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.protocol import RequestFacts
 
@@ -24,13 +25,22 @@
         Availability zone of this host.
     random : Random
         Random source for the choice among equally good endpoints.
+    limits : EndpointLimits
+        The limits that endpoints state.
     settings : PlacerSettings, optional
         Settings for the comparison of endpoints.
     """
 
-    def __init__(self, zone: str, random: Random, settings: PlacerSettings | None = None) -> None:
+    def __init__(
+        self,
+        zone: str,
+        random: Random,
+        limits: EndpointLimits,
+        settings: PlacerSettings | None = None,
+    ) -> None:
         self._zone = zone
         self._random = random
+        self._limits = limits
         self._settings = settings or PlacerSettings()
         self._directory = Directory()
         self._placers: dict[str, Placer] = {}
@@ -41,11 +51,25 @@
         return self._directory
 
     def choose(self, call: EntryCall, tried: Collection[str]) -> Placement | None:
-        """Return the endpoint for a request, or None if there is none besides those in `tried`."""
+        """Return the endpoint for a request, or None if there is none besides those in `tried`.
+
+        Endpoints that take no request of this host now, because of the limit that they state, are
+        left out.
+        """
         now = trio.current_time()
-        entries = self._directory.ready(call.pool.name, now)
+        entries = self._limits.sendable(self._directory.ready(call.pool.name, now), now)
         return self.placer(call.pool.name).choose(entries, work_of(call.facts), now, tried)
 
+    def limited_wait_s(self, call: EntryCall) -> float | None:
+        """Return the time until an endpoint's limit lets this host send a request, in seconds.
+
+        None if the limits leave an endpoint at once, or if there is no endpoint at all.
+        """
+        now = trio.current_time()
+        entries = self._directory.ready(call.pool.name, now)
+        wait_s = min((self._limits.wait_s(entry, now) for entry in entries), default=0.0)
+        return wait_s if wait_s > 0 else None
+
     def placer(self, pool: str) -> Placer:
         """Return the placer of one pool, which is created on first use."""
         if pool not in self._placers:
@@ -56,6 +80,8 @@
         """Forget endpoints that have left the directory and have no request in flight."""
         for placer in self._placers.values():
             placer.retain(self._directory.entries)
+        incarnations = {entry.incarnation for entry in self._directory.entries.values()}
+        self._limits.retain(incarnations, trio.current_time())
 
     def addresses(self) -> set[str]:
         """Return the addresses of all endpoints."""
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -220,6 +220,7 @@
         call.progress.endpoint = entry.id
         attempt = _Attempt(placement, trio.current_time(), self._reports.read_to)
         placer.sent(placement, request_id, work_of(call.facts), attempt.sent_at)
+        self._reports.record_send(entry)
         self._decisions.info(
             "sent",
             request=request_id,
@@ -237,6 +238,10 @@
 
         def record_facts(facts: AnswerFacts) -> None:
             attempt.limit_per_s = facts.limit_per_s
+            if not facts.misdirected:
+                self._reports.record_limit(
+                    entry, facts.limit_per_s, not facts.not_run, attempt.sent_at
+                )
             if facts.load is not None:
                 load = facts.load
                 placer.apply_load_report(entry.id, load.running, load.waiting, trio.current_time())
@@ -338,6 +343,11 @@
             reason = f"an answer is expected after {tries.expected_s:.2f} s only"
             retry_s = min(tries.expected_s, MAX_RETRY_AFTER_S)
             return NotRun(Step.CHOOSE, "", reason, 503, retry_s, "overloaded")
+        limited_s = None if tries.count else self._registry.limited_wait_s(call)
+        if limited_s is not None:
+            reason = f"the endpoints of pool {call.pool.name!r} state limits that are reached"
+            retry_s = min(max(limited_s, FULL_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+            return NotRun(Step.CHOOSE, "", reason, 503, retry_s, "limited")
         if not tries.count:
             reason = f"pool {call.pool.name!r} has no endpoint to take the request"
             return NotRun(Step.CHOOSE, "", reason, 503, NO_ENDPOINT_RETRY_AFTER_S, "no_endpoint")
--- a/mulberrycleat/platform/tests/test_rate_limits.py
+++ b/mulberrycleat/platform/tests/test_rate_limits.py
@@ -96,3 +96,72 @@
         for server in play.servers:
             found = play.most_in_a_window(server, began + CONTACT_S)
             assert found <= allowed(LIMIT_PER_S), found
+
+
+async def test_most_of_what_limited_endpoints_take_is_used_and_the_rest_is_refused_at_once():
+    async with fleet(limited=SERVERS) as play:
+        await play.run(5.0, 60.0)
+        began = trio.current_time()
+        play.answers.clear()
+        await play.run(15.0, 60.0)
+        for server in play.servers:
+            assert play.served_per_s(server, began) >= 0.8 * LIMIT_PER_S
+        refused = [answer for answer in play.answers if answer.status == 503]
+        assert len(refused) >= 0.5 * len(play.answers)
+        assert all(float(answer.headers["retry-after"]) > 0 for answer in refused)
+        assert {answer.status for answer in play.answers} == {200, 503}
+
+
+async def test_endpoints_that_no_longer_state_a_limit_are_used_freely_again():
+    async with fleet(limited=SERVERS) as play:
+        await play.run(6.0, 60.0)
+        for server in play.servers:
+            server.limit_per_s = None
+        await play.run(4.0, 60.0)
+        play.answers.clear()
+        await play.run(5.0, 60.0)
+        assert {answer.status for answer in play.answers} == {200}
+
+
+async def test_hosts_keep_to_a_limit_that_changes():
+    async with fleet(limited=2) as play:
+        await play.run(6.0, 60.0)
+        for server in play.servers[:2]:
+            server.limit_per_s = 1.2
+        began = trio.current_time()
+        await play.run(15.0, 60.0)
+        for server in play.servers[:2]:
+            assert play.most_in_a_window(server, began + CONTACT_S) <= allowed(1.2)
+
+
+async def test_hosts_keep_to_a_limit_while_the_store_is_down():
+    async with fleet(limited=0) as play:
+        await play.run(3.0, 60.0)
+        play.harnesses[0].store.down = True
+        for server in play.servers[:2]:
+            server.limit_per_s = LIMIT_PER_S
+        began = trio.current_time()
+        await play.run(12.0, 60.0)
+        for server in play.servers[:2]:
+            found = play.most_in_a_window(server, began + CONTACT_S)
+            assert found <= allowed(LIMIT_PER_S), found
+
+
+async def test_a_host_that_has_just_started_keeps_to_a_limit_that_others_know():
+    async with fleet(limited=2) as play:
+        await play.run(6.0, 60.0)
+        began = trio.current_time()
+        for number in range(HOSTS):
+            play.harnesses[number] = play.harnesses[number].restart(f"a{number + 1}")
+            await play.run(1.5, 60.0)
+        for server in play.servers[:2]:
+            found = play.most_in_a_window(server, began)
+            assert found <= allowed(LIMIT_PER_S), found
+
+
+async def test_a_limit_that_is_no_number_is_ignored():
+    async with fleet(limited=2) as play:
+        for server in play.servers[:2]:
+            server.limit_per_s = float("nan")
+        await play.run(6.0, 60.0)
+        assert {answer.status for answer in play.answers} == {200}
