Don't wait for reports at a store that was out of reach

Cause: while the store is out of reach, one call in 0.8 s goes to it directly to find out. A read of the hosts' reports would be held back there for up to 2.25 s, and show only then that the store answers again. Change: such a read doesn't wait. Result: the new test fails before and passes now.

--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -155,8 +155,13 @@
         )
 
     async def read_reports(self, offset: int, wait_s: float) -> Result[ReportUpdate, PeerError]:
-        """Return reports on endpoints since `offset`; calls through other hosts don't wait."""
+        """Return reports on endpoints since `offset`.
+
+        Calls through other hosts don't wait for a report, nor do those that find out whether the
+        store is in reach again.
+        """
         arguments = _CallArguments(offset)
+        wait_s = 0.0 if self.lost else wait_s
         return await self._call(
             lambda: self._inner.read_reports(offset, wait_s),
             "read_reports",
--- a/mulberrycleat/entry/tests/test_relay.py
+++ b/mulberrycleat/entry/tests/test_relay.py
@@ -21,10 +21,18 @@
 class UnreachableStore:
     """A store that never answers."""
 
+    def __init__(self) -> None:
+        self.waits: list[float] = []
+
     async def read_map(self, offset, wait_s):
         """Return an error."""
         return Err(PeerError(Step.READ, "store", "no answer", sent=False))
 
+    async def read_reports(self, offset, wait_s):
+        """Note how long the call may wait, and return an error."""
+        self.waits.append(wait_s)
+        return Err(PeerError(Step.READ, "store", "no answer", sent=False))
+
 
 class RememberingPeers(BaseHttpClient):
     """Hosts that answer reads of the route map with given updates, by address."""
@@ -70,3 +78,15 @@
     }
     found = [await read_map(updates, seed) for seed in range(20)]
     assert {update.next for update in found} == {12}
+
+
+async def test_reports_are_not_waited_for_while_the_store_is_out_of_reach():
+    """A call that the store holds back would show only later that the store answers again."""
+    inner = UnreachableStore()
+    store = RelayedStore(
+        inner, RememberingPeers({}), lambda: (), DecisionLog(trio.current_time), Random(0)
+    )
+    for _ in range(3):
+        await store.read_reports(0, 2.0)
+        await trio.sleep(1.0)
+    assert inner.waits == [2.0, 0.0, 0.0]
