--- a/mulberrycleat/entry/endpoint_reports.py
+++ b/mulberrycleat/entry/endpoint_reports.py
@@ -27,7 +27,7 @@
 # Shortest time between two reads, and between two appends, in seconds, so that one call covers what
 # several requests or hosts have seen.
 MIN_READ_INTERVAL_S, MIN_APPEND_INTERVAL_S = 0.05, 0.01
-# Most reports that wait to be appended; the oldest are dropped.
+# Most reports that wait to be appended; further ones are dropped.
 MAX_PENDING = 256
 
 
