Count refusals of crashing parts as the callers' fault, and show limits in the metrics

Change: crashing_part is a fault of the caller; limited stays a failure, but no false refusal. The number of endpoints that state a limit is a metric, as that of refused parts is. Result: the new test fails before and passes now.

--- a/mulberrycleat/burn/model.py
+++ b/mulberrycleat/burn/model.py
@@ -15,6 +15,7 @@
     {
         "bad_request",
         "budget_exhausted",
+        "crashing_part",
         "key_mismatch",
         "unauthorized",
         "unknown_model",
--- a/mulberrycleat/burn/tests/test_burn.py
+++ b/mulberrycleat/burn/tests/test_burn.py
@@ -52,6 +52,12 @@
     return [late, refused]
 
 
+def test_a_refused_part_is_the_callers_fault_and_a_limited_endpoint_is_not():
+    refused = interval("zone-a", 60, [0.5] * 8, crashing_part=5, limited=2)
+    total = merge([refused])[Group("dolerite", "huts")]
+    assert (total.failed, total.false_refusals) == (2, 0)
+
+
 def test_histograms_of_two_hosts_add_up(intervals):
     total = merge(intervals)[Group("dolerite", "huts")]
     assert (total.served, total.requests) == (40, 55)
--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -136,8 +136,8 @@
         random = Random(settings.host)
         self._peer_http = ports.peer_http
         self._shutdown = GracefulShutdown(settings.bounds, settings.times)
-        limits = EndpointLimits(self._place_for)
-        self._registry = EndpointRegistry(settings.zone, random, limits)
+        self._endpoint_limits = EndpointLimits(self._place_for)
+        self._registry = EndpointRegistry(settings.zone, random, self._endpoint_limits)
         self._retry_budget = FleetRetryBudget(settings.bounds)
         self._connections = ConnectionPool(_connection_settings(settings), ports.connect)
         self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
@@ -183,7 +183,7 @@
             self._bounds,
             decisions,
             self._roster.coordinators.rank,
-            limits,
+            self._endpoint_limits,
         )
         self._relay = RelayServer(
             self._store, self._maps.snapshot, self._directory.snapshot, self._roster.snapshot
@@ -336,6 +336,7 @@
         self._metrics.relayed_calls.set(self._store.relayed)
         self._metrics.store_lost.set(self._store.lost)
         self._metrics.refused_parts.set(len(self._reports.refused))
+        self._metrics.limited_endpoints.set(len(self._endpoint_limits.stated))
         self._metrics.lines_left_out.set(sum(self._decisions.left_out.values()))
         for pool in self._retry_budget.pools:
             self._metrics.repeats_left.labels(pool).set(self._retry_budget.left(pool, now))
--- a/mulberrycleat/entry/metrics.py
+++ b/mulberrycleat/entry/metrics.py
@@ -69,6 +69,9 @@
             "Prompt parts that are refused because they crash endpoints",
             registry=registry,
         )
+        self.limited_endpoints = Gauge(
+            f"{PREFIX}limited_endpoints", "Endpoints that state a limit", registry=registry
+        )
         self.hosts = Gauge(f"{PREFIX}hosts", "Hosts that share budgets", registry=registry)
         self.relayed_calls = Gauge(
             f"{PREFIX}relayed_calls", "Store calls through other hosts so far", registry=registry
