--- /dev/null
+++ b/mulberrycleat/platform/store_standin.py
@@ -0,0 +1,188 @@
+"""In-process stand-in for the platform's store, for tests and benchmarks."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import httpcore
+import msgspec
+import trio
+
+from mulberrycleat.web.client import BaseHttpClient, StreamedAnswer
+
+__all__ = ["StoreClient", "StoreStandin"]
+
+# The deployment sheets state that the store answers within 4 ms.
+STORE_LATENCY_S = 0.004
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredRecord:
+    key: str
+    value: bytes
+
+
+class StoreStandin:
+    """The store's log: conditional appends, reads, and the newest record of each key.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the draws that decide which answers are lost.
+
+    Attributes
+    ----------
+    down : bool
+        Whether all calls time out without being run.
+    turned_away : set of str
+        Hosts whose calls are answered with 503.
+    lose_answers : float
+        Share of appends, 0 to 1, that are done but whose answer is lost.
+    calls : int
+        Number of calls made so far.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self._topics: dict[str, list[_StoredRecord]] = {}
+        self._first_offsets: dict[str, int] = {}
+        self._compacted: dict[str, dict[str, _StoredRecord]] = {}
+        self._appended: dict[str, trio.Event] = {}
+        self._random = Random(seed)
+        self.down = False
+        self.turned_away: set[str] = set()
+        self.lose_answers = 0.0
+        self.calls = 0
+
+    def end(self, topic: str) -> int:
+        """Return the offset of the next record."""
+        return self._first_offsets.get(topic, 0) + len(self._topics.get(topic, []))
+
+    def put(self, topic: str, key: str, value: Any) -> int:
+        """Append a record as the operators or a server would; a value of None removes the key."""
+        data = b"" if value is None else msgspec.json.encode(value)
+        return self.append(topic, key, data)
+
+    def append(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record and return its offset."""
+        offset = self.end(topic)
+        self._topics.setdefault(topic, []).append(_StoredRecord(key, value))
+        if topic in self._appended:
+            self._appended.pop(topic).set()
+        return offset
+
+    async def wait_for_append(self, topic: str) -> None:
+        """Wait until the next record of a topic is appended."""
+        await self._appended.setdefault(topic, trio.Event()).wait()
+
+    def expire_history(self, topic: str) -> None:
+        """Expire all records of the topic.
+
+        ``log-newest`` still returns the newest record of each key.
+        """
+        self._first_offsets[topic] = self.end(topic)
+        newest = {record.key: record for record in self._topics.get(topic, [])}
+        self._compacted[topic] = {**self._compacted.get(topic, {}), **newest}
+        self._topics[topic] = []
+
+    def newest(self, topic: str) -> dict[str, bytes]:
+        """Return the newest value of each key, without the keys that were removed."""
+        kept = self._compacted.get(topic, {})
+        records = [*kept.values(), *self._topics.get(topic, [])]
+        found = {record.key: record.value for record in records}
+        return {key: value for key, value in found.items() if value}
+
+    def answer(self, method: str, url: str, body: bytes) -> tuple[int, bytes] | None:
+        """Run a call and return the status and body of the answer, or None if it is lost."""
+        self.calls += 1
+        parts = urlsplit(url)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        topic = query.get("topic", "")
+        match method, parts.path:
+            case "POST", "/log-append":
+                return self._append(topic, query, body)
+            case "GET", "/log-read":
+                return self._read(topic, int(query["from"]))
+            case "GET", "/log-newest":
+                items = [
+                    {"key": key, "value": base64.b64encode(value).decode(), "offset": 0}
+                    for key, value in self.newest(topic).items()
+                ]
+                page = {"items": items, "has_more": False, "end": self.end(topic)}
+                return 200, msgspec.json.encode(page)
+        return 404, b""
+
+    def _append(self, topic: str, query: dict[str, str], body: bytes) -> tuple[int, bytes] | None:
+        end = self.end(topic)
+        if "at" in query and int(query["at"]) != end:
+            return 412, msgspec.json.encode({"end": end})
+        position = 0
+        while position < len(body):
+            (size,) = struct.unpack_from(">I", body, position)
+            payload = body[position + 4 : position + 4 + size]
+            key_end = 1 + payload[0]
+            self.append(topic, payload[1:key_end].decode(), payload[key_end:])
+            position += 4 + size
+        if self._random.random() < self.lose_answers:
+            return None
+        return 200, msgspec.json.encode({"offset": end, "end": self.end(topic)})
+
+    def _read(self, topic: str, offset: int) -> tuple[int, bytes]:
+        first = self._first_offsets.get(topic, 0)
+        if offset < first:
+            return 410, msgspec.json.encode({"first": first})
+        data = struct.pack(">QQ", self.end(topic), first)
+        for record in self._topics.get(topic, [])[offset - first :]:
+            # Tests put bytes that are no text into a key as surrogates.
+            key = record.key.encode(errors="surrogateescape")
+            payload = bytes([len(key)]) + key + record.value
+            data += struct.pack(">I", len(payload)) + payload
+        return 200, data
+
+
+class StoreClient(BaseHttpClient):
+    """HTTP client through which one host calls the store stand-in."""
+
+    def __init__(self, store: StoreStandin, host: str) -> None:
+        self._store = store
+        self._host = host
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> AsyncIterator[StreamedAnswer]:
+        """Run a request on the stand-in and yield the answer; raises httpcore's exceptions."""
+        await trio.sleep(STORE_LATENCY_S)
+        if self._store.down:
+            await trio.sleep(timeout_s)
+            raise httpcore.ReadTimeout("the store is down")
+        if self._host in self._store.turned_away:
+            yield StreamedAnswer(503, {}, _one_chunk(b""))
+            return
+        query = parse_qs(urlsplit(url).query)
+        wait_s = float(query.get("wait_ms", ["0"])[0]) / 1000
+        answer = self._store.answer(method, url, body)
+        if answer is None:
+            await trio.sleep(timeout_s)
+            raise httpcore.ReadTimeout("the answer is lost")
+        # A body of 16 bytes has no records. The read then waits for one, and runs once more.
+        if wait_s and len(answer[1]) == 16:
+            with trio.move_on_after(wait_s):
+                await self._store.wait_for_append(query["topic"][0])
+            answer = self._store.answer(method, url, body)
+        yield StreamedAnswer(answer[0], {}, _one_chunk(answer[1]))
+
+
+async def _one_chunk(data: bytes) -> AsyncIterator[bytes]:
+    yield data
--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -16,8 +16,9 @@
 from mulberrycleat.entry.settings import EntrySettings, FleetRequirements
 from mulberrycleat.entry.tests.test_decisions import records  # noqa: F401 (a fixture)
 from mulberrycleat.platform.headers import PlatformHeaderCodec
-from mulberrycleat.platform.standin import Servers, ServerStandin, StoreClient, StoreStandin
+from mulberrycleat.platform.standin import Servers, ServerStandin
 from mulberrycleat.platform.store import PlatformStore
+from mulberrycleat.platform.store_standin import StoreClient, StoreStandin
 from mulberrycleat.web import BaseHttpClient, StreamedAnswer
 from mulberrycleat.web.upstream import ConnectionSettings, Pipe
 
--- a/mulberrycleat/platform/tests/test_many_hosts.py
+++ b/mulberrycleat/platform/tests/test_many_hosts.py
@@ -7,7 +7,8 @@
 import msgspec
 import trio
 
-from mulberrycleat.platform.standin import ServerStandin, StoreStandin
+from mulberrycleat.platform.standin import ServerStandin
+from mulberrycleat.platform.store_standin import StoreStandin
 from mulberrycleat.platform.tests.fixtures import CONFIG, entry_hosts
 from mulberrycleat.prepaid.sharding import shard_of
 from mulberrycleat.testing import fixture
--- a/mulberrycleat/platform/tests/test_settings_file.py
+++ b/mulberrycleat/platform/tests/test_settings_file.py
@@ -23,8 +23,8 @@
     load_boot_settings,
     read_boot_settings,
 )
-from mulberrycleat.platform.standin import StoreClient, StoreStandin
 from mulberrycleat.platform.store import PlatformStore
+from mulberrycleat.platform.store_standin import StoreClient, StoreStandin
 from mulberrycleat.testing import fixture
 
 TEXT = """
--- a/mulberrycleat/platform/tests/test_state.py
+++ b/mulberrycleat/platform/tests/test_state.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from mulberrycleat.platform.standin import ServerStandin, StoreStandin
+from mulberrycleat.platform.standin import ServerStandin
+from mulberrycleat.platform.store_standin import StoreStandin
 from mulberrycleat.platform.tests.fixtures import CONFIG, entry_host
 from mulberrycleat.prepaid.sharding import SHARDS
 from mulberrycleat.testing import fixture
