Read route maps through other hosts at intervals

Callers of hosts that can't reach the store saw answers pass on late. Cause: a read of the route map through another host doesn't wait for a new map, and the loop read again at once: in the stand-ins such a host made 205 calls a second through others, each of which made one to the store. Change: a read that brought no map and didn't wait is followed by the pause of an outage.

--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -67,11 +67,16 @@
     async def run(self) -> None:
         """Read new route maps until cancelled."""
         while True:
+            began = trio.current_time()
             wait_s = self._bounds().map_wait_s if self._table is not None else 0.0
             match await self._store.read_map(self._offset, wait_s):
                 case Ok(update):
                     self._apply(update)
-                    if self._table is None or update.next is None:
+                    # A read through another host does not wait for a new map.
+                    unwaited = update.route_map is None and (
+                        trio.current_time() - began < wait_s / 2
+                    )
+                    if self._table is None or update.next is None or unwaited:
                         await trio.sleep(self._times.outage_retry_interval_s)
                 case Err(error):
                     age_s = round(trio.current_time() - self._read_at, 3)
--- /dev/null
+++ b/mulberrycleat/entry/tests/test_feeds.py
@@ -0,0 +1,56 @@
+"""How often feeds read while reads do not wait at the store."""
+
+from __future__ import annotations
+
+import trio
+from result import Ok
+
+from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.feeds import MapFeed
+from mulberrycleat.entry.settings import EntryTimes, FleetRequirements
+from mulberrycleat.entry.store import MapUpdate
+from mulberrycleat.routes import RouteMap
+from mulberrycleat.testing import fixture
+
+TIMES = EntryTimes()
+CALL_S = 0.002
+
+
+class RelayingStore:
+    """Answers reads through another host, which does not wait for a new route map."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.newest = RouteMap(7)
+
+    async def read_map(self, offset, wait_s):
+        """Return the newest route map, or none if it has been read before."""
+        self.reads += 1
+        await trio.sleep(CALL_S)
+        version = self.newest.version
+        return Ok(MapUpdate(version, None if offset == version else self.newest))
+
+
+@fixture
+def store() -> RelayingStore:
+    return RelayingStore()
+
+
+async def test_a_host_that_reads_route_maps_through_others_reads_at_intervals(store):
+    decisions = DecisionLog(trio.current_time)
+    feed = MapFeed(store, TIMES, FleetRequirements, decisions, lambda table: None)
+    with trio.move_on_after(10.0):
+        await feed.run()
+    assert store.reads <= 10.0 / TIMES.outage_retry_interval_s + 2
+
+
+async def test_a_new_route_map_that_is_read_through_others_is_in_force_in_time(store):
+    decisions = DecisionLog(trio.current_time)
+    feed = MapFeed(store, TIMES, FleetRequirements, decisions, lambda table: None)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(feed.run)
+        await trio.sleep(5.0)
+        store.newest = RouteMap(8)
+        await trio.sleep(0.5)
+        assert feed.table.version == 8
+        nursery.cancel_scope.cancel()
