Reproduce hosts that rely on positions of a store restored from an older copy

The stand-in of the store can be restored from a copy; it then states a higher era, and answers 410 to reads past its end.

--- a/mulberrycleat/platform/store_standin.py
+++ b/mulberrycleat/platform/store_standin.py
@@ -8,7 +8,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 import httpcore
@@ -17,7 +17,7 @@
 
 from mulberrycleat.web.client import BaseHttpClient, StreamedAnswer
 
-__all__ = ["StoreClient", "StoreStandin"]
+__all__ = ["StoreClient", "StoreCopy", "StoreStandin"]
 
 # The deployment sheets state that the store answers within 4 ms.
 STORE_LATENCY_S = 0.004
@@ -29,6 +29,14 @@
     value: bytes
 
 
+class StoreCopy(NamedTuple):
+    """State of a :class:`StoreStandin` from which it can be restored."""
+
+    topics: dict[str, list[_StoredRecord]]
+    first_offsets: dict[str, int]
+    compacted: dict[str, dict[str, _StoredRecord]]
+
+
 class StoreStandin:
     """The store's log: conditional appends, reads, and the newest record of each key.
 
@@ -47,6 +55,8 @@
         Share of appends, 0 to 1, that are done but whose answer is lost.
     calls : int
         Number of calls made so far.
+    era : int
+        Number stated in all answers, which rises when the store is restored from a copy.
     """
 
     def __init__(self, seed: int = 0) -> None:
@@ -59,6 +69,18 @@
         self.turned_away: set[str] = set()
         self.lose_answers = 0.0
         self.calls = 0
+        self.era = 1
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        topics = {topic: list(records) for topic, records in self._topics.items()}
+        compacted = {topic: dict(records) for topic, records in self._compacted.items()}
+        return StoreCopy(topics, dict(self._first_offsets), compacted)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose all that was written since a copy was taken."""
+        self._topics, self._first_offsets, self._compacted = copy
+        self.era += 1
 
     def end(self, topic: str) -> int:
         """Return the offset of the next record."""
@@ -135,7 +157,7 @@
 
     def _read(self, topic: str, offset: int) -> tuple[int, bytes]:
         first = self._first_offsets.get(topic, 0)
-        if offset < first:
+        if not first <= offset <= self.end(topic):
             return 410, msgspec.json.encode({"first": first})
         data = struct.pack(">QQ", self.end(topic), first)
         for record in self._topics.get(topic, [])[offset - first :]:
@@ -168,7 +190,7 @@
             await trio.sleep(timeout_s)
             raise httpcore.ReadTimeout("the store is down")
         if self._host in self._store.turned_away:
-            yield StreamedAnswer(503, {}, _one_chunk(b""))
+            yield StreamedAnswer(503, self._headers(), _one_chunk(b""))
             return
         query = parse_qs(urlsplit(url).query)
         wait_s = float(query.get("wait_ms", ["0"])[0]) / 1000
@@ -181,7 +203,10 @@
             with trio.move_on_after(wait_s):
                 await self._store.wait_for_append(query["topic"][0])
             answer = self._store.answer(method, url, body)
-        yield StreamedAnswer(answer[0], {}, _one_chunk(answer[1]))
+        yield StreamedAnswer(answer[0], self._headers(), _one_chunk(answer[1]))
+
+    def _headers(self) -> dict[str, str]:
+        return {"store-era": str(self._store.era)}
 
 
 async def _one_chunk(data: bytes) -> AsyncIterator[bytes]:
