--- a/mulberrycleat/core/__init__.py
+++ b/mulberrycleat/core/__init__.py
@@ -10,12 +10,15 @@
     Step,
 )
 from mulberrycleat.core.ids import Holder, new_id
+from mulberrycleat.core.positions import START, Position
 
 __all__ = [
+    "START",
     "Holder",
     "MayHaveRun",
     "NotRun",
     "PeerError",
+    "Position",
     "Refusal",
     "RequestResult",
     "Served",
--- a/mulberrycleat/endpoint/crashing_parts.py
+++ b/mulberrycleat/endpoint/crashing_parts.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from mulberrycleat.core import START, Position
 from mulberrycleat.endpoint.reports import (
     AnswerReport,
     CrashReport,
@@ -81,9 +82,11 @@
     ----------
     endpoints : list of str
         The endpoints that crashed.
-    chain, chain_offset : int
-        Length of the chain of crashes, and offset of the report that lengthened it last. Of a
-        refused part, `chain_offset` is where it was refused, or where its last trial failed.
+    chain : int
+        Length of the chain of crashes.
+    chain_position : Position
+        Position of the report that lengthened the chain last. Of a refused part, it is where the
+        part was refused, or where its last trial failed.
     changed_at : float
         When the chain was last lengthened.
     answered : bool
@@ -101,7 +104,7 @@
     changed_at: float
     endpoints: list[str] = field(default_factory=list)
     chain: int = 0
-    chain_offset: int = -1
+    chain_position: Position = START
     answered: bool = False
     refused_at: float | None = None
     renewed_at: float = float("-inf")
@@ -125,9 +128,10 @@
     --------
     >>> parts = CrashingParts(lambda part: 0)
     >>> for offset, endpoint in enumerate(("e1", "e2", "e3")):
-    ...     changes = parts.apply(CrashReport(endpoint, ("p", "q"), offset), offset, now=1.0)
+    ...     report = CrashReport(endpoint, ("p", "q"), offset)
+    ...     changes = parts.apply(report, Position(0, offset), now=1.0)
     ...     _ = parts.record_answer(("q",))
-    >>> parts.apply(AnswerReport(("q",)), 3, now=1.0)
+    >>> parts.apply(AnswerReport(("q",)), Position(0, 3), now=1.0)
     (PartChange(part='q', refused=False, endpoints=('e1', 'e2', 'e3'), failed_trials=0),)
     >>> parts.refusal(("q",), now=1.0), parts.refusal(("p",), now=1.0)
     (None, RefusedPart(part='p', retry_after_s=20.0))
@@ -142,16 +146,16 @@
         """The parts that are refused."""
         return tuple(p for p, found in self._tracked.items() if found.refused_at is not None)
 
-    def apply(self, record: PartReport, offset: int, now: float) -> tuple[PartChange, ...]:
-        """Apply the record at an offset of the log; return the parts refused or freed by it."""
+    def apply(self, record: PartReport, position: Position, now: float) -> tuple[PartChange, ...]:
+        """Apply the record at a position of the log; return the parts refused or freed by it."""
         self._drop_expired(now)
         match record:
             case CrashReport():
-                changes = [self._apply_crash(part, record, offset, now) for part in record.parts]
+                changes = [self._apply_crash(part, record, position, now) for part in record.parts]
             case AnswerReport():
                 changes = [self._free(part) for part in record.parts]
             case RefusalRenewal():
-                changes = [self._apply_renewal(record, offset, now)]
+                changes = [self._apply_renewal(record, position, now)]
         return tuple(change for change in changes if change is not None)
 
     def refusal(self, parts: Sequence[str], now: float) -> RefusedPart | None:
@@ -204,40 +208,49 @@
                 found.append(RefusalRenewal(part, tracked.failed_trials))
         return tuple(found)
 
+    def expire_renewals(self) -> None:
+        """Have the refusals renewed soon, as the store may have lost their records."""
+        for tracked in self._tracked.values():
+            tracked.renewed_at -= RENEWAL_INTERVAL_S
+
     def _apply_crash(
-        self, part: str, report: CrashReport, offset: int, now: float
+        self, part: str, report: CrashReport, position: Position, now: float
     ) -> PartChange | None:
         tracked = self._tracked.setdefault(part, _TrackedPart(now))
         if tracked.refused_at is not None:
             # The request was sent by a host that refused the part: it was a trial.
-            if report.read_to > tracked.chain_offset:
+            if report.read_position > tracked.chain_position:
                 tracked.failed_trials += 1
-                return self._refuse(part, tracked, offset, now)
+                return self._refuse(part, tracked, position, now)
             return None
         if report.endpoint in tracked.endpoints:
             return None
         tracked.endpoints.append(report.endpoint)
-        if tracked.chain and report.read_to <= tracked.chain_offset:
+        if tracked.chain and report.read_position <= tracked.chain_position:
             return None
         tracked.chain += 1
-        tracked.chain_offset, tracked.changed_at = offset, now
+        tracked.chain_position, tracked.changed_at = position, now
         if tracked.chain < CHAIN_LENGTH:
             return None
         tracked.requested_at = now
-        return self._refuse(part, tracked, offset, now)
+        return self._refuse(part, tracked, position, now)
 
-    def _apply_renewal(self, renewal: RefusalRenewal, offset: int, now: float) -> PartChange | None:
+    def _apply_renewal(
+        self, renewal: RefusalRenewal, position: Position, now: float
+    ) -> PartChange | None:
         tracked = self._tracked.setdefault(renewal.part, _TrackedPart(now))
         tracked.renewed_at = now
         tracked.failed_trials = max(tracked.failed_trials, renewal.failed_trials)
         if tracked.refused_at is not None:
             return None
-        return self._refuse(renewal.part, tracked, offset, now)
+        return self._refuse(renewal.part, tracked, position, now)
 
-    def _refuse(self, part: str, tracked: _TrackedPart, offset: int, now: float) -> PartChange:
+    def _refuse(
+        self, part: str, tracked: _TrackedPart, position: Position, now: float
+    ) -> PartChange:
         """Refuse a part from now on, for a whole trial interval."""
         tracked.refused_at = tracked.renewed_at = now
-        tracked.chain_offset, tracked.answered = offset, False
+        tracked.chain_position, tracked.answered = position, False
         return self._change(part, tracked)
 
     def _free(self, part: str) -> PartChange | None:
--- a/mulberrycleat/endpoint/directory.py
+++ b/mulberrycleat/endpoint/directory.py
@@ -14,6 +14,9 @@
 # The platform guarantees that live endpoints whose entries expired during an outage of the store
 # are listed again within two seconds after the store is reachable.
 GRACE_AFTER_OUTAGE_S = 2.0
+# An endpoint that has left is remembered for this time, in seconds: longer than the store's copies
+# are old, which may still list it.
+DEPARTED_TTL_S = 60.0
 
 
 class EntryState(Enum):
@@ -72,6 +75,7 @@
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
         self._missing_until: dict[str, float] = {}
+        self._departed: dict[str, float] = {}
         self._grace_until = 0.0
 
     @property
@@ -83,6 +87,7 @@
         """Add or replace an entry after a heartbeat of its endpoint."""
         self._entries[entry.id] = entry
         self._missing_until.pop(entry.id, None)
+        self._departed.pop(entry.incarnation, None)
 
     def drop(self, entry_id: str, now: float) -> None:
         """Remove an entry that is no longer in the store; keep it in the grace period."""
@@ -91,13 +96,18 @@
         if now < self._grace_until:
             self._missing_until[entry_id] = self._grace_until
         else:
-            self._remove(entry_id)
+            self._remove(entry_id, now)
 
-    def replace(self, entries: Iterable[Entry], now: float) -> None:
-        """Apply a snapshot of the store; entries that are not in it are dropped."""
+    def replace(self, entries: Iterable[Entry], now: float, may_be_older: bool = False) -> None:
+        """Apply a snapshot of the store; entries that are not in it are dropped.
+
+        If the snapshot may be older than what is known, an endpoint that is known to be leaving or
+        to have left stays so until its next heartbeat.
+        """
         found = {entry.id: entry for entry in entries}
         for entry in found.values():
-            self.put(entry, now)
+            if not (may_be_older and self._is_outdated(entry, now)):
+                self.put(entry, now)
         for entry_id in [known for known in self._entries if known not in found]:
             self.drop(entry_id, now)
 
@@ -109,7 +119,7 @@
         """Remove entries whose grace period has ended; return whether there were any."""
         gone = [entry_id for entry_id, until in self._missing_until.items() if now >= until]
         for entry_id in gone:
-            self._remove(entry_id)
+            self._remove(entry_id, now)
         return bool(gone)
 
     def ready(self, pool: str, now: float) -> list[Entry]:
@@ -121,6 +131,16 @@
             if entry.pool == pool and entry.state is EntryState.READY
         ]
 
-    def _remove(self, entry_id: str) -> None:
-        self._entries.pop(entry_id, None)
+    def _is_outdated(self, entry: Entry, now: float) -> bool:
+        """Whether an endpoint is known to be leaving or to have left, unlike its entry states."""
+        known = self._entries.get(entry.id)
+        if known is not None and known.incarnation == entry.incarnation:
+            return known.state is EntryState.LEAVING and entry.state is EntryState.READY
+        return now < self._departed.get(entry.incarnation, now)
+
+    def _remove(self, entry_id: str, now: float) -> None:
         self._missing_until.pop(entry_id, None)
+        entry = self._entries.pop(entry_id, None)
+        if entry is not None:
+            self._departed = {name: until for name, until in self._departed.items() if now < until}
+            self._departed[entry.incarnation] = now + DEPARTED_TTL_S
--- a/mulberrycleat/endpoint/reports.py
+++ b/mulberrycleat/endpoint/reports.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from mulberrycleat.core import Position
+
 __all__ = [
     "AnswerReport",
     "CrashReport",
@@ -29,13 +31,20 @@
         The endpoint and its start.
     parts : tuple of str
         Prompt parts of the request that other requests may have too.
-    read_to : int
-        Offset to which the host had read the log when it sent the request.
+    read_to, era : int
+        Offset to which the host had read the log when it sent the request, and the era of the log
+        in which it is valid.
     """
 
     endpoint: IncarnationName
     parts: Parts
     read_to: Annotated[int, msgspec.Meta(ge=0)]
+    era: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+    @property
+    def read_position(self) -> Position:
+        """Position to which the host had read the log when it sent the request."""
+        return Position(self.era, self.read_to)
 
 
 class AnswerReport(msgspec.Struct, frozen=True, tag="answer"):
--- a/mulberrycleat/endpoint/tests/test_crashing_parts.py
+++ b/mulberrycleat/endpoint/tests/test_crashing_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from mulberrycleat.core import Position
 from mulberrycleat.endpoint.crashing_parts import (
     REFUSAL_TTL_S,
     TRIAL_INTERVAL_S,
@@ -22,7 +23,7 @@
     def append(self, record, now=0.0) -> None:
         """Append a record, and have all hosts read it."""
         for host in self.hosts:
-            host.apply(record, self.end, now)
+            host.apply(record, Position(0, self.end), now)
         self.end += 1
 
     def crash(self, endpoint, *parts, now=0.0, read_to=None) -> None:
@@ -140,7 +141,7 @@
     log.hosts[0].refusal(("p",), 6.0)
     late = CrashingParts(lambda part: 2)
     for renewal in log.hosts[0].renewals(6.0):
-        late.apply(renewal, log.end, 6.0)
+        late.apply(renewal, Position(0, log.end), 6.0)
     assert late.refusal(("p",), 6.0) is not None
 
 
--- a/mulberrycleat/endpoint/tests/test_crashing_parts_histories.py
+++ b/mulberrycleat/endpoint/tests/test_crashing_parts_histories.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from mulberrycleat.core import Position
 from mulberrycleat.endpoint.crashing_parts import CrashingParts
 from mulberrycleat.endpoint.reports import CrashReport, EndpointReport
 
@@ -106,7 +107,7 @@
         end = len(self.log)
         for offset in range(self.read_to[host], end):
             record = self.log[offset]
-            self.parts[host].apply(record, offset, now)
+            self.parts[host].apply(record, Position(0, offset), now)
             if isinstance(record, CrashReport):
                 self._append(self.parts[host].answered_parts(record))
         self.read_to[host] = end
--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -166,7 +166,13 @@
             )
         )
         self._maps = MapFeed(
-            self._store, settings.times, self._bounds, decisions, self._apply_table
+            self._store,
+            settings.times,
+            self._bounds,
+            decisions,
+            self._apply_table,
+            self._slices.store_restored,
+            self._store.recall_map,
         )
         self._directory = DirectoryFeed(
             self._store,
--- a/mulberrycleat/entry/coordinators.py
+++ b/mulberrycleat/entry/coordinators.py
@@ -22,6 +22,9 @@
 # Hosts of a larger zone that hold slices. There are two, so that the zone has one if the other
 # dies; each more makes the ledger longer, which all of them read.
 CANDIDATES_PER_ZONE = 2
+# Ended incarnations that are remembered; a store that is restored from an older copy may have lost
+# their ends.
+MAX_ENDED = 1024
 # Most places in orders of hosts that are remembered.
 MAX_PLACES = 4096
 
@@ -91,6 +94,7 @@
         self._host = host
         self._zone = zone
         self._last_changes: dict[str, _LastChange] = {}
+        self._ended: dict[tuple[str, str], None] = {}
         self._active: tuple[str, ...] = ()
         self._candidates: tuple[str, ...] = ()
         self._by_shard: dict[int, tuple[str, ...]] = {}
@@ -132,7 +136,10 @@
             known = self._last_changes.get(name)
             if entry.ended:
                 self._last_changes.pop(name, None)
-            elif known is None or _version(known.entry) != _version(entry):
+                self._ended[name, entry.incarnation] = None
+                if len(self._ended) > MAX_ENDED:
+                    del self._ended[next(iter(self._ended))]
+            elif (name, entry.incarnation) not in self._ended and _is_newer(entry, known):
                 self._last_changes[name] = _LastChange(entry, now)
         seen = self._last_changes.items()
         active = tuple(sorted(n for n, change in seen if now - change.at < HOST_ACTIVE_S))
@@ -156,6 +163,15 @@
             self._by_shard[shard] = tuple(dict.fromkeys([*order[:1], *in_zone[:1]]))
         return self._by_shard[shard]
 
+    def witness(self, shard: int) -> str | None:
+        """Return the name of the host that gets this host's records of a shard, too.
+
+        It is the first other candidate in the order for the shard, of another zone if there is one.
+        """
+        order = [name for name in ranked(f"shard {shard}", self._candidates) if name != self._host]
+        in_other_zones = [name for name in order if self._zone_of(name) != self._zone]
+        return next(iter([*in_other_zones, *order]), None)
+
     def role(self, shard: int) -> Role:
         """Return this host's role for a shard; coordinator while no host is active."""
         coordinators = self.coordinators(shard)
@@ -208,5 +224,8 @@
         return self._last_changes[name].entry.zone
 
 
-def _version(entry: HostEntry) -> tuple[str, int]:
-    return entry.incarnation, entry.number
+def _is_newer(entry: HostEntry, known: _LastChange | None) -> bool:
+    """Whether an entry is newer than the known one; that of another incarnation is taken to be."""
+    if known is None or known.entry.incarnation != entry.incarnation:
+        return True
+    return entry.number > known.entry.number
--- a/mulberrycleat/entry/endpoint_reports.py
+++ b/mulberrycleat/entry/endpoint_reports.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Sequence
 
 import trio
 from result import Err, Ok
 
+from mulberrycleat.core import START, Position
 from mulberrycleat.endpoint.crashing_parts import CrashingParts, PartChange, RefusedPart
 from mulberrycleat.endpoint.directory import Entry
 from mulberrycleat.endpoint.rate_limits import EndpointLimits, LimitChange
@@ -29,6 +31,9 @@
 MIN_READ_INTERVAL_S, MIN_APPEND_INTERVAL_S = 0.05, 0.01
 # Most reports that wait to be appended; further ones are dropped.
 MAX_PENDING = 256
+# Reports that are remembered with their offsets, to tell which of them a store that was restored
+# from an older copy still has.
+MAX_REMEMBERED = 4096
 
 
 class EndpointReports:
@@ -72,15 +77,16 @@
         self._decisions = decisions
         self._parts = CrashingParts(rank)
         self._limits = limits
-        self._offset = 0
+        self._position = START
+        self._remembered: deque[tuple[int, EndpointReport]] = deque(maxlen=MAX_REMEMBERED)
         self._pending: list[EndpointReport] = []
         self._wake = trio.Event()
         self._failing = False
 
     @property
-    def read_to(self) -> int:
-        """Offset to which the reports have been read."""
-        return self._offset
+    def read_to(self) -> Position:
+        """Position to which the reports have been read."""
+        return self._position
 
     @property
     def refused(self) -> tuple[str, ...]:
@@ -91,7 +97,7 @@
         """Return the part because of which a request must not be sent now, or None."""
         return self._parts.refusal(parts, trio.current_time())
 
-    def record_crash(self, endpoint: str, parts: Sequence[str], read_to: int) -> None:
+    def record_crash(self, endpoint: str, parts: Sequence[str], read_to: Position) -> None:
         """Report that a connection ended before any part of an answer came.
 
         Parameters
@@ -100,11 +106,11 @@
             The endpoint and its start.
         parts : sequence of str
             Parts of the request's prompt that other requests may have too.
-        read_to : int
+        read_to : Position
             The value of `read_to` when the request was sent.
         """
         if parts:
-            self._report(CrashReport(endpoint, tuple(parts), read_to))
+            self._report(CrashReport(endpoint, tuple(parts), read_to.offset, read_to.era))
 
     def record_answer(self, parts: Sequence[str]) -> None:
         """Note that an endpoint has begun an answer to a request with these parts."""
@@ -141,7 +147,7 @@
         while True:
             began = trio.current_time()
             wait_s = self._bounds().report_wait_s
-            match await self._store.read_reports(self._offset, wait_s):
+            match await self._store.read_reports(self._position, wait_s):
                 case Ok(update):
                     self._apply(update)
                     waited = bool(update.records) or trio.current_time() - began >= wait_s / 2
@@ -196,20 +202,37 @@
         now = trio.current_time()
         for fault in update.faults:
             self._decisions.warning("endpoint report unreadable", why=fault)
+        records = update.records
+        if update.next.era > self._position.era:
+            records = self._appended_since(update)
+            self._remembered.clear()
+            self._parts.expire_renewals()
+        self._remembered.extend((position.offset, record) for position, record in update.records)
         cleared: list[AnswerReport | None] = []
-        for offset, record in update.records:
+        for position, record in records:
             if isinstance(record, LimitReport):
                 self._log_limit(self._limits.apply(record, now))
                 continue
-            for change in self._parts.apply(record, offset, now):
+            for change in self._parts.apply(record, position, now):
                 self._log_change(change)
             if isinstance(record, CrashReport):
                 cleared.append(self._parts.answered_parts(record))
         for report in dict.fromkeys(cleared):
             self._report(report)
-        self._offset = update.next
+        self._position = update.next
         self._failing = False
 
+    def _appended_since(self, update: ReportUpdate) -> tuple[tuple[Position, EndpointReport], ...]:
+        """Return the records that were appended after the store was restored from an older copy.
+
+        Those before them were read before, at the same offsets.
+        """
+        known = dict(self._remembered)
+        for number, (position, record) in enumerate(update.records):
+            if known.get(position.offset) != record:
+                return update.records[number:]
+        return ()
+
     def _log_change(self, change: PartChange) -> None:
         self._decisions.warning(
             "part refused" if change.refused else "part allowed",
--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 from result import Err, Ok
 
+from mulberrycleat.core import START, Position
 from mulberrycleat.endpoint.directory import Directory
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.settings import EntryTimes, FleetRequirements
@@ -15,6 +16,10 @@
 
 __all__ = ["DirectoryFeed", "MapFeed"]
 
+# Reads after the start, and after the store was restored from an older copy, with which the other
+# hosts are asked for the route map that they know; several, as not all hosts are known at once.
+RECALLS = 3
+
 
 class MapFeed:
     """Reads route maps from the store and provides the active one, whose version never decreases.
@@ -31,6 +36,11 @@
         Log of new versions and failures.
     on_change : callable
         Called with each new table before any request is routed by it.
+    on_restored : callable, optional
+        Called after the store was found to have been restored from an older copy.
+    recall : callable, optional
+        Asks the other hosts for the newest route map that they know. After the store was restored
+        from an older copy, they may know a newer one than the store.
     """
 
     def __init__(
@@ -40,13 +50,18 @@
         bounds: Callable[[], FleetRequirements],
         decisions: DecisionLog,
         on_change: Callable[[RouteTable], None],
+        on_restored: Callable[[], None] = lambda: None,
+        recall: Callable[[], Awaitable[MapUpdate | None]] | None = None,
     ) -> None:
         self._store = store
         self._times = times
         self._bounds = bounds
         self._decisions = decisions
         self._on_change = on_change
-        self._offset: int | None = None
+        self._on_restored = on_restored
+        self._recall = recall
+        self._recalls_left = RECALLS
+        self._position: Position | None = None
         self._table: RouteTable | None = None
         self._read_at = float("-inf")
 
@@ -69,14 +84,18 @@
         while True:
             began = trio.current_time()
             wait_s = self._bounds().map_wait_s if self._table is not None else 0.0
-            match await self._store.read_map(self._offset, wait_s):
+            if self._recalls_left:
+                wait_s = 0.0
+            match await self._store.read_map(self._position, wait_s):
                 case Ok(update):
                     self._apply(update)
+                    await self._recall_map()
                     # A read through another host does not wait for a new map.
                     unwaited = update.route_map is None and (
                         trio.current_time() - began < wait_s / 2
                     )
-                    if self._table is None or update.next is None or unwaited:
+                    pauses = unwaited or self._recalls_left > 0
+                    if self._table is None or update.next is None or pauses:
                         await trio.sleep(self._times.outage_retry_interval_s)
                 case Err(error):
                     age_s = round(trio.current_time() - self._read_at, 3)
@@ -97,7 +116,20 @@
             )
         # After an unexpected error above, the update is read once more.
         if update.next is not None:
-            self._offset = update.next
+            if self._position is not None and update.next.era > self._position.era:
+                self._recalls_left = RECALLS
+                self._decisions.warning("store restored", peer="store", era=update.next.era)
+                self._on_restored()
+            self._position = update.next
+
+    async def _recall_map(self) -> None:
+        """Make a newer route map that another host knows the active one, if a recall is due."""
+        if not self._recalls_left:
+            return
+        self._recalls_left -= 1
+        recalled = await self._recall() if self._recall is not None else None
+        if recalled is not None and recalled.route_map is not None:
+            self._apply(recalled)
 
     @property
     def _version(self) -> int:
@@ -138,7 +170,8 @@
         self._bounds = bounds
         self._decisions = decisions
         self._on_change = on_change
-        self._offset: int | None = None
+        self._position: Position | None = None
+        self._beats_lost = 0
         self._read = False
         self._failing = False
         self._read_at = float("-inf")
@@ -155,8 +188,11 @@
 
     @property
     def beats(self) -> int:
-        """Number of heartbeats that the store had accepted by the latest read: the next offset."""
-        return self._offset or 0
+        """Number of heartbeats that the store had accepted by the latest read.
+
+        It counts those too that the store has lost since.
+        """
+        return self._beats_lost + (self._position or START).offset
 
     def snapshot(self) -> DirectoryUpdate | None:
         """Return all entries as a snapshot for another host, None before the first read."""
@@ -168,7 +204,7 @@
     async def run(self) -> None:
         """Read changes of the endpoints' entries until cancelled."""
         while True:
-            match await self._store.read_entries(self._offset):
+            match await self._store.read_entries(self._position):
                 case Ok(update):
                     self._apply(update)
                     await trio.sleep(self._bounds().directory_read_interval_s)
@@ -188,7 +224,7 @@
         before = {i: e.state for i, e in self._directory.entries.items()}
         if update.is_snapshot:
             entries = [entry for _, entry in update.changes if entry is not None]
-            self._directory.replace(entries, now)
+            self._directory.replace(entries, now, may_be_older=self._may_be_older(update))
         else:
             for entry_id, entry in update.changes:
                 if entry is None:
@@ -199,9 +235,21 @@
         self._failing, self._read = False, True
         # After an unexpected error above, the update is read once more.
         if update.next is not None:
-            self._offset = update.next
+            if self._position is not None and update.next.era > self._position.era:
+                self._beats_lost += self._position.offset - update.next.offset
+            self._position = update.next
         self._report_changes(before)
 
+    def _may_be_older(self, update: DirectoryUpdate) -> bool:
+        """Whether entries of a snapshot may be older than those known here.
+
+        They may be if they come from another host's memory, or from a store that was restored from
+        an older copy.
+        """
+        if update.next is None:
+            return self._read
+        return self._position is not None and update.next.era > self._position.era
+
     def _report_changes(self, before: dict) -> None:
         """Log each change of an endpoint's state, and call `on_change` if there are any.
 
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -8,7 +8,7 @@
 import trio
 from result import Err, Ok, Result
 
-from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
+from mulberrycleat.core import MayHaveRun, NotRun, Position, Refusal, Served, Step
 from mulberrycleat.endpoint.placer import Placement
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.decisions import DecisionLog
@@ -103,8 +103,8 @@
     ----------
     sent_at : float
         When it began, in seconds on trio's clock.
-    read_to : int
-        Offset to which the hosts' reports had been read then.
+    read_to : Position
+        Position to which the hosts' reports had been read then.
     answered : bool
         Whether an answer has begun.
     limit_per_s : float or None
@@ -113,7 +113,7 @@
 
     placement: Placement
     sent_at: float
-    read_to: int
+    read_to: Position
     answered: bool = False
     limit_per_s: float | None = None
 
--- a/mulberrycleat/entry/final_records.py
+++ b/mulberrycleat/entry/final_records.py
@@ -1,4 +1,4 @@
-"""Final records of hosts that stopped while they could not reach the store."""
+"""Records that hosts hand to each other because the store may not have them."""
 
 from __future__ import annotations
 
@@ -19,17 +19,30 @@
 
 
 class _FinalRecordRequest(msgspec.Struct):
-    """Request for the final record of a host's incarnation."""
+    """Request for a later record of a host than one that is known.
+
+    Attributes
+    ----------
+    host : str
+        Name of the host.
+    known : HolderRecord or None
+        Its latest record in the store, None if there is none.
+    """
 
     host: str
-    incarnation: str
+    known: HolderRecord | None
 
 
 class FinalRecords:
-    """Hands a stopping host's final record to other hosts, which keep it for its next incarnation.
+    """Hands a host's record to other hosts, which keep it for its next incarnation.
+
+    A host that stops while it can't reach the store hands over its final record. Without that
+    record, the next incarnation would have to count as spent all tokens by which the slices could
+    have grown.
 
-    Without that record, the next incarnation would have to count as spent all tokens by which the
-    slices could have grown.
+    The store may be restored from an older copy, and a host may die before it has written its
+    record again. So each record is handed to one other host, and the latest one to all other hosts
+    when the store is lost.
 
     Parameters
     ----------
@@ -59,7 +72,6 @@
         self._other_addresses = other_addresses
         self._decisions = decisions
         self._fetched = False
-        self._records: dict[str, HolderRecord] = {}
 
     def routes(self) -> tuple[Route, ...]:
         """Return the HTTP routes that serve other hosts."""
@@ -68,24 +80,29 @@
             Route("POST", self._path, self._serve_record),
         )
 
-    async def hand_over(self, record: HolderRecord) -> None:
-        """Send this incarnation's final record to the other hosts."""
+    async def hand_over(self, record: HolderRecord, addresses: Sequence[str] | None = None) -> None:
+        """Send a record of this incarnation to some hosts, or to all other hosts."""
         body = msgspec.msgpack.encode(record)
         async with trio.open_nursery() as nursery:
-            for peer in self._other_addresses():
+            for peer in self._other_addresses() if addresses is None else addresses:
                 nursery.start_soon(self._peers.call, "PUT", peer, self._path, body)
 
     async def fetch(self) -> None:
-        """Request the previous incarnation's final record from the other hosts, at most once.
+        """Request the previous incarnation's latest record from the other hosts, at most once.
 
-        Nothing is requested if the store has no record of an earlier incarnation, has its final
-        record, or already has a record of this incarnation.
+        Nothing is requested if the store has a record of this incarnation, or the final record of
+        the earlier one, or if it never had one.
         """
-        before = self._allowance.ledger.records.get(self._allowance.host)
-        if before is None or before.ended or self._allowance.joined or self._fetched:
+        ledger = self._allowance.ledger
+        before = ledger.records.get(self._allowance.host)
+        if self._allowance.joined or self._fetched:
+            return
+        if before is None and ledger.end.era == 0:
+            return
+        if before is not None and before.ended and before.era == ledger.end.era:
             return
         self._fetched = True
-        body = msgspec.msgpack.encode(_FinalRecordRequest(before.host, before.incarnation))
+        body = msgspec.msgpack.encode(_FinalRecordRequest(self._allowance.host, before))
         async with trio.open_nursery() as nursery:
             for peer in self._other_addresses():
                 nursery.start_soon(self._fetch_from, peer, body)
@@ -100,15 +117,16 @@
             self._decisions.warning("last word unreadable", peer=peer, why=str(error))
             return
         self._decisions.info("last word received", peer=peer, number=record.number)
-        self._allowance.adopt_final_record(record)
+        self._allowance.adopt_record(record)
 
     async def _store_record(self, request: Request, responder: Responder) -> Reply:
         try:
             record = msgspec.msgpack.decode(request.body, type=HolderRecord)
         except msgspec.DecodeError as error:
             return Reply(400, str(error).encode())
-        self._records[record.host] = record
-        self._decisions.info("last word kept", peer=record.host, number=record.number)
+        self._allowance.ledger.keep(record)
+        if record.ended:
+            self._decisions.info("last word kept", peer=record.host, number=record.number)
         return Reply(204)
 
     async def _serve_record(self, request: Request, responder: Responder) -> Reply:
@@ -116,7 +134,5 @@
             asked = msgspec.msgpack.decode(request.body, type=_FinalRecordRequest)
         except msgspec.DecodeError as error:
             return Reply(400, str(error).encode())
-        record = self._records.get(asked.host)
-        if record is None or record.incarnation != asked.incarnation:
-            return Reply(404)
-        return Reply(200, msgspec.msgpack.encode(record))
+        record = self._allowance.ledger.later_record(asked.host, asked.known)
+        return Reply(404) if record is None else Reply(200, msgspec.msgpack.encode(record))
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -10,7 +10,7 @@
 import trio
 from result import Err, Ok, Result
 
-from mulberrycleat.core import PeerError, Step
+from mulberrycleat.core import PeerError, Position, Step
 from mulberrycleat.endpoint.reports import EndpointReport
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.decisions import DecisionLog
@@ -48,7 +48,7 @@
 class _CallArguments(msgspec.Struct):
     """Arguments of a relayed call; which of them are used depends on the call."""
 
-    offset: int | None = None
+    position: Position | None = None
     record: HolderRecord | None = None
     entry: HostEntry | None = None
     shard: Annotated[int, msgspec.Meta(ge=0, lt=SHARDS)] = 0
@@ -107,31 +107,53 @@
         """Number of calls to the store sent through other hosts so far."""
         return self._relayed
 
-    async def read_map(self, offset: int | None, wait_s: float) -> Result[MapUpdate, PeerError]:
-        """Return the newest route map since `offset`."""
-        arguments = _CallArguments(offset)
+    async def read_map(
+        self, position: Position | None, wait_s: float
+    ) -> Result[MapUpdate, PeerError]:
+        """Return the newest route map since `position`."""
+        arguments = _CallArguments(position)
         return await self._call(
-            lambda: self._inner.read_map(offset, wait_s), "read_map", arguments, MapUpdate
+            lambda: self._inner.read_map(position, wait_s), "read_map", arguments, MapUpdate
         )
 
-    async def read_entries(self, offset: int | None) -> Result[DirectoryUpdate, PeerError]:
-        """Return changes of the endpoints' entries since `offset`."""
-        arguments = _CallArguments(offset)
+    async def recall_map(self) -> MapUpdate | None:
+        """Return the newest route map that one of some other hosts knows, None if none answers."""
+        peers = list(self._peers())
+        self._random.shuffle(peers)
+        found: list[MapUpdate] = []
+
+        async def ask(peer: str) -> None:
+            match await self._ask_peer(peer, "known_map", _CallArguments(), MapUpdate):
+                case Ok(update):
+                    found.append(update)
+                case Err(error):
+                    self._decisions.info("route map not recalled", peer=peer, why=str(error))
+
+        async with trio.open_nursery() as nursery:
+            for peer in peers[:MEMORY_ATTEMPTS]:
+                nursery.start_soon(ask, peer)
+        return max(found, key=_version_of, default=None)
+
+    async def read_entries(self, position: Position | None) -> Result[DirectoryUpdate, PeerError]:
+        """Return changes of the endpoints' entries since `position`."""
+        arguments = _CallArguments(position)
         return await self._call(
-            lambda: self._inner.read_entries(offset), "read_entries", arguments, DirectoryUpdate
+            lambda: self._inner.read_entries(position), "read_entries", arguments, DirectoryUpdate
         )
 
-    async def read_slices(self, shard: int, offset: int | None) -> Result[RecordUpdate, PeerError]:
-        """Return records of the hosts' slices of a shard since `offset`."""
-        arguments = _CallArguments(offset, shard=shard)
+    async def read_slices(
+        self, shard: int, position: Position | None
+    ) -> Result[RecordUpdate, PeerError]:
+        """Return records of the hosts' slices of a shard since `position`."""
+        arguments = _CallArguments(position, shard=shard)
         return await self._call(
-            lambda: self._inner.read_slices(shard, offset), "read_slices", arguments, RecordUpdate
+            lambda: self._inner.read_slices(shard, position), "read_slices", arguments, RecordUpdate
         )
 
     async def append_slices(
-        self, shard: int, record: HolderRecord, at: int
+        self, shard: int, record: HolderRecord, at: Position
     ) -> Result[AppendOutcome, PeerError]:
-        """Append a record on condition that the log of the shard ends at offset `at`."""
+        """Append a record on condition that the log of the shard ends at position `at`."""
         arguments = _CallArguments(at, record, shard=shard)
         return await self._call(
             lambda: self._inner.append_slices(shard, record, at),
@@ -140,11 +162,11 @@
             AppendOutcome,
         )
 
-    async def read_hosts(self, offset: int | None) -> Result[HostUpdate, PeerError]:
-        """Return the entries of entry hosts appended since `offset`."""
-        arguments = _CallArguments(offset)
+    async def read_hosts(self, position: Position | None) -> Result[HostUpdate, PeerError]:
+        """Return the entries of entry hosts appended since `position`."""
+        arguments = _CallArguments(position)
         return await self._call(
-            lambda: self._inner.read_hosts(offset), "read_hosts", arguments, HostUpdate
+            lambda: self._inner.read_hosts(position), "read_hosts", arguments, HostUpdate
         )
 
     async def append_host(self, entry: HostEntry) -> Result[AppendOutcome, PeerError]:
@@ -154,16 +176,18 @@
             lambda: self._inner.append_host(entry), "append_host", arguments, AppendOutcome
         )
 
-    async def read_reports(self, offset: int, wait_s: float) -> Result[ReportUpdate, PeerError]:
-        """Return reports on endpoints since `offset`.
+    async def read_reports(
+        self, position: Position, wait_s: float
+    ) -> Result[ReportUpdate, PeerError]:
+        """Return reports on endpoints since `position`.
 
         Calls through other hosts don't wait for a report, nor do those that find out whether the
         store is in reach again.
         """
-        arguments = _CallArguments(offset)
+        arguments = _CallArguments(position)
         wait_s = 0.0 if self.lost else wait_s
         return await self._call(
-            lambda: self._inner.read_reports(offset, wait_s),
+            lambda: self._inner.read_reports(position, wait_s),
             "read_reports",
             arguments,
             ReportUpdate,
@@ -215,40 +239,47 @@
         last = first or Err(PeerError(Step.CALL, "store", "store unreachable", False))
         peers = list(self._peers())
         self._random.shuffle(peers)
-        body = msgspec.msgpack.encode(arguments)
         for number, peer in enumerate(peers):
             if number >= (MEMORY_ATTEMPTS if remembered else RELAY_ATTEMPTS):
                 break
-            self._relayed += 1
-            outcome = await self._client.request(
-                "POST",
-                f"http://{peer}/store/{call}",
-                body,
-                {"content-type": MESSAGE_TYPE},
-                RELAY_TIMEOUT_S,
-                Step.CALL,
-                RELAY_TIMEOUT_S,
-            )
-            match outcome:
-                case Ok(answer) if answer.status == 200:
-                    try:
-                        update = msgspec.msgpack.decode(answer.body, type=kind)
-                    except msgspec.DecodeError as error:
-                        last = Err(PeerError(Step.CALL, peer, f"{call}: {error}"))
-                        continue
-                    if not _is_from_memory(update):
-                        return Ok(update)
+            match await self._ask_peer(peer, call, arguments, kind):
+                case Ok(update) if not _is_from_memory(update):
+                    return Ok(update)
+                case Ok(update):
                     remembered.append(update)
-                case Ok(answer):
-                    # With 503, the other host states that the store has not received the call.
-                    sent = answer.status != 503
-                    last = Err(PeerError(Step.CALL, peer, f"{call}: {answer.status}", sent))
-                case Err(error):
-                    last = Err(error)
+                case Err(_) as last:
+                    pass
             if call == "append_slices" and isinstance(last, Err) and last.err_value.sent:
                 return last
         return Ok(max(remembered, key=_version_of)) if remembered else last
 
+    async def _ask_peer(
+        self, peer: str, call: str, arguments: _CallArguments, kind: type[T]
+    ) -> Result[T, PeerError]:
+        """Send a call to another host and decode the answer."""
+        self._relayed += 1
+        outcome = await self._client.request(
+            "POST",
+            f"http://{peer}/store/{call}",
+            msgspec.msgpack.encode(arguments),
+            {"content-type": MESSAGE_TYPE},
+            RELAY_TIMEOUT_S,
+            Step.CALL,
+            RELAY_TIMEOUT_S,
+        )
+        match outcome:
+            case Ok(answer) if answer.status == 200:
+                try:
+                    return Ok(msgspec.msgpack.decode(answer.body, type=kind))
+                except msgspec.DecodeError as error:
+                    return Err(PeerError(Step.CALL, peer, f"{call}: {error}"))
+            case Ok(answer):
+                # With 503, the other host states that the store has not received the call.
+                sent = answer.status != 503
+                return Err(PeerError(Step.CALL, peer, f"{call}: {answer.status}", sent))
+            case Err(error):
+                return Err(error)
+
     def _update_reachability(self, outcome: Result[Any, PeerError]) -> None:
         """Log the start or the end of an outage, as shown by the outcome of a direct call."""
         now = trio.current_time()
@@ -317,30 +348,32 @@
         inner, lost = self._store.inner, self._store.lost
         unreachable = Err(PeerError(Step.CALL, "store", "out of reach of this host too", False))
         match call:
+            case "known_map":
+                return _ok_or(self._known_map(), unreachable)
             case "read_map" if lost:
                 return _ok_or(self._known_map(), unreachable)
             case "read_map":
-                return await inner.read_map(arguments.offset, 0.0)
+                return await inner.read_map(arguments.position, 0.0)
             case "read_entries" if lost:
                 return _ok_or(self._known_entries(), unreachable)
             case "read_entries":
-                return await inner.read_entries(arguments.offset)
+                return await inner.read_entries(arguments.position)
             case "read_hosts" if lost:
                 return _ok_or(self._known_hosts(), unreachable)
             case "read_hosts":
-                return await inner.read_hosts(arguments.offset)
+                return await inner.read_hosts(arguments.position)
             case "append_host" if not lost and arguments.entry is not None:
                 return await inner.append_host(arguments.entry)
             case "read_slices" if not lost:
-                return await inner.read_slices(arguments.shard, arguments.offset)
+                return await inner.read_slices(arguments.shard, arguments.position)
             case "append_slices" if (
-                not lost and arguments.record is not None and arguments.offset is not None
+                not lost and arguments.record is not None and arguments.position is not None
             ):
                 return await inner.append_slices(
-                    arguments.shard, arguments.record, arguments.offset
+                    arguments.shard, arguments.record, arguments.position
                 )
-            case "read_reports" if not lost and arguments.offset is not None:
-                return await inner.read_reports(arguments.offset, 0.0)
+            case "read_reports" if not lost and arguments.position is not None:
+                return await inner.read_reports(arguments.position, 0.0)
             case "append_reports" if not lost and arguments.reports:
                 return await inner.append_reports(arguments.host, arguments.reports)
             case (
--- a/mulberrycleat/entry/roster.py
+++ b/mulberrycleat/entry/roster.py
@@ -7,6 +7,7 @@
 import trio
 from result import Err, Ok
 
+from mulberrycleat.core import Position
 from mulberrycleat.entry.coordinators import CoordinatorMap, HostEntry
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.store import HostUpdate, StateStore
@@ -49,7 +50,7 @@
         self._decisions = decisions
         self._on_change = on_change
         self._map = CoordinatorMap(entry.host, entry.zone)
-        self._offset: int | None = None
+        self._position: Position | None = None
         self._announced_at = float("-inf")
         self._number = 0
         self._settled = False
@@ -106,7 +107,7 @@
                 self._log_failure("announce", str(error))
 
     async def _read(self) -> None:
-        match await self._store.read_hosts(self._offset):
+        match await self._store.read_hosts(self._position):
             case Ok(update):
                 self._apply(update)
             case Err(error):
@@ -124,7 +125,10 @@
         # A roster from another host's memory may be outdated, and is read again soon.
         from_store = update.next is not None
         if from_store:
-            self._offset = update.next
+            if self._position is not None and update.next.era > self._position.era:
+                # The store may have lost the announcement.
+                self._announced_at = float("-inf")
+            self._position = update.next
             self._failing = False
         self._settled = self._settled or (bool(self._map.entries) and from_store and not changed)
 
--- a/mulberrycleat/entry/shards.py
+++ b/mulberrycleat/entry/shards.py
@@ -71,6 +71,11 @@
         for controller in self._controllers:
             controller.update_roles()
 
+    def store_restored(self) -> None:
+        """Read the ledgers again soon: the store was restored from an older copy."""
+        for controller in self._controllers:
+            controller.store_restored()
+
     async def reserve(self, account: str, tokens: int, deadline: float) -> Grant:
         """Reserve tokens for a request; see :meth:`SliceController.reserve`."""
         return await self.controller(account).reserve(account, tokens, deadline)
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -16,6 +16,7 @@
 import trio
 from result import Err, Ok
 
+from mulberrycleat.core import Position
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.demand_exchange import DemandExchange
 from mulberrycleat.entry.final_records import FinalRecords
@@ -34,6 +35,7 @@
     Allowance,
     ClockReading,
     Grant,
+    HolderRecord,
     ReservationStatus,
     Role,
 )
@@ -131,7 +133,11 @@
         self._times = times
         self._decisions = decisions
         self._random = random
-        self._offset: int | None = None
+        self._position: Position | None = None
+        self._restored = False
+        self._hand_over_due = False
+        self._unwitnessed: HolderRecord | None = None
+        self._is_witnessing = False
         self._wake = trio.Event()
         self._cycle_ended = trio.Event()
         self._awaited = 0
@@ -339,16 +345,20 @@
 
     async def run(self) -> None:
         """Read the ledger and write records until `end` is called, then write the final record."""
-        while not self._stopping:
-            await self._cycle()
-            cycle_ended, self._cycle_ended = self._cycle_ended, trio.Event()
-            cycle_ended.set()
-            await trio.sleep(MIN_CYCLE_INTERVAL_S)
-            active = self._participates()
-            check_s = self._times.slice_check_interval_s if active else DORMANT_CHECK_INTERVAL_S
-            with trio.move_on_after(check_s):
-                await self._wake.wait()
-            self._wake = trio.Event()
+        async with trio.open_nursery() as nursery:
+            while not self._stopping:
+                await self._cycle()
+                await self._hand_over_records()
+                if self._unwitnessed is not None and not self._is_witnessing:
+                    nursery.start_soon(self._send_to_witness)
+                cycle_ended, self._cycle_ended = self._cycle_ended, trio.Event()
+                cycle_ended.set()
+                await trio.sleep(MIN_CYCLE_INTERVAL_S)
+                active = self._participates()
+                check_s = self._times.slice_check_interval_s if active else DORMANT_CHECK_INTERVAL_S
+                with trio.move_on_after(check_s):
+                    await self._wake.wait()
+                self._wake = trio.Event()
         await self._write_final_record()
 
     async def end(self) -> None:
@@ -380,11 +390,14 @@
 
     async def _cycle(self) -> None:
         """Append a record if one is needed; otherwise read the ledger if a read is due."""
-        if self._offset is None and not await self._read_ledger():
-            return
+        if self._position is None or self._restored:
+            if not await self._read_ledger():
+                return
+            self._restored = False
         if not self._participates():
             return
         appended = await self._append_record()
+        await self._rewrite_lost_records()
         if not appended and trio.current_time() - self._read_at >= IDLE_READ_INTERVAL_S:
             await self._read_ledger()
 
@@ -403,10 +416,11 @@
             match await self._store.append_slices(self._shard, record, self._allowance.ledger.end):
                 case Ok(outcome) if outcome.done:
                     self._log_stranded()
-                    self._allowance.record_appended(record, outcome.offset, self._clock_reading())
-                    self._offset = self._allowance.ledger.end
+                    self._allowance.record_appended(record, outcome.position, self._clock_reading())
+                    self._position = self._allowance.ledger.end
                     self._written_at = self._read_at = trio.current_time()
                     self._set_store_connected(True, "")
+                    self._unwitnessed = record
                     self._decisions.info("slices recorded", number=record.number)
                     return True
                 case Ok(_):
@@ -426,15 +440,67 @@
         self._decisions.warning("slices not recorded", tries=APPEND_ATTEMPTS)
         return False
 
+    async def _rewrite_lost_records(self) -> None:
+        """Append records of other hosts that the store has lost, and that they may not write again.
+
+        Their hosts may have died, and hosts that start know only what the store has.
+        """
+        ledger = self._allowance.ledger
+        while lost := [r for r in ledger.lost_records if r.host != self._allowance.host]:
+            match await self._store.append_slices(self._shard, lost[0], ledger.end):
+                case Ok(outcome) if outcome.done:
+                    ledger.apply_records([lost[0]], outcome.position.after())
+                    self._position = ledger.end
+                    self._decisions.warning(
+                        "record restored",
+                        of=lost[0].host,
+                        number=lost[0].number,
+                        era=ledger.end.era,
+                    )
+                case Ok(_):
+                    await trio.sleep(self._random.uniform(0, CONFLICT_PAUSE_S))
+                    if not await self._read_ledger():
+                        return
+                case Err(error):
+                    self._set_store_connected(False, str(error))
+                    return
+
+    async def _send_to_witness(self) -> None:
+        """Hand this host's records to another host until it has the latest one."""
+        self._is_witnessing = True
+        coordinators = self._roster.coordinators
+        while self._unwitnessed is not None:
+            record, self._unwitnessed = self._unwitnessed, None
+            witness = coordinators.witness(self._shard)
+            if witness is not None:
+                addresses = coordinators.addresses_of([witness])
+                await self._final_records.hand_over(record, addresses)
+        self._is_witnessing = False
+
+    async def _hand_over_records(self) -> None:
+        """Hand this host's record, and those it was handed, to the others after the store was lost.
+
+        The store may be restored from a copy without them, and this host may die meanwhile.
+        """
+        if not self._hand_over_due:
+            return
+        self._hand_over_due = False
+        ledger = self._allowance.ledger
+        record = ledger.records.get(self._allowance.host)
+        is_own = record is not None and record.incarnation == self._allowance.incarnation
+        async with trio.open_nursery() as nursery:
+            for found in (*ledger.handed_over, *([record] if is_own else ())):
+                nursery.start_soon(self._final_records.hand_over, found)
+
     async def _read_ledger(self) -> bool:
         """Read the records appended since the last read; return whether the store answered."""
-        match await self._store.read_slices(self._shard, self._offset):
+        match await self._store.read_slices(self._shard, self._position):
             case Ok(update):
                 for fault in update.faults:
                     self._decisions.warning("record unreadable", why=fault)
                 if update.next is not None:
                     self._allowance.ledger.apply_records(
-                        update.records, update.next, update.is_snapshot
+                        update.records, update.next, update.is_snapshot, trio.current_time()
                     )
                     await self._final_records.fetch()
                     was_superseded = self._allowance.superseded
@@ -444,7 +510,7 @@
                             "superseded", peer="store", why="a later incarnation has a record"
                         )
                     # After an unexpected error above, the records are read once more.
-                    self._offset = update.next
+                    self._position = update.next
                 self._read_at = trio.current_time()
                 self._set_store_connected(True, "")
                 self._ledger_read = True
@@ -461,6 +527,7 @@
         return (
             self._is_coordinator()
             or self._allowance.holds_tokens
+            or self._allowance.must_restate
             or self._awaited > 0
             or not self._store_connected
         )
@@ -487,6 +554,11 @@
         """Return the addresses of the other hosts that can be coordinators."""
         return self._roster.coordinators.addresses_of(self._roster.coordinators.candidates)
 
+    def store_restored(self) -> None:
+        """Read the ledger again soon: the store was restored from an older copy."""
+        self._restored = True
+        self._wake.set()
+
     def update_roles(self) -> None:
         """Apply a change of the active hosts."""
         coordinators = self._roster.coordinators
@@ -518,4 +590,5 @@
         if in_touch != self._store_connected:
             kind = "ledger regained" if in_touch else "ledger lost"
             self._decisions.warning(kind, peer="store", why=why)
+            self._hand_over_due = not in_touch
         self._store_connected = in_touch
--- a/mulberrycleat/entry/store.py
+++ b/mulberrycleat/entry/store.py
@@ -6,7 +6,7 @@
 
 from result import Result
 
-from mulberrycleat.core import PeerError
+from mulberrycleat.core import PeerError, Position
 from mulberrycleat.endpoint.directory import Entry
 from mulberrycleat.endpoint.reports import EndpointReport
 from mulberrycleat.entry.coordinators import HostEntry
@@ -29,15 +29,15 @@
 
     Attributes
     ----------
-    next : int or None
-        Offset to read from next; None if the route map comes from another host's memory.
+    next : Position or None
+        Position to read from next; None if the route map comes from another host's memory.
     route_map : RouteMap or None
         Newest route map, None if there is no new one.
     faults : tuple of str
         Descriptions of what could not be decoded.
     """
 
-    next: int | None
+    next: Position | None
     route_map: RouteMap | None
     faults: tuple[str, ...] = ()
 
@@ -47,8 +47,8 @@
 
     Attributes
     ----------
-    next : int or None
-        Offset to read from next; None if the entries come from another host's memory.
+    next : Position or None
+        Position to read from next; None if the entries come from another host's memory.
     is_snapshot : bool
         Whether `changes` is a snapshot of all entries, rather than an update.
     changes : tuple of (str, Entry or None)
@@ -60,7 +60,7 @@
         Descriptions of what could not be decoded.
     """
 
-    next: int | None
+    next: Position | None
     is_snapshot: bool
     changes: tuple[tuple[str, Entry | None], ...]
     lost: bool = False
@@ -72,8 +72,8 @@
 
     Attributes
     ----------
-    next : int or None
-        Offset to read from next; None leaves the ledger as it is.
+    next : Position or None
+        Position to read from next; None leaves the ledger as it is.
     is_snapshot : bool
         Whether `records` is a snapshot with the newest record of each host, rather than an update.
     records : tuple of HolderRecord
@@ -82,7 +82,7 @@
         Descriptions of what could not be decoded.
     """
 
-    next: int | None
+    next: Position | None
     is_snapshot: bool
     records: tuple[HolderRecord, ...]
     faults: tuple[str, ...] = ()
@@ -93,8 +93,8 @@
 
     Attributes
     ----------
-    next : int or None
-        Offset to read from next; None if the entries come from another host's memory.
+    next : Position or None
+        Position to read from next; None if the entries come from another host's memory.
     is_snapshot : bool
         Whether `entries` has the newest entry of each host, rather than an update.
     entries : tuple of HostEntry
@@ -103,7 +103,7 @@
         Descriptions of what could not be decoded.
     """
 
-    next: int | None
+    next: Position | None
     is_snapshot: bool
     entries: tuple[HostEntry, ...]
     faults: tuple[str, ...] = ()
@@ -114,16 +114,16 @@
 
     Attributes
     ----------
-    next : int
-        Offset to read from next.
-    records : tuple of (int, EndpointReport)
-        Offsets and records, in the order of the store.
+    next : Position
+        Position to read from next.
+    records : tuple of (Position, EndpointReport)
+        Positions and records, in the order of the store.
     faults : tuple of str
         Descriptions of what could not be decoded.
     """
 
-    next: int
-    records: tuple[tuple[int, EndpointReport], ...]
+    next: Position
+    records: tuple[tuple[Position, EndpointReport], ...]
     faults: tuple[str, ...] = ()
 
 
@@ -134,48 +134,58 @@
     ----------
     done : bool
         Whether the record was appended.
-    offset : int
-        Offset of the record, or of the end of the log if the record was not appended.
+    position : Position
+        Position of the record, or of the end of the log if the record was not appended.
     """
 
     done: bool
-    offset: int
+    position: Position
 
 
 class StateStore(Protocol):
-    """The platform's store. Reads take the offset to read from, None for a first read.
+    """The platform's store. Reads take the position to read from, None for a first read.
+
+    The store may be restored from an older copy. Positions from before that are not valid any more:
+    a read from one of them returns a snapshot, or all reports that are kept, and nothing is
+    appended at one of them.
 
     A call whose answer is missing or unusable returns a :class:`~mulberrycleat.core.PeerError`.
     """
 
-    async def read_map(self, offset: int | None, wait_s: float) -> Result[MapUpdate, PeerError]:
-        """Return the newest route map since `offset`, waiting up to `wait_s` seconds for one."""
+    async def read_map(
+        self, position: Position | None, wait_s: float
+    ) -> Result[MapUpdate, PeerError]:
+        """Return the newest route map since `position`, waiting up to `wait_s` seconds for one."""
         ...
 
-    async def read_entries(self, offset: int | None) -> Result[DirectoryUpdate, PeerError]:
-        """Return changes of the endpoints' entries since `offset`."""
+    async def read_entries(self, position: Position | None) -> Result[DirectoryUpdate, PeerError]:
+        """Return changes of the endpoints' entries since `position`."""
         ...
 
-    async def read_slices(self, shard: int, offset: int | None) -> Result[RecordUpdate, PeerError]:
-        """Return records of the hosts' slices of a shard since `offset`."""
+    async def read_slices(
+        self, shard: int, position: Position | None
+    ) -> Result[RecordUpdate, PeerError]:
+        """Return records of the hosts' slices of a shard since `position`."""
         ...
 
     async def append_slices(
-        self, shard: int, record: HolderRecord, at: int
+        self, shard: int, record: HolderRecord, at: Position
     ) -> Result[AppendOutcome, PeerError]:
-        """Append a record on condition that the log of the shard ends at offset `at`."""
+        """Append a record on condition that the log of the shard ends at position `at`."""
         ...
 
-    async def read_hosts(self, offset: int | None) -> Result[HostUpdate, PeerError]:
-        """Return the entries of entry hosts appended since `offset`."""
+    async def read_hosts(self, position: Position | None) -> Result[HostUpdate, PeerError]:
+        """Return the entries of entry hosts appended since `position`."""
         ...
 
     async def append_host(self, entry: HostEntry) -> Result[AppendOutcome, PeerError]:
         """Append the entry of an entry host."""
         ...
 
-    async def read_reports(self, offset: int, wait_s: float) -> Result[ReportUpdate, PeerError]:
-        """Return reports on endpoints since `offset`, waiting up to `wait_s` seconds for one.
+    async def read_reports(
+        self, position: Position, wait_s: float
+    ) -> Result[ReportUpdate, PeerError]:
+        """Return reports on endpoints since `position`, waiting up to `wait_s` seconds for one.
 
         Reports that have expired are left out.
         """
--- a/mulberrycleat/entry/tests/test_feeds.py
+++ b/mulberrycleat/entry/tests/test_feeds.py
@@ -5,6 +5,7 @@
 import trio
 from result import Ok
 
+from mulberrycleat.core import Position
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.feeds import MapFeed
 from mulberrycleat.entry.settings import EntryTimes, FleetRequirements
@@ -23,12 +24,12 @@
         self.reads = 0
         self.newest = RouteMap(7)
 
-    async def read_map(self, offset, wait_s):
+    async def read_map(self, position, wait_s):
         """Return the newest route map, or none if it has been read before."""
         self.reads += 1
         await trio.sleep(CALL_S)
-        version = self.newest.version
-        return Ok(MapUpdate(version, None if offset == version else self.newest))
+        end = Position(0, self.newest.version)
+        return Ok(MapUpdate(end, None if position == end else self.newest))
 
 
 @fixture
--- a/mulberrycleat/entry/tests/test_relay.py
+++ b/mulberrycleat/entry/tests/test_relay.py
@@ -10,7 +10,7 @@
 import trio
 from result import Err
 
-from mulberrycleat.core import PeerError, Step
+from mulberrycleat.core import START, PeerError, Position, Step
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.relay import RelayedStore
 from mulberrycleat.entry.store import MapUpdate
@@ -24,11 +24,11 @@
     def __init__(self) -> None:
         self.waits: list[float] = []
 
-    async def read_map(self, offset, wait_s):
+    async def read_map(self, position, wait_s):
         """Return an error."""
         return Err(PeerError(Step.READ, "store", "no answer", sent=False))
 
-    async def read_reports(self, offset, wait_s):
+    async def read_reports(self, position, wait_s):
         """Note how long the call may wait, and return an error."""
         self.waits.append(wait_s)
         return Err(PeerError(Step.READ, "store", "no answer", sent=False))
@@ -74,10 +74,10 @@
     updates = {
         "a1:3": MapUpdate(None, RouteMap(9)),
         "a2:3": MapUpdate(None, RouteMap(9)),
-        "a3:3": MapUpdate(12, RouteMap(11)),
+        "a3:3": MapUpdate(Position(0, 12), RouteMap(11)),
     }
     found = [await read_map(updates, seed) for seed in range(20)]
-    assert {update.next for update in found} == {12}
+    assert {update.next for update in found} == {Position(0, 12)}
 
 
 async def test_reports_are_not_waited_for_while_the_store_is_out_of_reach():
@@ -87,6 +87,6 @@
         inner, RememberingPeers({}), lambda: (), DecisionLog(trio.current_time), Random(0)
     )
     for _ in range(3):
-        await store.read_reports(0, 2.0)
+        await store.read_reports(START, 2.0)
         await trio.sleep(1.0)
     assert inner.waits == [2.0, 0.0, 0.0]
--- a/mulberrycleat/entry/tests/test_transfers.py
+++ b/mulberrycleat/entry/tests/test_transfers.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from mulberrycleat.core import START
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.transfers import (
     TRANSFER_PATH,
@@ -110,7 +111,7 @@
     donor, taker = new_allowance("a"), new_allowance("b")
     donor.add_pending_demand("huts", 20 * TOKENS)
     record = donor.draft_record(0.0, ClockReading())
-    donor.record_appended(record, 0, ClockReading())
+    donor.record_appended(record, START, ClockReading())
     calls = DonorCalls(donor)
     client = TransferClient(taker, calls, DecisionLog(trio.current_time), SHARD)
     return Transfers(donor, calls, taker, client)
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from mulberrycleat.core import PeerError, Step
+from mulberrycleat.core import PeerError, Position, Step
 from mulberrycleat.endpoint.reports import EndpointReport
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.store import (
@@ -40,6 +40,8 @@
 REPORT_TOPIC = "endpoint-reports"
 PRECONDITION_FAILED, GONE, NOT_FOUND = 412, 410, 404
 MAX_READ_KB = 1024
+# The store raises this number in its answers each time that it is restored from an older copy.
+ERA_HEADER = "store-era"
 
 
 class _Item(msgspec.Struct):
@@ -83,11 +85,11 @@
 class _Changes(NamedTuple):
     """Records of a topic.
 
-    `next` is the offset to read from next. `snapshot` says whether `records` are the newest of each
-    key, `lost` whether the records since the requested offset have expired.
+    `next` is the position to read from next. `snapshot` says whether `records` are the newest of
+    each key, `lost` whether the store no longer has all records since the requested position.
     """
 
-    next: int
+    next: Position
     snapshot: bool
     records: tuple[_Record, ...]
     lost: bool = False
@@ -96,8 +98,8 @@
 class PlatformStore:
     """Reads and appends records of the store's log, converted to and from the project's types.
 
-    A read with offset None, or with an offset whose records have expired, returns the newest record
-    of each key.
+    A read with position None, or with one whose records have expired or that is from before the
+    store was restored from an older copy, returns the newest record of each key.
 
     Parameters
     ----------
@@ -114,15 +116,18 @@
         self._client = client
         self._timeout_s = timeout_s
         self._calls = 0
+        self._era = 0
 
     @property
     def calls(self) -> int:
         """Number of calls made so far."""
         return self._calls
 
-    async def read_map(self, offset: int | None, wait_s: float) -> Result[MapUpdate, PeerError]:
-        """Return the newest route map since `offset`, waiting for up to `wait_s` seconds."""
-        match await self._read_changes(ROUTE_MAP_TOPIC, offset, wait_s):
+    async def read_map(
+        self, position: Position | None, wait_s: float
+    ) -> Result[MapUpdate, PeerError]:
+        """Return the newest route map since `position`, waiting for up to `wait_s` seconds."""
+        match await self._read_changes(ROUTE_MAP_TOPIC, position, wait_s):
             case Err(error):
                 return Err(error)
             case Ok(changes):
@@ -139,9 +144,9 @@
                             faults.append(reason)
                 return Ok(MapUpdate(changes.next, newest, tuple(faults)))
 
-    async def read_entries(self, offset: int | None) -> Result[DirectoryUpdate, PeerError]:
-        """Return the changes of the servers' entries since `offset`."""
-        match await self._read_changes(ENTRY_TOPIC, offset):
+    async def read_entries(self, position: Position | None) -> Result[DirectoryUpdate, PeerError]:
+        """Return the changes of the servers' entries since `position`."""
+        match await self._read_changes(ENTRY_TOPIC, position):
             case Err(error):
                 return Err(error)
             case Ok(changes):
@@ -164,9 +169,9 @@
                     )
                 )
 
-    async def read_hosts(self, offset: int | None) -> Result[HostUpdate, PeerError]:
-        """Return the entries of entry hosts appended since `offset`."""
-        match await self._read_changes(HOST_TOPIC, offset):
+    async def read_hosts(self, position: Position | None) -> Result[HostUpdate, PeerError]:
+        """Return the entries of entry hosts appended since `position`."""
+        match await self._read_changes(HOST_TOPIC, position):
             case Err(error):
                 return Err(error)
             case Ok(changes):
@@ -178,9 +183,11 @@
         path = f"/log-append?topic={HOST_TOPIC}&part=0"
         return await self._append(path, entry.host, msgspec.msgpack.encode(entry))
 
-    async def read_slices(self, shard: int, offset: int | None) -> Result[RecordUpdate, PeerError]:
-        """Return the slice records of a shard appended since `offset`."""
-        match await self._read_changes(f"{SLICE_TOPIC}.{shard}", offset):
+    async def read_slices(
+        self, shard: int, position: Position | None
+    ) -> Result[RecordUpdate, PeerError]:
+        """Return the slice records of a shard appended since `position`."""
+        match await self._read_changes(f"{SLICE_TOPIC}.{shard}", position):
             case Err(error):
                 return Err(error)
             case Ok(changes):
@@ -188,33 +195,45 @@
                 return Ok(RecordUpdate(changes.next, changes.snapshot, records, faults))
 
     async def append_slices(
-        self, shard: int, record: HolderRecord, at: int
+        self, shard: int, record: HolderRecord, at: Position
     ) -> Result[AppendOutcome, PeerError]:
-        """Append a slice record if the topic of the shard still ends at offset `at`."""
-        path = f"/log-append?topic={SLICE_TOPIC}.{shard}&part=0&at={at}"
-        return await self._append(path, record.host, msgspec.msgpack.encode(record))
+        """Append a slice record if the topic of the shard still ends at position `at`."""
+        if at.era < self._era:
+            return Ok(AppendOutcome(False, Position(self._era, 0)))
+        path = f"/log-append?topic={SLICE_TOPIC}.{shard}&part=0&at={at.offset}"
+        outcome = await self._append(path, record.host, msgspec.msgpack.encode(record))
+        # In another era, the record may follow others than those before `at`.
+        return outcome.map(
+            lambda found: found._replace(done=found.done and found.position.era == at.era)
+        )
 
-    async def read_reports(self, offset: int, wait_s: float) -> Result[ReportUpdate, PeerError]:
-        """Return the reports on endpoints since `offset`, waiting for up to `wait_s` seconds."""
+    async def read_reports(
+        self, position: Position, wait_s: float
+    ) -> Result[ReportUpdate, PeerError]:
+        """Return the reports on endpoints since `position`, waiting for up to `wait_s` seconds."""
         while True:
-            path = _read_path(REPORT_TOPIC, offset, wait_s)
+            if position.era < self._era:
+                position = Position(self._era, 0)
+            path = _read_path(REPORT_TOPIC, position.offset, wait_s)
             match await self._call("GET", path, b"", Step.READ, wait_s):
                 case Err(error):
                     return Err(error)
+                case Ok(_) if position.era < self._era:
+                    continue
                 case Ok(answer) if answer.status == NOT_FOUND:
-                    return Ok(ReportUpdate(offset, ()))
+                    return Ok(ReportUpdate(position, ()))
                 case Ok(answer) if answer.status == GONE:
                     try:
                         first = msgspec.json.decode(answer.body, type=_Expired).first
                     except msgspec.DecodeError as error:
                         return Err(PeerError(Step.READ, self._url, f"{path}: {error}"))
-                    if first <= offset:
+                    if first <= position.offset:
                         reason = f"{path}: expired, though the first offset is {first}"
                         return Err(PeerError(Step.READ, self._url, reason))
-                    offset = first
+                    position = position._replace(offset=first)
                 case Ok(answer) if answer.status == 200:
-                    return self._decode_read(answer.body, offset, path).map(
-                        lambda changes, offset=offset: _decode_reports(changes, offset)
+                    return self._decode_read(answer.body, position, path).map(
+                        lambda changes, first=position: _decode_reports(changes, first)
                     )
                 case Ok(answer):
                     return Err(self._status_error(answer, Step.READ, path))
@@ -244,29 +263,29 @@
         except msgspec.DecodeError as error:
             return Err(PeerError(Step.APPEND, self._url, f"{path}: {error}"))
         if answer.status == PRECONDITION_FAILED:
-            return Ok(AppendOutcome(False, found.end))
-        return Ok(AppendOutcome(True, found.offset))
+            return Ok(AppendOutcome(False, Position(self._era, found.end)))
+        return Ok(AppendOutcome(True, Position(self._era, found.offset)))
 
     async def _read_changes(
-        self, topic: str, offset: int | None, wait_s: float = 0.0
+        self, topic: str, position: Position | None, wait_s: float = 0.0
     ) -> Result[_Changes, PeerError]:
-        """Return the records since `offset`, or a snapshot if `offset` is None or has expired."""
-        if offset is None:
+        """Return the records since `position`, or a snapshot if `position` is None or not valid."""
+        if position is None:
             return await self._read_newest(topic)
-        path = _read_path(topic, offset, wait_s)
-        match await self._call("GET", path, b"", Step.READ, wait_s):
-            case Err(error):
-                return Err(error)
-            case Ok(answer) if answer.status == GONE:
-                return (await self._read_newest(topic)).map(lambda found: found._replace(lost=True))
-            case Ok(answer) if answer.status == 200:
-                return self._decode_read(answer.body, offset, path)
-            case Ok(answer):
-                return Err(self._status_error(answer, Step.READ, path))
+        if position.era == self._era:
+            path = _read_path(topic, position.offset, wait_s)
+            match await self._call("GET", path, b"", Step.READ, wait_s):
+                case Err(error):
+                    return Err(error)
+                case Ok(answer) if answer.status == 200 and position.era == self._era:
+                    return self._decode_read(answer.body, position, path)
+                case Ok(answer) if answer.status != GONE and position.era == self._era:
+                    return Err(self._status_error(answer, Step.READ, path))
+        return (await self._read_newest(topic)).map(lambda found: found._replace(lost=True))
 
     async def _read_newest(self, topic: str) -> Result[_Changes, PeerError]:
         records: list[_Record] = []
-        first_end: int | None = None
+        end: Position | None = None
         after = ""
         while True:
             path = f"/log-newest?topic={topic}&part=0" + (f"&after={after}" if after else "")
@@ -282,33 +301,54 @@
                     except (msgspec.DecodeError, ValueError) as error:
                         return Err(PeerError(Step.READ, self._url, f"{path}: {error}"))
                 case Ok(answer) if answer.status == NOT_FOUND:
-                    return Ok(_Changes(0, True, ()))
+                    return Ok(_Changes(Position(self._era, 0), True, ()))
                 case Ok(answer):
                     return Err(self._status_error(answer, Step.READ, path))
+            if end is not None and end.era != self._era:
+                records, end, after = [], None, ""
+                continue
             records += values
             # The pages are read one after another and are no consistent snapshot: records appended
             # in the meantime are read again, starting at the end that the first page states.
-            first_end = page.end if first_end is None else first_end
+            end = Position(self._era, page.end) if end is None else end
             if not page.has_more or not page.items:
-                return Ok(_Changes(first_end, True, tuple(records)))
+                return Ok(_Changes(end, True, tuple(records)))
             after = page.items[-1].key
 
-    def _decode_read(self, data: bytes, offset: int, path: str) -> Result[_Changes, PeerError]:
+    def _decode_read(
+        self, data: bytes, position: Position, path: str
+    ) -> Result[_Changes, PeerError]:
         try:
             # The first 16 bytes are two offsets: the end of the topic, and its first record.
             records = tuple(decode_records(data[16:]))
         except (struct.error, IndexError) as error:
             return Err(PeerError(Step.READ, self._url, f"{path}: {error}"))
-        return Ok(_Changes(offset + len(records), False, records))
+        return Ok(_Changes(position.after(len(records)), False, records))
 
     async def _call(
         self, method: str, path: str, body: bytes, step: Step, wait_s: float = 0.0
     ) -> Result[HttpAnswer, PeerError]:
         self._calls += 1
         timeout_s = wait_s + self._timeout_s
-        return await self._client.request(
+        outcome = await self._client.request(
             method, self._url + path, body, None, timeout_s, step, timeout_s
         )
+        return outcome.and_then(lambda answer: self._note_era(answer, step, path))
+
+    def _note_era(self, answer: HttpAnswer, step: Step, path: str) -> Result[HttpAnswer, PeerError]:
+        """Note the era that an answer states; an answer of an earlier one than known is an error.
+
+        Calls overlap, so that an answer from before a restoration may arrive after a later one.
+        """
+        stated = answer.headers.get(ERA_HEADER, "0")
+        if not stated.isascii() or not stated.isdigit():
+            reason = f"{path}: header {ERA_HEADER} is not a number: {stated[:40]!r}"
+            return Err(PeerError(step, self._url, reason))
+        if int(stated) < self._era:
+            reason = f"{path}: answered in era {stated} of the store, now is {self._era}"
+            return Err(PeerError(step, self._url, reason))
+        self._era = int(stated)
+        return Ok(answer)
 
     def _status_error(self, answer: HttpAnswer, step: Step, path: str) -> PeerError:
         # The store guarantees that it did nothing if it answers 429 or 503.
@@ -326,12 +366,14 @@
     return struct.pack(">I", len(payload)) + payload
 
 
-def _decode_reports(changes: _Changes, offset: int) -> ReportUpdate:
-    """Decode reports on endpoints, the first of which is at `offset`."""
+def _decode_reports(changes: _Changes, first: Position) -> ReportUpdate:
+    """Decode reports on endpoints, the first of which is at the position `first`."""
     found, faults = [], []
-    for position, record in enumerate(changes.records, offset):
+    for number, record in enumerate(changes.records):
         try:
-            found.append((position, msgspec.msgpack.decode(record.value, type=EndpointReport)))
+            found.append(
+                (first.after(number), msgspec.msgpack.decode(record.value, type=EndpointReport))
+            )
         except msgspec.DecodeError as error:
             faults.append(f"endpoint report of {record.key}: {error}")
     return ReportUpdate(changes.next, tuple(found), tuple(faults))
--- a/mulberrycleat/platform/tests/test_bad_messages.py
+++ b/mulberrycleat/platform/tests/test_bad_messages.py
@@ -112,7 +112,7 @@
                 {"incarnation": "", "taker": "x", "number": 1, "uses": [["a", -5, 1]]}
             ],
             f"/tokens/{SHARD}/final-record": [{"host": 1}],
-            "/store/append_slices": [{"offset": "x"}],
+            "/store/append_slices": [{"position": "x"}, {"position": 7}],
             "/store/nothing": [{}],
         }
         client = first.host._peer_http
--- a/mulberrycleat/prepaid/account_state.py
+++ b/mulberrycleat/prepaid/account_state.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from mulberrycleat.core import Position
 from mulberrycleat.prepaid.demand import TokenRate
 from mulberrycleat.prepaid.grants import Donor
 from mulberrycleat.prepaid.ledger import AccountShare, HolderRecord
@@ -53,14 +54,14 @@
 
 @dataclass(slots=True)
 class Draft:
-    """A record that can be appended to the store at offset `at` only.
+    """A record that can be appended to the store at position `at` only.
 
     `unconfirmed` is set once an append of the record got no answer; the answer to a later attempt
     does not change that. `drafted_at` is in seconds on trio's clock.
     """
 
     record: HolderRecord
-    at: int
+    at: Position
     drafted_at: float
     unconfirmed: bool = False
 
--- a/mulberrycleat/prepaid/allowance.py
+++ b/mulberrycleat/prepaid/allowance.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Mapping
 
+from mulberrycleat.core import Position
 from mulberrycleat.prepaid.account_state import AccountState, DemandReports, Draft
 from mulberrycleat.prepaid.grants import Donor, Grant, Inherited, ReservationStatus, TransferUsage
 from mulberrycleat.prepaid.ledger import (
@@ -32,7 +33,11 @@
     A limit is raised only once its record is in the store, and lowered before the record is sent:
     while an append is in flight or unconfirmed, the smaller limit counts. A record can be appended
     only at the offset that it was drafted for, so it can be dropped once the ledger has grown past
-    that offset.
+    that position.
+
+    After the store was restored from an older copy, the slices last confirmed stay valid, as those
+    of all hosts together fit into the totals. They are written again, and can't be enlarged until
+    the ledger is complete.
 
     Times `now` of type float are in seconds on trio's clock.
 
@@ -72,7 +77,7 @@
         self._reported_demand = DemandReports()
         self._closed = False
         self._superseded = False
-        self._final_record: HolderRecord | None = None
+        self._adopted: HolderRecord | None = None
 
     @property
     def host(self) -> str:
@@ -128,6 +133,14 @@
             for account in self._accounts.values()
         )
 
+    @property
+    def must_restate(self) -> bool:
+        """Whether the store may have lost this incarnation's record when it was restored."""
+        record = self._ledger.records.get(self._host)
+        if record is None or not self._joined or self._superseded:
+            return False
+        return record.era < self._ledger.end.era
+
     @property
     def has_usage(self) -> bool:
         """Whether there are received tokens whose usage was not collected yet."""
@@ -162,7 +175,7 @@
     def apply_ledger(self, now: ClockReading) -> None:
         """Update the slices and drafts after new records, which may be own ones, in the ledger."""
         self._drafts = [draft for draft in self._drafts if draft.at >= self._ledger.end]
-        record = self._ledger.records.get(self._host)
+        record = self._ledger.records.get(self._host, self._adopted)
         if record is None:
             return
         if record.incarnation != self._incarnation:
@@ -174,8 +187,11 @@
         self._joined = True
         self._record_drafted_at = self._draft_times.get(record.number, self._record_drafted_at)
         self._draft_times = {n: at for n, at in self._draft_times.items() if n >= record.number}
+        # A record of an earlier era may not have been confirmed before the store was restored.
+        confirmed = record.era == self._ledger.end.era
         for name, share in record.shares.items():
-            self._account(name).share = share
+            account = self._account(name)
+            account.share = share if confirmed else share.smaller(account.share)
 
     def finalize(self, reading: ClockReading) -> HolderRecord:
         """Stop granting tokens, and return the final record of what was spent.
@@ -184,16 +200,20 @@
         the newest record there.
         """
         self._closed = True
+        self._number += 1
         shares = {name: self._next_share(name, 0.0, ended=True) for name in self._account_names()}
         return self._record(shares, True, reading)
 
-    def adopt_final_record(self, record: HolderRecord) -> None:
-        """Keep a final record, if it is of an earlier incarnation of this host.
+    def adopt_record(self, record: HolderRecord) -> None:
+        """Keep a record of an earlier incarnation of this host that another host knows.
 
-        It is then counted instead of that incarnation's newest record in the store.
+        It is counted instead of the newest record in the store if it is a later one of the same
+        incarnation, or if the store was restored from an older copy since.
         """
-        if record.host == self._host and record.ended and not self._joined:
-            self._final_record = record
+        if record.host != self._host or record.incarnation == self._incarnation or self._joined:
+            return
+        if self._adopted is None or record.is_later_than(self._adopted):
+            self._adopted = record
 
     def reserve(self, name: str, tokens: int, now: float) -> Grant:
         """Reserve tokens for a request, from the own slice or from the transfers of one donor."""
@@ -360,8 +380,8 @@
         """Return the record to be appended at the ledger's end, or None when none is needed.
 
         A record whose append is unconfirmed is returned again until the ledger has grown past its
-        offset: a different record for that offset could not raise a limit, since the smallest of
-        the drafted limits counts.
+        position: a different record for that position could not raise a limit, since the smallest
+        of the drafted limits counts.
 
         Also returns None while the ledger shows that other hosts computed their limits from a newer
         route map: the totals known here may be too large; and once this incarnation is superseded.
@@ -392,9 +412,9 @@
         self._draft_times[record.number] = now
         return record
 
-    def record_appended(self, record: HolderRecord, offset: int, now: ClockReading) -> None:
-        """Update the ledger and the slices after a drafted record was appended at `offset`."""
-        self._ledger.apply_records([record], offset + 1)
+    def record_appended(self, record: HolderRecord, at: Position, now: ClockReading) -> None:
+        """Update the ledger and the slices after a drafted record was appended at `at`."""
+        self._ledger.apply_records([record], at.after())
         self.apply_ledger(now)
 
     def refused(self, record: HolderRecord) -> None:
@@ -422,12 +442,16 @@
             reading.wall_s,
             reading.beats,
             reading.endpoints,
+            self._ledger.end.era,
         )
 
     def _newest_record(self, record: HolderRecord) -> HolderRecord:
-        """Return the final record of the incarnation of `record`, or `record` if none is known."""
-        final = self._final_record
-        return final if final is not None and final.incarnation == record.incarnation else record
+        """Return the adopted record if it is newer than the one in the store, else that one."""
+        adopted = self._adopted
+        if adopted is None or not adopted.is_later_than(record):
+            return record
+        same = adopted.incarnation == record.incarnation
+        return adopted if same or record.era < self._ledger.end.era else record
 
     def _account_names(self) -> set[str]:
         return set(self._totals) | set(self._accounts)
@@ -488,6 +512,9 @@
         total = self._totals.get(name, 0)
         spent_by_others = ledger.surely_spent(name, self._host)
         zone = self._zone if role is Role.ZONE_COORDINATOR else None
+        max_limit = total - ledger.committed(name, self._host) - account.past_limit
+        if ledger.is_incomplete(name, self._host, now):
+            max_limit = min(max_limit, account.share.ceiling)
         return SliceInputs(
             role=role,
             zones=self._zones,
@@ -499,14 +526,14 @@
             + account.demand.at(now),
             largest_request=max(account.served.largest, account.demand.largest),
             total=total,
-            max_limit=total - ledger.committed(name, self._host) - account.past_limit,
+            max_limit=max_limit,
             unspent=max(0, total - spent_by_others - account.past_limit - held),
         )
 
     def _is_worth_writing(self, shares: dict[str, AccountShare]) -> bool:
         """Whether a record would change slices, or spent tokens, by enough to be worth writing."""
         record = self._ledger.records.get(self._host)
-        if record is None or record.map_version != self._map_version:
+        if record is None or record.map_version != self._map_version or self.must_restate:
             return True
         threshold = self._settings.resize_threshold
         for name, share in shares.items():
--- a/mulberrycleat/prepaid/ledger.py
+++ b/mulberrycleat/prepaid/ledger.py
@@ -8,12 +8,21 @@
 
 import msgspec
 
+from mulberrycleat.core import START, Position
+
 __all__ = ["AccountShare", "ClockReading", "HolderRecord", "SliceLedger", "silence_s"]
 
 # Margins in seconds, added to the time that a dead host may have run after its last record: the
 # first for clock drift, the second for the uneven spacing of heartbeats, which measure the time if
 # the clock was set back.
 CLOCK_DRIFT_MARGIN_S, CLOCK_SET_BACK_MARGIN_S = 0.1, 0.3
+# Incarnations of a host that are remembered, to tell which of two records is the newer one.
+MAX_INCARNATIONS = 8
+# After the store was restored from an older copy, no slice is enlarged until all hosts that are
+# known to hold tokens have written a record. That takes at least the first time, in seconds: the
+# longest pause between two calls of a host that the store did not answer, and the time to write. It
+# takes at most the second time, for which slices grow in an outage.
+MIN_REBUILD_S, MAX_REBUILD_S = 2.0, 12.0
 
 
 class ClockReading(NamedTuple):
@@ -101,6 +110,21 @@
             return math.inf
         return self.growth_after_s + (limit - self.limit) / self.growth
 
+    def smaller(self, other: AccountShare) -> AccountShare:
+        """Return a share that never allows more than this one or the other does.
+
+        >>> share = AccountShare(limit=100, ceiling=150)
+        >>> share.smaller(AccountShare(limit=90, ceiling=200)).ceiling
+        150
+        """
+        return msgspec.structs.replace(
+            self,
+            limit=min(self.limit, other.limit),
+            growth=min(self.growth, other.growth),
+            growth_after_s=max(self.growth_after_s, other.growth_after_s),
+            ceiling=min(self.ceiling, other.ceiling),
+        )
+
 
 class HolderRecord(msgspec.Struct, frozen=True):
     """Record of one host's slices, which other hosts read from the store.
@@ -123,6 +147,8 @@
         Whether the incarnation has ended; its limits no longer grow then.
     wall_s, beats, endpoints
         Clock reading when the record was drafted, see :class:`ClockReading`.
+    era : int
+        Era of the store in which the record was drafted, see :class:`~mulberrycleat.core.Position`.
     """
 
     host: str
@@ -136,6 +162,18 @@
     wall_s: float = 0.0
     beats: int = 0
     endpoints: int = 0
+    era: int = 0
+
+    def is_later_than(self, other: HolderRecord) -> bool:
+        """Whether this record was drafted after another one of the same host.
+
+        Of two incarnations in one era, only the clock tells which was the later one.
+        """
+        if self.era != other.era:
+            return self.era > other.era
+        if self.incarnation == other.incarnation:
+            return self.number > other.number
+        return self.wall_s > other.wall_s
 
     def __post_init__(self) -> None:
         """Raise ValueError for a clock reading that is not finite, as in a damaged record."""
@@ -144,45 +182,152 @@
 
 
 class SliceLedger:
-    """Newest record of each host as of one offset of the store's log.
+    """Newest record of each host as of one position of the store's log.
+
+    If the store was restored from an older copy, records that it has lost stay in the ledger, since
+    their hosts may have spent what the records allow. A record of an earlier era may have had a
+    later one that no other host has read. Until each host that holds tokens has written a record in
+    the present era, the ledger therefore is incomplete, and no slice may be enlarged.
 
     Attributes
     ----------
-    end : int
-        Offset of the next append: a record appended there directly follows the ones known here.
+    end : Position
+        Position of the next append: a record appended there directly follows the ones known here.
 
     Examples
     --------
     >>> ledger = SliceLedger()
     >>> share = AccountShare(spent=5, limit=10, growth=4.0, ceiling=30)
-    >>> ledger.apply_records([HolderRecord("a", "1", 1, 7, shares={"huts": share})], 1)
+    >>> ledger.apply_records([HolderRecord("a", "1", 1, 7, shares={"huts": share})], Position(0, 1))
     >>> ledger.committed("huts"), ledger.surely_spent("huts"), ledger.map_version
     (30, 5, 7)
+
+    The store was restored from a copy without the record:
+
+    >>> ledger.apply_records([], Position(1, 0), is_snapshot=True, now=60.0)
+    >>> ledger.committed("huts"), ledger.is_incomplete("huts", "", 70.0), len(ledger.lost_records)
+    (30, True, 1)
     """
 
     def __init__(self) -> None:
         self._records: dict[str, HolderRecord] = {}
-        self.end = 0
+        self._known: dict[str, dict[str, int]] = {}
+        self._handed_over: dict[str, HolderRecord] = {}
+        self._lost: dict[str, HolderRecord] = {}
+        self._is_read = False
+        self._rebuild_began_at: float | None = None
+        self.end = START
 
     @property
     def records(self) -> dict[str, HolderRecord]:
         """Newest record of each host."""
         return self._records
 
+    @property
+    def lost_records(self) -> tuple[HolderRecord, ...]:
+        """Newest records of hosts that the store has lost and that were not written again."""
+        return tuple(self._lost.values())
+
     @property
     def map_version(self) -> int:
         """Newest version of the route map that any host has computed limits from."""
         return max((record.map_version for record in self._records.values()), default=0)
 
     def apply_records(
-        self, records: Iterable[HolderRecord], end: int, is_snapshot: bool = False
+        self,
+        records: Iterable[HolderRecord],
+        end: Position,
+        is_snapshot: bool = False,
+        now: float = 0.0,
     ) -> None:
-        """Apply records in the order of the store; a snapshot replaces all earlier records."""
-        if is_snapshot:
-            self._records = {}
+        """Apply records in the order of the store.
+
+        A snapshot of the present era replaces all earlier records but lost ones. `now` is the time
+        of the read, in seconds on trio's clock.
+        """
+        if end.era > self.end.era:
+            self._merge(records)
+            is_open = any(_is_open(record, end.era) for record in self._records.values())
+            if self._is_read or is_open:
+                self._rebuild_began_at = now
+        else:
+            if is_snapshot:
+                self._records = dict(self._lost)
+            for record in records:
+                self._apply(record, is_newest=is_snapshot and record.host not in self._lost)
+        self.end, self._is_read = end, True
+
+    @property
+    def handed_over(self) -> tuple[HolderRecord, ...]:
+        """Latest records that other hosts have handed over."""
+        return tuple(self._handed_over.values())
+
+    def keep(self, record: HolderRecord) -> None:
+        """Keep a record that its host, or another one, has handed over.
+
+        It is used if the store turns out to have lost it.
+        """
+        kept = self._handed_over.get(record.host)
+        if kept is None or record.is_later_than(kept):
+            self._handed_over[record.host] = record
+
+    def later_record(self, host: str, known: HolderRecord | None) -> HolderRecord | None:
+        """Return the latest record of a host if it is later than a known one, if there is one."""
+        found = known
+        for record in (self._records.get(host), self._handed_over.get(host)):
+            if record is not None and (found is None or record.is_later_than(found)):
+                found = record
+        return None if found is known else found
+
+    def is_incomplete(self, account: str, excluded: str, now: float) -> bool:
+        """Whether hosts except `excluded` may hold more of an account than the ledger shows.
+
+        `now` is in seconds on trio's clock.
+        """
+        if self._rebuild_began_at is None:
+            return False
+        age_s = now - self._rebuild_began_at
+        if age_s < MIN_REBUILD_S:
+            return True
+        return age_s < MAX_REBUILD_S and any(
+            share.ceiling > share.spent and _is_open(self._records[host], self.end.era)
+            for host, share in self._shares(account)
+            if host != excluded
+        )
+
+    def _merge(self, records: Iterable[HolderRecord]) -> None:
+        """Apply the records of a store that may have been restored from an older copy."""
+        for record in self._handed_over.values():
+            known = self._records.get(record.host)
+            if known is None or record.is_later_than(known):
+                self._apply(record)
+        self._handed_over.clear()
+        self._lost = dict(self._records)
         for record in records:
-            self._records[record.host] = record
-        self.end = end
+            known = self._records.get(record.host)
+            if known is not None and _version(known) == _version(record):
+                self._lost.pop(record.host, None)
+            if known is None or record.is_later_than(known):
+                self._apply(record)
+
+    def _apply(self, record: HolderRecord, is_newest: bool = False) -> None:
+        """Make a record the newest of its host, unless a later one is known."""
+        known = self._known.setdefault(record.host, {})
+        if not is_newest and record.number <= known.get(record.incarnation, 0):
+            current = self._records.get(record.host)
+            if current is not None and _version(current) == _version(record):
+                # The record was lost by the store, and another host has written it again.
+                self._lost.pop(record.host, None)
+            if current is not None:
+                return
+        current = None if is_newest else self._records.get(record.host)
+        if current is not None and record.era < current.era:
+            return
+        known[record.incarnation] = max(record.number, known.pop(record.incarnation, 0))
+        if len(known) > MAX_INCARNATIONS:
+            del known[next(iter(known))]
+        self._records[record.host] = record
+        self._lost.pop(record.host, None)
 
     def committed(self, account: str, excluded: str = "") -> int:
         """Return the most tokens that all hosts except `excluded` may have spent in the end.
@@ -230,6 +375,15 @@
                 yield host, share
 
 
+def _version(record: HolderRecord) -> tuple[str, int]:
+    return record.incarnation, record.number
+
+
+def _is_open(record: HolderRecord, era: int) -> bool:
+    """Whether the store may have lost later records of the same incarnation."""
+    return not record.ended and record.era < era
+
+
 def silence_s(record: HolderRecord, now: ClockReading) -> float:
     """Return the longest time that an incarnation can have run after its record, in seconds.
 
--- a/mulberrycleat/prepaid/tests/test_allowance.py
+++ b/mulberrycleat/prepaid/tests/test_allowance.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+from mulberrycleat.core import Position
 from mulberrycleat.prepaid import (
     Allowance,
     AllowanceSettings,
@@ -27,7 +28,7 @@
         self.records = []
 
     def append(self, record, at):
-        if at != len(self.records):
+        if at != Position(0, len(self.records)):
             return False
         self.records.append(record)
         return True
@@ -41,7 +42,7 @@
 
 
 def read(host, log, at=0.0):
-    host.ledger.apply_records(log.records, len(log.records), is_snapshot=True)
+    host.ledger.apply_records(log.records, Position(0, len(log.records)), is_snapshot=True)
     host.apply_ledger(ClockReading(wall_s=at))
 
 
@@ -51,7 +52,7 @@
     if record is None:
         return False
     if log.append(record, host.ledger.end):
-        host.record_appended(record, len(log.records) - 1, ClockReading(wall_s=at))
+        host.record_appended(record, Position(0, len(log.records) - 1), ClockReading(wall_s=at))
         return True
     host.refused(record)
     return False
@@ -363,6 +364,6 @@
     for name in "ab":
         host = new_host(log, name)
         write(host, log)
-    ledger.apply_records(log.records, 2)
+    ledger.apply_records(log.records, Position(0, 2))
     assert ledger.committed("huts") == ledger.committed("huts", "a") * 2
     assert ledger.surely_spent("huts") == ledger.stranded("huts") == 0
