Log which requests that broke have the same content

A broken attempt's line names the prompt parts that other requests may have, and a request to a plain service has none: the lines could not tell whether one request crashes endpoint after endpoint, or many do. They now have the id of the content, a digest of method, host, path, account, body and prompt parts.

--- a/mulberrycleat/endpoint/crashing_parts.py
+++ b/mulberrycleat/endpoint/crashing_parts.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from typing import NamedTuple
 
 from mulberrycleat.core import START, Position
@@ -24,7 +25,7 @@
     RefusalRenewal,
 )
 
-__all__ = ["CrashingParts", "PartChange", "RefusedPart"]
+__all__ = ["CrashingParts", "PartChange", "RefusedPart", "content_id"]
 
 # Crashes in a chain after which a part is refused.
 CHAIN_LENGTH = 3
@@ -52,6 +53,24 @@
 MIN_RETRY_AFTER_S = 1.0
 
 
+# Prefix of the ids of whole contents; ids of prompt parts are hexadecimal numbers. And the size of
+# the digest that follows it, in bytes.
+CONTENT_PREFIX, DIGEST_BYTES = "content-", 12
+
+
+def content_id(fields: Iterable[bytes]) -> str:
+    """Return the id of a request's content, given the fields that it consists of.
+
+    >>> content_id((b"GET", b"/find/1")) == content_id((b"GET/find/1", b""))
+    False
+    """
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for value in fields:
+        digest.update(b"%d:" % len(value))
+        digest.update(value)
+    return CONTENT_PREFIX + digest.hexdigest()
+
+
 class RefusedPart(NamedTuple):
     """A refused part, and the time until the next trial, in seconds."""
 
--- a/mulberrycleat/entry/call.py
+++ b/mulberrycleat/entry/call.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from mulberrycleat.endpoint.crashing_parts import content_id
 from mulberrycleat.entry.protocol import RequestFacts
 from mulberrycleat.routes import ClientAccount, Pool, Route, RouteTable
 from mulberrycleat.web.asgi import Responder
@@ -31,6 +33,8 @@
         When the first event of a stream was forwarded, in seconds on trio's clock.
     endpoint : str
         Endpoint of the last attempt.
+    suspects : tuple of str or None
+        Value of :attr:`EntryCall.suspects` once it was used.
     tokens_used : int
         Tokens charged to the prepaid total for the request.
     route, account, map_version, deadline
@@ -44,6 +48,7 @@
     last_event_id: int | None = None
     first_at: float | None = None
     endpoint: str = ""
+    suspects: tuple[str, ...] | None = None
     tokens_used: int = 0
     route: str = ""
     account: str = ""
@@ -83,6 +88,23 @@
     deadline: float = math.inf
     progress: Progress = field(default_factory=Progress)
 
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """What may crash the endpoints that run the request: its content, and shared prompt parts.
+
+        Other requests may have the same. The content comes first.
+        """
+        if self.progress.suspects is None:
+            content = content_id(self._content())
+            parts = (part.id for part in self.facts.shared_parts)
+            self.progress.suspects = (content, *parts)
+        return self.progress.suspects
+
+    def _content(self) -> Iterable[bytes]:
+        yield from (self.method.encode(), self.host.encode(), self.target, self.body)
+        yield self.account.name.encode() if self.account is not None else b""
+        yield from (f"{part.id}:{part.tokens}".encode() for part in self.facts.parts)
+
     @property
     def priority(self) -> int:
         """Priority of the request, 0 is served first: the client account's, else the route's."""
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -308,8 +308,10 @@
             fields["limit_per_s"] = attempt.limit_per_s
         match outcome:
             case ExchangeFailed(reason=reason):
-                parts = _shared_parts(call)
-                self._decisions.warning("send failed", why=reason, parts=parts, **fields)
+                content, *parts = call.suspects
+                self._decisions.warning(
+                    "send failed", why=reason, content=content, parts=parts, **fields
+                )
             case ConnectionFailed(reason=reason):
                 self._decisions.warning("send failed", why=reason, **fields)
             case Declined(status):
--- a/mulberrycleat/platform/tests/test_crashing_parts.py
+++ b/mulberrycleat/platform/tests/test_crashing_parts.py
@@ -42,6 +42,15 @@
     assert failed[0].parts == ["aa", CRASHING_PART]
 
 
+async def test_the_lines_of_broken_attempts_tell_which_requests_have_the_same_content(records):
+    async with entry_hosts(2, *map(engine, range(1, 5))) as harnesses:
+        for number, last in enumerate(("cc", "cc", "dd")):
+            headers = prompt("aa", CRASHING_PART, last)
+            await harnesses[number % 2].send_request("/ask/x", f"r{number}", **headers)
+    contents = {r.request: r.content for r in records if hasattr(r, "content")}
+    assert contents["r0"] == contents["r1"] != contents["r2"]
+
+
 class Play:
     """Requests with and without the crashing part, sent to the hosts in turn.
 
