Reproduce a request that crashes endpoints and is sent again and again

Three endpoints of a plain service crash when they run one request, and start again 3.4 s later. Callers send it to three hosts, each 0.15 to 1.5 s, beside 20 sound requests a second.

--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -61,6 +61,8 @@
     crash_part : str
         Id of a prompt part: the server crashes when it begins the answer to a request with this
         part, unless it is the last one. All its connections end, and it accepts no others.
+    crash_target : str
+        Path and query of requests that crash the server after `work_s`, before any answer.
     crashed_at : float or None
         When it crashed, in seconds on trio's clock.
     open_streams : list of trio.StapledStream
@@ -91,6 +93,7 @@
     limit_per_s: float | None = None
     unframed: bool = False
     crash_part: str = ""
+    crash_target: str = ""
     crashed_at: float | None = None
     open_streams: list[trio.StapledStream] = field(default_factory=list)
     seen: list[dict[str, str]] = field(default_factory=list)
@@ -278,6 +281,9 @@
         if server.never_answers:
             await trio.sleep_forever()
         await trio.sleep(server.work_s)
+        if server.crash_target and headers[":target"] == server.crash_target:
+            server.crash()
+            raise trio.BrokenResourceError
         if server.loses_answers:
             await stream.send_all(RESET)
             raise trio.BrokenResourceError
