--- a/mulberrycleat/platform/tests/test_crashing_parts.py
+++ b/mulberrycleat/platform/tests/test_crashing_parts.py
@@ -43,7 +43,7 @@
 
 
 async def test_the_lines_of_broken_attempts_tell_which_requests_have_the_same_content(records):
-    async with entry_hosts(2, *map(engine, range(1, 5))) as harnesses:
+    async with entry_hosts(2, *map(engine, range(1, 5)), config=FLEET_CONFIG) as harnesses:
         for number, last in enumerate(("cc", "cc", "dd")):
             headers = prompt("aa", CRASHING_PART, last)
             await harnesses[number % 2].send_request("/ask/x", f"r{number}", **headers)
