Refuse a request that crashes the endpoints that run it

Cause: crashes were counted by shared prompt parts, and a request to a plain service has none.

Change: the content of a request is tracked like a prompt part. A retry by the host that saw the previous crash lengthens its chain, as the three endpoints can crash before any report is read. Sound requests that are refused with it share some of its crashes, and are tried at once.

Conclusion: the class of fault, a harmful input that is told apart by one of its properties only, is closed for requests that come again unchanged. One that changes with each repetition and has no prompt part is still not recognized.

--- a/mulberrycleat/burn/model.py
+++ b/mulberrycleat/burn/model.py
@@ -16,6 +16,7 @@
         "bad_request",
         "budget_exhausted",
         "crashing_part",
+        "crashing_request",
         "key_mismatch",
         "unauthorized",
         "unknown_model",
--- a/mulberrycleat/endpoint/crashing_parts.py
+++ b/mulberrycleat/endpoint/crashing_parts.py
@@ -8,6 +8,10 @@
 request with the part since the first of them. Each request of a chain was sent by a host that had
 read the report of the previous crash, so that endpoints that crash together, for another reason,
 do not form a chain.
+
+The whole content of a request can crash endpoints, too. It is tracked like a part, under an id of
+its own. As only requests with the same content have it, a retry by the host that saw the previous
+crash also lengthens its chain.
 """
 
 from __future__ import annotations
@@ -25,7 +29,7 @@
     RefusalRenewal,
 )
 
-__all__ = ["CrashingParts", "PartChange", "RefusedPart", "content_id"]
+__all__ = ["CrashingParts", "PartChange", "RefusedPart", "content_id", "is_content"]
 
 # Crashes in a chain after which a part is refused.
 CHAIN_LENGTH = 3
@@ -71,6 +75,11 @@
     return CONTENT_PREFIX + digest.hexdigest()
 
 
+def is_content(part: str) -> bool:
+    """Whether an id stands for the whole content of a request, rather than for a prompt part."""
+    return part.startswith(CONTENT_PREFIX)
+
+
 class RefusedPart(NamedTuple):
     """A refused part, and the time until the next trial, in seconds."""
 
@@ -106,6 +115,8 @@
     chain_position : Position
         Position of the report that lengthened the chain last. Of a refused part, it is where the
         part was refused, or where its last trial failed.
+    chain_endpoint : str
+        The endpoint that crashed then.
     changed_at : float
         When the chain was last lengthened.
     answered : bool
@@ -124,6 +135,7 @@
     endpoints: list[str] = field(default_factory=list)
     chain: int = 0
     chain_position: Position = START
+    chain_endpoint: str = ""
     answered: bool = False
     refused_at: float | None = None
     renewed_at: float = float("-inf")
@@ -162,7 +174,7 @@
 
     @property
     def refused(self) -> tuple[str, ...]:
-        """The parts that are refused."""
+        """The parts and contents that are refused."""
         return tuple(p for p, found in self._tracked.items() if found.refused_at is not None)
 
     def apply(self, record: PartReport, position: Position, now: float) -> tuple[PartChange, ...]:
@@ -245,15 +257,22 @@
         if report.endpoint in tracked.endpoints:
             return None
         tracked.endpoints.append(report.endpoint)
-        if tracked.chain and report.read_position <= tracked.chain_position:
+        if tracked.chain and not self._lengthens_chain(part, tracked, report):
             return None
         tracked.chain += 1
         tracked.chain_position, tracked.changed_at = position, now
+        tracked.chain_endpoint = report.endpoint
         if tracked.chain < CHAIN_LENGTH:
             return None
         tracked.requested_at = now
         return self._refuse(part, tracked, position, now)
 
+    def _lengthens_chain(self, part: str, tracked: _TrackedPart, report: CrashReport) -> bool:
+        """Whether a request was sent after the crash that lengthened the chain last was known."""
+        if report.read_position > tracked.chain_position:
+            return True
+        return is_content(part) and report.retry_after == tracked.chain_endpoint
+
     def _apply_renewal(
         self, renewal: RefusalRenewal, position: Position, now: float
     ) -> PartChange | None:
@@ -284,13 +303,16 @@
     def _is_ambiguous(self, part: str, tracked: _TrackedPart, parts: Sequence[str]) -> bool:
         """Whether a request tells a part from another that was refused for the same crashes.
 
-        All requests that crashed had both parts, and the request with `parts` has only one.
+        All requests that crashed had both parts, and the request with `parts` has only one. Sound
+        requests are retried at the same endpoints as a content that crashes them, so that contents
+        may share some crashes only.
         """
         if tracked.failed_trials or not tracked.endpoints:
             return False
+        found = set(tracked.endpoints)
         return any(
             other.refused_at is not None
-            and other.endpoints == tracked.endpoints
+            and (other.endpoints == tracked.endpoints or _share_crashes(part, name, found, other))
             and name not in parts
             and name != part
             for name, other in self._tracked.items()
@@ -320,5 +342,10 @@
                 del self._tracked[part]
 
 
+def _share_crashes(part: str, name: str, endpoints: set[str], other: _TrackedPart) -> bool:
+    """Whether two contents were in requests to an endpoint that crashed."""
+    return is_content(part) and is_content(name) and not endpoints.isdisjoint(other.endpoints)
+
+
 def _is_reported(tracked: _TrackedPart) -> bool:
     return tracked.chain >= REPORTED_CHAIN_LENGTH or tracked.refused_at is not None
--- a/mulberrycleat/endpoint/reports.py
+++ b/mulberrycleat/endpoint/reports.py
@@ -9,6 +9,7 @@
 from mulberrycleat.core import Position
 
 __all__ = [
+    "MAX_PARTS",
     "AnswerReport",
     "CrashReport",
     "EndpointReport",
@@ -19,7 +20,8 @@
 
 IncarnationName = Annotated[str, msgspec.Meta(max_length=256)]
 PartId = Annotated[str, msgspec.Meta(max_length=128)]
-Parts = Annotated[tuple[PartId, ...], msgspec.Meta(max_length=64)]
+MAX_PARTS = 64
+Parts = Annotated[tuple[PartId, ...], msgspec.Meta(max_length=MAX_PARTS)]
 
 
 class CrashReport(msgspec.Struct, frozen=True, tag="crash"):
@@ -30,7 +32,9 @@
     endpoint : str
         The endpoint and its start.
     parts : tuple of str
-        Prompt parts of the request that other requests may have too.
+        Content and prompt parts of the request that other requests may have too.
+    retry_after : str
+        The endpoint at which the request had crashed before, and its start; empty if it had not.
     read_to, era : int
         Offset to which the host had read the log when it sent the request, and the era of the log
         in which it is valid.
@@ -40,6 +44,7 @@
     parts: Parts
     read_to: Annotated[int, msgspec.Meta(ge=0)]
     era: Annotated[int, msgspec.Meta(ge=0)] = 0
+    retry_after: IncarnationName = ""
 
     @property
     def read_position(self) -> Position:
--- a/mulberrycleat/endpoint/tests/test_crashing_parts.py
+++ b/mulberrycleat/endpoint/tests/test_crashing_parts.py
@@ -8,6 +8,7 @@
     TRIAL_INTERVAL_S,
     TRIAL_STEP_S,
     CrashingParts,
+    content_id,
 )
 from mulberrycleat.endpoint.reports import AnswerReport, CrashReport, RefusalRenewal
 from mulberrycleat.testing import fixture
@@ -162,3 +163,34 @@
             for renewal in host.renewals(float(now)):
                 log.append(renewal, float(now))
     assert [host.refused for host in log.hosts] == [(), ()]
+
+
+CONTENTS = tuple(content_id((name,)) for name in (b"crashing", b"sound", b"other"))
+
+
+def retry_everywhere(log: Log, part: str, endpoints=("e1", "e2", "e3")) -> None:
+    """Report crashes of one request that its host retries before it has read any report."""
+    for before, endpoint in zip(("", *endpoints), endpoints, strict=False):
+        log.append(CrashReport(endpoint, (part,), 0, retry_after=before))
+
+
+def test_retries_by_the_host_that_saw_the_crashes_have_a_content_refused(log):
+    retry_everywhere(log, CONTENTS[0])
+    assert [host.refused for host in log.hosts] == [(CONTENTS[0],)] * 2
+
+
+def test_retries_by_the_host_that_saw_the_crashes_do_not_have_a_part_refused(log):
+    retry_everywhere(log, "p")
+    assert [host.refused for host in log.hosts] == [(), ()]
+
+
+def test_a_content_that_shares_some_crashes_with_another_is_tried_at_once(log):
+    crashing, sound, other = CONTENTS
+    retry_everywhere(log, crashing)
+    retry_everywhere(log, sound, ("e2", "e3", "e4"))
+    retry_everywhere(log, other, ("e5", "e6", "e7"))
+    host = log.hosts[0]
+    assert host.refusal((sound,), 0.1) is None
+    assert host.refusal((other,), 0.1) is not None
+    log.append(AnswerReport((sound,)), 0.2)
+    assert set(host.refused) == {crashing, other}
--- a/mulberrycleat/entry/endpoint_reports.py
+++ b/mulberrycleat/entry/endpoint_reports.py
@@ -13,6 +13,7 @@
 from mulberrycleat.endpoint.directory import Entry
 from mulberrycleat.endpoint.rate_limits import EndpointLimits, LimitChange
 from mulberrycleat.endpoint.reports import (
+    MAX_PARTS,
     AnswerReport,
     CrashReport,
     EndpointReport,
@@ -39,8 +40,8 @@
 class EndpointReports:
     """Reports crashes and stated limits to the other hosts, and applies their reports.
 
-    Prompt parts that crash endpoints are refused, and endpoints get no more requests than they
-    state.
+    Prompt parts and contents that crash endpoints are refused, and endpoints get no more requests
+    than they state.
 
     Parameters
     ----------
@@ -97,7 +98,9 @@
         """Return the part because of which a request must not be sent now, or None."""
         return self._parts.refusal(parts, trio.current_time())
 
-    def record_crash(self, endpoint: str, parts: Sequence[str], read_to: Position) -> None:
+    def record_crash(
+        self, endpoint: str, parts: Sequence[str], read_to: Position, retry_after: str = ""
+    ) -> None:
         """Report that a connection ended before any part of an answer came.
 
         Parameters
@@ -105,12 +108,14 @@
         endpoint : str
             The endpoint and its start.
         parts : sequence of str
-            Parts of the request's prompt that other requests may have too.
+            The request's content, and parts of its prompt that other requests may have too.
         read_to : Position
             The value of `read_to` when the request was sent.
+        retry_after : str
+            The endpoint at which the request had crashed before, and its start.
         """
-        if parts:
-            self._report(CrashReport(endpoint, tuple(parts), read_to.offset, read_to.era))
+        reported = tuple(parts[:MAX_PARTS])
+        self._report(CrashReport(endpoint, reported, read_to.offset, read_to.era, retry_after))
 
     def record_answer(self, parts: Sequence[str]) -> None:
         """Note that an endpoint has begun an answer to a request with these parts."""
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -81,6 +81,8 @@
         Latest response with a server error; forwarded if no later attempt succeeds.
     last : str
         How the last attempt failed.
+    crashed : str
+        The endpoint that ended its connection last before an answer, and its start.
     retry_after_s : float or None
         Retry-after of the endpoint that declined the request last, in seconds.
     expected_s : float or None
@@ -91,6 +93,7 @@
     count: int = 0
     failed_response: FullResponse | None = None
     last: str = ""
+    crashed: str = ""
     retry_after_s: float | None = None
     expected_s: float | None = None
 
@@ -105,6 +108,8 @@
         When it began, in seconds on trio's clock.
     read_to : Position
         Position to which the hosts' reports had been read then.
+    retry_after : str
+        The endpoint at which the request crashed before, and its start; empty if it did not.
     answered : bool
         Whether an answer has begun.
     limit_per_s : float or None
@@ -114,6 +119,7 @@
     placement: Placement
     sent_at: float
     read_to: Position
+    retry_after: str
     answered: bool = False
     limit_per_s: float | None = None
 
@@ -189,7 +195,7 @@
             return None
         if progress.runs and not call.route.retryable:
             return None
-        if progress.sends and self._reports.refusal(_shared_parts(call)) is not None:
+        if progress.sends and self._reports.refusal(call.suspects) is not None:
             return None
         placement = self._registry.choose(call, tries.endpoint_ids)
         if placement is None:
@@ -218,7 +224,7 @@
         tries.endpoint_ids.add(entry.id)
         tries.count += 1
         call.progress.endpoint = entry.id
-        attempt = _Attempt(placement, trio.current_time(), self._reports.read_to)
+        attempt = _Attempt(placement, trio.current_time(), self._reports.read_to, tries.crashed)
         placer.sent(placement, request_id, work_of(call.facts), attempt.sent_at)
         self._reports.record_send(entry)
         self._decisions.info(
@@ -248,7 +254,7 @@
 
         def record_answer() -> None:
             attempt.answered = True
-            self._reports.record_answer(_shared_parts(call))
+            self._reports.record_answer(call.suspects)
 
         exchange = Exchange(self._codec, self._connections, heard, record_facts, record_answer)
         timeouts = self._timeouts(call, placement, tries)
@@ -256,7 +262,7 @@
         try:
             outcome = await exchange.run(call, placement, timeouts.first_s, timeouts.pause_s)
         finally:
-            self._record_end(call, attempt, outcome)
+            self._record_end(call, tries, attempt, outcome)
         return outcome
 
     def _timeouts(self, call: EntryCall, placement: Placement, tries: _Attempts) -> _Timeouts:
@@ -276,7 +282,9 @@
         )
         return _Timeouts(first_s, PAUSE_TIMEOUT_FACTOR * call.route.pause_s)
 
-    def _record_end(self, call: EntryCall, attempt: _Attempt, outcome: Outcome | None) -> None:
+    def _record_end(
+        self, call: EntryCall, tries: _Attempts, attempt: _Attempt, outcome: Outcome | None
+    ) -> None:
         """Apply the end of an attempt to the placement and log it; no outcome if cancelled."""
         entry, request_id = attempt.placement.entry, call.facts.request_id
         entry_id = entry.id
@@ -289,8 +297,9 @@
                 failed = True
                 if broken and not attempt.answered:
                     self._reports.record_crash(
-                        entry.incarnation, _shared_parts(call), attempt.read_to
+                        entry.incarnation, call.suspects, attempt.read_to, attempt.retry_after
                     )
+                    tries.crashed = entry.incarnation
             case ConnectionFailed(timed_out=timed_out):
                 placer.note_unreachable(entry_id, now, timed_out)
             case Declined(misdirected=False):
@@ -357,11 +366,6 @@
         return NotRun(Step.DISPATCH, progress.endpoint, tries.last, 503, retry_s, "turned_away")
 
 
-def _shared_parts(call: EntryCall) -> list[str]:
-    """Return the ids of the prompt parts that other requests may have too."""
-    return [part.id for part in call.facts.shared_parts]
-
-
 def _caller_wait_s(call: EntryCall, now: float) -> float:
     """Return how long the caller waits for the first part of an answer, in seconds."""
     left_s = call.deadline - now
