Bound endless answers of tests by time and rate instead of bytes

A host was taken to have closed an endless connection only if it did so within 192 MiB.

The endpoint now sends for ten seconds, 64 MiB as fast as the client reads and 16 MiB a second after that. The checks are unchanged: closed by the host, memory within the same bound, never complete.

--- a/mulberrycleat/testing/endless.py
+++ b/mulberrycleat/testing/endless.py
@@ -10,8 +10,12 @@
 __all__ = ["CHUNK_BYTES", "EndlessEndpoint", "chunk_of", "resident_bytes"]
 
 CHUNK_BYTES = 32_768
-# The endpoint stops at this number of bytes, so that a test of a client that reads them all ends.
-ENDLESS_BYTES = 192 * 2**20
+# The endpoint stops after this time, in seconds, so that a test of a client that never closes the
+# connection ends. It is well past the time limits of the routes that tests use.
+ENDLESS_S = 10.0
+# Bytes that are sent as fast as the client reads them, more than clients may keep in memory; and
+# the rate of those after them, in bytes per second.
+BURST_BYTES, BYTES_PER_S = 64 * 2**20, 16 * 2**20
 
 
 def chunk_of(data: bytes) -> bytes:
@@ -31,7 +35,7 @@
     sent : int
         Bytes sent so far.
     closed : int
-        Number of connections that the host has closed before ``ENDLESS_BYTES`` were sent.
+        Number of connections that the client has closed within ``ENDLESS_S``.
     peak_bytes : int
         Largest resident memory of the process seen while sending.
     requests : list of bytes
@@ -65,10 +69,13 @@
         head = self.head
         try:
             await stream.send_all(head % lines[self.id_header] if b"%s" in head else head)
-            while self.sent < ENDLESS_BYTES:
+            until = trio.current_time() + ENDLESS_S
+            while trio.current_time() < until:
                 await stream.send_all(self.repeated)
                 self.sent += len(self.repeated)
                 self.peak_bytes = max(self.peak_bytes, resident_bytes())
+                if self.sent > BURST_BYTES:
+                    await trio.sleep(len(self.repeated) / BYTES_PER_S)
         except trio.BrokenResourceError:
             self.closed += 1
 
