Keep to what endpoints state: that they leave, or that they want a pause

An endpoint that leaves states it in its answers, and one that turns a request away may state for how long it wants nothing from the host. A leaving endpoint got requests until the directory said so, and not at all late enough while the store was out of reach; a pause was passed on to the one caller and forgotten after 0.1 s.

Change: statements belong to an incarnation of the endpoint and are applied before each choice of an endpoint. Requests that no endpoint takes are refused at once, with the time of the first pause that ends.

--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -137,7 +137,9 @@
         self._peer_http = ports.peer_http
         self._shutdown = GracefulShutdown(settings.bounds, settings.times)
         self._endpoint_limits = EndpointLimits(self._place_for)
-        self._registry = EndpointRegistry(settings.zone, random, self._endpoint_limits)
+        self._registry = EndpointRegistry(
+            settings.zone, random, self._endpoint_limits, lambda: self._bounds().drain_s
+        )
         self._retry_budget = FleetRetryBudget(settings.bounds)
         self._connections = ConnectionPool(_connection_settings(settings), ports.connect)
         self._store = RelayedStore(store, self._peer_http, self._peers, decisions, random)
@@ -343,6 +345,9 @@
         self._metrics.store_lost.set(self._store.lost)
         self._metrics.refused_parts.set(len(self._reports.refused))
         self._metrics.limited_endpoints.set(len(self._endpoint_limits.stated))
+        statements = self._registry.statements
+        self._metrics.leaving_endpoints.set(len(statements.leaving(now)))
+        self._metrics.paused_endpoints.set(len(statements.paused(now)))
         self._metrics.lines_left_out.set(sum(self._decisions.left_out.values()))
         for pool in self._retry_budget.pools:
             self._metrics.repeats_left.labels(pool).set(self._retry_budget.left(pool, now))
--- a/mulberrycleat/entry/endpoints.py
+++ b/mulberrycleat/entry/endpoints.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from random import Random
 
 import trio
@@ -10,6 +10,7 @@
 from mulberrycleat.endpoint.directory import Directory
 from mulberrycleat.endpoint.placer import Placement, Placer, PlacerSettings, Work
 from mulberrycleat.endpoint.rate_limits import EndpointLimits
+from mulberrycleat.endpoint.statements import EndpointStatements
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.protocol import RequestFacts
 
@@ -27,6 +28,8 @@
         Random source for the choice among equally good endpoints.
     limits : EndpointLimits
         The limits that endpoints state.
+    drain_s : callable
+        Returns the time for which an endpoint that leaves may still get requests, in seconds.
     settings : PlacerSettings, optional
         Settings for the comparison of endpoints.
     """
@@ -36,11 +39,14 @@
         zone: str,
         random: Random,
         limits: EndpointLimits,
+        drain_s: Callable[[], float],
         settings: PlacerSettings | None = None,
     ) -> None:
         self._zone = zone
         self._random = random
         self._limits = limits
+        self._drain_s = drain_s
+        self._statements = EndpointStatements()
         self._settings = settings or PlacerSettings()
         self._directory = Directory()
         self._placers: dict[str, Placer] = {}
@@ -50,14 +56,19 @@
         """Endpoints by id."""
         return self._directory
 
+    @property
+    def statements(self) -> EndpointStatements:
+        """What the endpoints state of themselves."""
+        return self._statements
+
     def choose(self, call: EntryCall, tried: Collection[str]) -> Placement | None:
         """Return the endpoint for a request, or None if there is none besides those in `tried`.
 
-        Endpoints that take no request of this host now, because of the limit that they state, are
-        left out.
+        Endpoints that take no request of this host now, because of what they state, are left out.
         """
         now = trio.current_time()
         entries = self._limits.sendable(self._directory.ready(call.pool.name, now), now)
+        entries = self._statements.sendable(entries, now, self._drain_s())
         return self.placer(call.pool.name).choose(entries, work_of(call.facts), now, tried)
 
     def limited_wait_s(self, call: EntryCall) -> float | None:
@@ -70,6 +81,11 @@
         wait_s = min((self._limits.wait_s(entry, now) for entry in entries), default=0.0)
         return wait_s if wait_s > 0 else None
 
+    def paused_wait_s(self, call: EntryCall) -> float | None:
+        """Return the time until the pause of an endpoint ends, in seconds; None without a pause."""
+        now = trio.current_time()
+        return self._statements.wait_s(self._directory.ready(call.pool.name, now), now)
+
     def placer(self, pool: str) -> Placer:
         """Return the placer of one pool, which is created on first use."""
         if pool not in self._placers:
@@ -84,8 +100,10 @@
         self._limits.retain(incarnations, trio.current_time())
 
     def addresses(self) -> set[str]:
-        """Return the addresses of all endpoints."""
-        return {entry.address for entry in self._directory.entries.values()}
+        """Return the addresses of all endpoints but those that state that they leave."""
+        leaving = self._statements.leaving(trio.current_time())
+        entries = self._directory.entries.values()
+        return {entry.address for entry in entries if entry.incarnation not in leaving}
 
 
 def work_of(facts: RequestFacts) -> Work:
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -10,6 +10,7 @@
 
 from mulberrycleat.core import MayHaveRun, NotRun, Position, Refusal, Served, Step
 from mulberrycleat.endpoint.placer import Placement
+from mulberrycleat.endpoint.statements import Leaving, Pause
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.endpoint_reports import EndpointReports
@@ -227,6 +228,7 @@
         attempt = _Attempt(placement, trio.current_time(), self._reports.read_to, tries.crashed)
         placer.sent(placement, request_id, work_of(call.facts), attempt.sent_at)
         self._reports.record_send(entry)
+        self._registry.statements.record_send(entry.incarnation, attempt.sent_at)
         self._decisions.info(
             "sent",
             request=request_id,
@@ -248,6 +250,7 @@
                 self._reports.record_limit(
                     entry, facts.limit_per_s, not facts.not_run, attempt.sent_at
                 )
+                self._record_statements(call, attempt, facts)
             if facts.load is not None:
                 load = facts.load
                 placer.apply_load_report(entry.id, load.running, load.waiting, trio.current_time())
@@ -265,6 +268,24 @@
             self._record_end(call, tries, attempt, outcome)
         return outcome
 
+    def _record_statements(self, call: EntryCall, attempt: _Attempt, facts: AnswerFacts) -> None:
+        """Apply what an endpoint states of itself in an answer, and log what changes."""
+        statements, now = self._registry.statements, trio.current_time()
+        incarnation = attempt.placement.entry.incarnation
+        fields = {"endpoint": incarnation, "request": call.facts.request_id}
+        if facts.fault:
+            self._decisions.warning("statement unreadable", why=facts.fault, **fields)
+        if facts.pause_s is None and statements.record_answer(incarnation, attempt.sent_at):
+            self._decisions.info("pause ended", **fields)
+        for statement in facts.statements:
+            if not statements.observe(incarnation, statement, now):
+                continue
+            match statement:
+                case Leaving():
+                    self._decisions.warning("endpoint leaves", **fields)
+                case Pause(seconds):
+                    self._decisions.info("endpoint pauses", pause_s=seconds, **fields)
+
     def _timeouts(self, call: EntryCall, placement: Placement, tries: _Attempts) -> _Timeouts:
         """Return the time limits after which another endpoint is tried.
 
@@ -359,6 +380,10 @@
             reason = f"the endpoints of pool {call.pool.name!r} state limits that are reached"
             retry_s = min(max(limited_s, FULL_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
             return NotRun(Step.CHOOSE, "", reason, 503, retry_s, "limited")
+        paused_s = None if tries.count else self._registry.paused_wait_s(call)
+        if paused_s is not None:
+            reason = f"the endpoints of pool {call.pool.name!r} want no requests now"
+            return NotRun(Step.CHOOSE, "", reason, 503, paused_s, "paused")
         if not tries.count:
             reason = f"pool {call.pool.name!r} has no endpoint to take the request"
             return NotRun(Step.CHOOSE, "", reason, 503, NO_ENDPOINT_RETRY_AFTER_S, "no_endpoint")
--- a/mulberrycleat/entry/metrics.py
+++ b/mulberrycleat/entry/metrics.py
@@ -72,6 +72,12 @@
         self.limited_endpoints = Gauge(
             f"{PREFIX}limited_endpoints", "Endpoints that state a limit", registry=registry
         )
+        self.leaving_endpoints = Gauge(
+            f"{PREFIX}leaving_endpoints", "Endpoints that state that they leave", registry=registry
+        )
+        self.paused_endpoints = Gauge(
+            f"{PREFIX}paused_endpoints", "Endpoints that want no request now", registry=registry
+        )
         self.hosts = Gauge(f"{PREFIX}hosts", "Hosts that share budgets", registry=registry)
         self.relayed_calls = Gauge(
             f"{PREFIX}relayed_calls", "Store calls through other hosts so far", registry=registry
--- a/mulberrycleat/entry/protocol.py
+++ b/mulberrycleat/entry/protocol.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple, Protocol
 
 from mulberrycleat.endpoint.placer import Part
+from mulberrycleat.endpoint.statements import Leaving, Pause, Statement
 from mulberrycleat.web.upstream import AnswerHead, RawHeaders
 
 __all__ = ["AnswerFacts", "EndpointLoad", "ForwardingFacts", "HeaderCodec", "RequestFacts"]
@@ -87,6 +88,12 @@
         Load report, if the answer has one.
     limit_per_s : float or None
         Requests that the endpoint takes from all hosts together, a second, if it states a limit.
+    pause_s : float or None
+        Time for which the endpoint wants no requests of this host, in seconds, if it states one.
+    leaving : bool
+        Whether the endpoint states that it leaves.
+    fault : str
+        What the endpoint states and can't be read; empty if there is nothing.
     """
 
     request_id: str
@@ -96,6 +103,15 @@
     retry_after_s: float | None = None
     load: EndpointLoad | None = None
     limit_per_s: float | None = None
+    pause_s: float | None = None
+    leaving: bool = False
+    fault: str = ""
+
+    @property
+    def statements(self) -> tuple[Statement, ...]:
+        """What the endpoint states of itself."""
+        pause = () if self.pause_s is None else (Pause(self.pause_s),)
+        return (*pause, Leaving()) if self.leaving else pause
 
 
 class ForwardingFacts(NamedTuple):
--- a/mulberrycleat/platform/headers.py
+++ b/mulberrycleat/platform/headers.py
@@ -40,8 +40,11 @@
 # Requests a second that the server takes from all machines together; absent without a limit.
 SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
+# All answers of a server that leaves have this header.
+SERVER_LEAVING = b"server-leaving"
 # Status of an answer from another endpoint than ENDPOINT names; the request was not run.
 MISDIRECTED_REQUEST = 421
+SERVICE_UNAVAILABLE = 503
 
 # Headers that apply to a single connection and are not forwarded. The content-length is set anew
 # for each message that is sent.
@@ -137,12 +140,18 @@
     def read_answer(self, head: AnswerHead) -> AnswerFacts:
         """Decode the head of an endpoint's answer."""
         misdirected = head.status == MISDIRECTED_REQUEST
+        retry_after = head.get(RETRY_AFTER) or ""
+        is_pause = head.status == SERVICE_UNAVAILABLE and bool(retry_after)
+        pause_s = parse_rate(retry_after) if is_pause else None
         return AnswerFacts(
             request_id=head.get(REQUEST_ID) or "",
             signed=head.get(RESPONSE_SEAL) is not None,
             not_run=misdirected or head.get(NOT_EXECUTED) is not None,
             misdirected=misdirected,
-            retry_after_s=parse_seconds(head.get(RETRY_AFTER) or ""),
+            retry_after_s=parse_seconds(retry_after),
+            pause_s=pause_s,
+            leaving=(head.get(SERVER_LEAVING) or "").strip() == "1",
+            fault=_retry_after_fault(retry_after) if is_pause and pause_s is None else "",
             load=_parse_load(head.get(SERVER_LOAD)),
             limit_per_s=parse_rate(head.get(SERVER_LIMIT) or ""),
         )
@@ -165,6 +174,10 @@
         return headers
 
 
+def _retry_after_fault(text: str) -> str:
+    return f"{RETRY_AFTER.decode()}: {text[:40]!r} is not a number of seconds"
+
+
 def _parse_number(found: dict[bytes, str], name: bytes, faults: list[str]) -> float | None:
     text = found.get(name)
     if text is None:
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -35,6 +35,10 @@
         Status of the answers of a plain service.
     declines : bool
         Whether it declines every request with 503 and ``Not-Executed``.
+    retry_after : str
+        ``Retry-After`` of the requests that it declines, in seconds; empty for none.
+    leaving : bool
+        Whether all its answers state that it leaves.
     refuses_connections : bool
         Whether connections are refused.
     loses_answers : bool
@@ -67,6 +71,8 @@
         When it crashed, in seconds on trio's clock.
     open_streams : list of trio.StapledStream
         Its open connections.
+    declined_at : list of float
+        When it declined requests, in seconds on trio's clock.
     seen : list of dict
         Headers of each request that it began to run, with the target as ``:target``, the body as
         ``:body``, and the time of arrival on trio's clock as ``:at``.
@@ -82,6 +88,8 @@
     work_s: float = 0.02
     status: int = 200
     declines: bool = False
+    retry_after: str = ""
+    leaving: bool = False
     refuses_connections: bool = False
     never_answers: bool = False
     break_after: int | None = None
@@ -96,6 +104,7 @@
     crash_target: str = ""
     crashed_at: float | None = None
     open_streams: list[trio.StapledStream] = field(default_factory=list)
+    declined_at: list[float] = field(default_factory=list)
     seen: list[dict[str, str]] = field(default_factory=list)
     running: int = 0
 
@@ -262,6 +271,8 @@
     common_headers = [("Server-Load", f"{server.running},0,8")]
     if server.limit_per_s is not None:
         common_headers.append(("Server-Limit", f"{server.limit_per_s:g}"))
+    if server.leaving:
+        common_headers.append(("Server-Leaving", "1"))
     if not server.omits_request_id:
         common_headers.append(("Attempt-Id", headers["attempt-id"]))
     if headers.get("target-instance", server.id) != server.id:
@@ -271,7 +282,10 @@
         await send(h11.EndOfMessage())
         return
     if server.declines:
+        server.declined_at.append(trio.current_time())
         declined_headers = [*common_headers, ("Not-Executed", "1"), ("Content-Length", "0")]
+        if server.retry_after:
+            declined_headers.append(("Retry-After", server.retry_after))
         await send(h11.Response(status_code=503, headers=declined_headers))
         await send(h11.EndOfMessage())
         return
