Name the exchange of slice records after what it does now, and log the ledger's era

FinalRecords hands over each record since records have witnesses, not only final ones. The lines about tokens show the ledger's end as one number again, as in OPERATIONS.md, and the era beside it. No change of behaviour.

--- a/mulberrycleat/entry/final_records.py
+++ b/mulberrycleat/entry/record_exchange.py
@@ -12,13 +12,13 @@
 from mulberrycleat.prepaid import Allowance, HolderRecord
 from mulberrycleat.web import Reply, Request, Responder, Route
 
-__all__ = ["FinalRecords"]
+__all__ = ["RecordExchange"]
 
-# A host that stops sends its final record with PUT; its next incarnation requests it with POST.
-FINAL_RECORD_PATH = "/tokens/{shard}/final-record"
+# A host sends its record with PUT; the next incarnation requests the latest one with POST.
+RECORD_PATH = "/tokens/{shard}/final-record"
 
 
-class _FinalRecordRequest(msgspec.Struct):
+class _LatestRecordRequest(msgspec.Struct):
     """Request for a later record of a host than one that is known.
 
     Attributes
@@ -33,7 +33,7 @@
     known: HolderRecord | None
 
 
-class FinalRecords:
+class RecordExchange:
     """Hands a host's record to other hosts, which keep it for its next incarnation.
 
     A host that stops while it can't reach the store hands over its final record. Without that
@@ -66,7 +66,7 @@
         decisions: DecisionLog,
         shard: int,
     ) -> None:
-        self._path = FINAL_RECORD_PATH.format(shard=shard)
+        self._path = RECORD_PATH.format(shard=shard)
         self._allowance = allowance
         self._peers = peers
         self._other_addresses = other_addresses
@@ -102,7 +102,7 @@
         if before is not None and before.ended and before.era == ledger.end.era:
             return
         self._fetched = True
-        body = msgspec.msgpack.encode(_FinalRecordRequest(self._allowance.host, before))
+        body = msgspec.msgpack.encode(_LatestRecordRequest(self._allowance.host, before))
         async with trio.open_nursery() as nursery:
             for peer in self._other_addresses():
                 nursery.start_soon(self._fetch_from, peer, body)
@@ -131,7 +131,7 @@
 
     async def _serve_record(self, request: Request, responder: Responder) -> Reply:
         try:
-            asked = msgspec.msgpack.decode(request.body, type=_FinalRecordRequest)
+            asked = msgspec.msgpack.decode(request.body, type=_LatestRecordRequest)
         except msgspec.DecodeError as error:
             return Reply(400, str(error).encode())
         record = self._allowance.ledger.later_record(asked.host, asked.known)
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -19,8 +19,8 @@
 from mulberrycleat.core import Position
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.demand_exchange import DemandExchange
-from mulberrycleat.entry.final_records import FinalRecords
 from mulberrycleat.entry.peers import PeerCalls
+from mulberrycleat.entry.record_exchange import RecordExchange
 from mulberrycleat.entry.roster import HostRoster
 from mulberrycleat.entry.settings import EntryTimes
 from mulberrycleat.entry.store import StateStore
@@ -146,7 +146,7 @@
         self._demand_exchange = DemandExchange(allowance, calls, shard)
         self._transfer_client = TransferClient(allowance, calls, decisions, shard)
         self._transfer_server = TransferServer(allowance, shard)
-        self._final_records = FinalRecords(
+        self._record_exchange = RecordExchange(
             allowance, calls, self._candidate_addresses, decisions, shard
         )
         self._stopping = False
@@ -246,7 +246,7 @@
             Route("POST", TRANSFER_PATH.format(shard=self._shard), self._answer_transfer),
             *self._demand_exchange.routes(),
             *self._transfer_server.routes(),
-            *self._final_records.routes(),
+            *self._record_exchange.routes(),
         )
 
     async def report_usage(self) -> None:
@@ -334,7 +334,8 @@
         ledger = self._allowance.ledger
         return {
             **self._allowance.describe(account, trio.current_time()),
-            "ledger_end": ledger.end,
+            "ledger_end": ledger.end.offset,
+            "ledger_era": ledger.end.era,
             "ledger_age_s": round(trio.current_time() - self._read_at, 3),
             "in_touch": self._store_connected,
         }
@@ -374,7 +375,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._transfer_client.report_usage)
             if not self._store_connected:
-                nursery.start_soon(self._final_records.hand_over, final_record)
+                nursery.start_soon(self._record_exchange.hand_over, final_record)
             await self._final_record_written.wait()
 
     async def _write_final_record(self) -> None:
@@ -474,7 +475,7 @@
             witness = coordinators.witness(self._shard)
             if witness is not None:
                 addresses = coordinators.addresses_of([witness])
-                await self._final_records.hand_over(record, addresses)
+                await self._record_exchange.hand_over(record, addresses)
         self._is_witnessing = False
 
     async def _hand_over_records(self) -> None:
@@ -490,7 +491,7 @@
         is_own = record is not None and record.incarnation == self._allowance.incarnation
         async with trio.open_nursery() as nursery:
             for found in (*ledger.handed_over, *([record] if is_own else ())):
-                nursery.start_soon(self._final_records.hand_over, found)
+                nursery.start_soon(self._record_exchange.hand_over, found)
 
     async def _read_ledger(self) -> bool:
         """Read the records appended since the last read; return whether the store answered."""
@@ -502,7 +503,7 @@
                     self._allowance.ledger.apply_records(
                         update.records, update.next, update.is_snapshot, trio.current_time()
                     )
-                    await self._final_records.fetch()
+                    await self._record_exchange.fetch()
                     was_superseded = self._allowance.superseded
                     self._allowance.apply_ledger(self._clock_reading())
                     if self._allowance.superseded and not was_superseded:
