Hand lost records to hosts besides the candidates, and bound it on slow stores

Cause: of the four hosts of zone a two are candidates; all seven candidates of the fleet were killed within 0.8 s around the return, and the survivors a-1 and a-3 had been handed nothing: at 25.65 s a-1 read 125,902 tokens as surely spent, where 216,502 had been known at 25.2 s.

Change: four further hosts, the same ones at all hosts, are handed the records when the store is lost, are asked by the next incarnations, and write again what the store has lost. Found by reading: on a store that is slow for long, each append would have had all records handed over; now at most once in five seconds. An answer that states no era changes nothing, rather than counting as one of era 0.

Shown by tests of the keepers, of a slow store and of answers without an era.

--- a/mulberrycleat/entry/coordinators.py
+++ b/mulberrycleat/entry/coordinators.py
@@ -22,6 +22,9 @@
 # Hosts of a larger zone that hold slices. There are two, so that the zone has one if the other
 # dies; each more makes the ledger longer, which all of them read.
 CANDIDATES_PER_ZONE = 2
+# Hosts besides the candidates that keep records which the store may lose. The candidates alone may
+# all be killed together.
+FURTHER_KEEPERS = 4
 # Ended incarnations that are remembered; a store that is restored from an older copy may have lost
 # their ends.
 MAX_ENDED = 1024
@@ -176,6 +179,14 @@
         far = [name for name in idle if self._zone_of(name) != self._zone]
         return next(iter([*far, *idle, *others]), None)
 
+    def keepers(self, shard: int) -> tuple[str, ...]:
+        """Return the names of the hosts that keep records of a shard which the store may lose.
+
+        These are the candidates and a few further hosts, the same ones at all hosts.
+        """
+        others = [name for name in self._active if name not in self._candidates]
+        return (*self._candidates, *ranked(f"keepers {shard}", others)[:FURTHER_KEEPERS])
+
     def role(self, shard: int) -> Role:
         """Return this host's role for a shard; coordinator while no host is active."""
         coordinators = self.coordinators(shard)
--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -62,6 +62,9 @@
 # An append that has got no answer after this time, in seconds, is a sign that the store is lost; it
 # takes some milliseconds otherwise.
 SLOW_APPEND_S = 0.1
+# Shortest time between two hand-overs because of slow appends, in seconds: the store may be slow
+# for long.
+SLOW_HAND_OVER_INTERVAL_S = 5.0
 # Shortest time between two records that are handed to the witness, in seconds. The tokens that a
 # record holds ready cover the expected demand for 0.6 s (`AllowanceSettings.ready_s`).
 WITNESS_INTERVAL_S = 0.5
@@ -142,6 +145,7 @@
         self._position: Position | None = None
         self._restored = False
         self._hand_over_due = False
+        self._handed_over_at = float("-inf")
         self._unwitnessed: HolderRecord | None = None
         self._is_witnessing = False
         self._wake = trio.Event()
@@ -153,7 +157,7 @@
         self._transfer_client = TransferClient(allowance, calls, decisions, shard)
         self._transfer_server = TransferServer(allowance, shard)
         self._record_exchange = RecordExchange(
-            allowance, calls, self._candidate_addresses, decisions, shard
+            allowance, calls, self._keeper_addresses, decisions, shard
         )
         self._stopping = False
         self._final_record_written = trio.Event()
@@ -461,7 +465,7 @@
         Their hosts may have died, and hosts that start know only what the store has.
         """
         ledger = self._allowance.ledger
-        while lost := [r for r in ledger.lost_records if r.host != self._allowance.host]:
+        while lost := self._other_lost_records():
             match await self._store.append_slices(self._shard, lost[0], ledger.end):
                 case Ok(outcome) if outcome.done:
                     ledger.apply_records([lost[0]], outcome.position.after())
@@ -499,7 +503,8 @@
         A host may die before the call has timed out.
         """
         await trio.sleep(SLOW_APPEND_S)
-        if self._store_connected:
+        age_s = trio.current_time() - self._handed_over_at
+        if self._store_connected and age_s >= SLOW_HAND_OVER_INTERVAL_S:
             self._hand_over_due = True
             await self._hand_over_records()
 
@@ -511,6 +516,7 @@
         if not self._hand_over_due:
             return
         self._hand_over_due = False
+        self._handed_over_at = trio.current_time()
         ledger = self._allowance.ledger
         records = list(ledger.handed_over)
         own = ledger.records.get(self._allowance.host)
@@ -555,6 +561,7 @@
             self._is_coordinator()
             or self._allowance.holds_tokens
             or self._allowance.must_restate
+            or bool(self._other_lost_records())
             or self._awaited > 0
             or not self._store_connected
         )
@@ -577,9 +584,15 @@
         coordinators = self._roster.coordinators
         return coordinators.addresses_of(coordinators.coordinators(self._shard))
 
-    def _candidate_addresses(self) -> tuple[str, ...]:
-        """Return the addresses of the other hosts that can be coordinators."""
-        return self._roster.coordinators.addresses_of(self._roster.coordinators.candidates)
+    def _keeper_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of the other hosts that keep records which the store may lose."""
+        coordinators = self._roster.coordinators
+        return coordinators.addresses_of(coordinators.keepers(self._shard))
+
+    def _other_lost_records(self) -> list[HolderRecord]:
+        """Return the records of other hosts that the store has lost."""
+        host = self._allowance.host
+        return [record for record in self._allowance.ledger.lost_records if record.host != host]
 
     def store_lost(self) -> None:
         """Hand records over soon: the store did not answer this host's latest call."""
--- a/mulberrycleat/entry/tests/test_coordinators.py
+++ b/mulberrycleat/entry/tests/test_coordinators.py
@@ -6,6 +6,7 @@
 
 from mulberrycleat.entry.coordinators import (
     CANDIDATES_PER_ZONE,
+    FURTHER_KEEPERS,
     HOST_ACTIVE_S,
     SMALL_ZONE_HOSTS,
     CoordinatorMap,
@@ -88,6 +89,16 @@
                 assert entries[witness].zone != entries[name].zone
 
 
+def test_records_are_kept_by_the_candidates_and_by_a_few_hosts_that_are_none():
+    for hosts_per_zone in (4, 39):
+        entries = entries_of(hosts_per_zone)
+        maps = [map_of(entries, name) for name in entries]
+        keepers = maps[0].keepers(3)
+        assert all(found.keepers(3) == keepers for found in maps)
+        assert set(maps[0].candidates) < set(keepers)
+        assert len(keepers) == len(maps[0].candidates) + FURTHER_KEEPERS
+
+
 def test_a_small_fleet_has_witnesses_too():
     for hosts_per_zone, zones in ((1, 5), (2, 1)):
         entries = {n: e for n, e in entries_of(hosts_per_zone).items() if e.zone in ZONES[:zones]}
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -336,11 +336,13 @@
         return outcome.and_then(lambda answer: self._note_era(answer, step, path))
 
     def _note_era(self, answer: HttpAnswer, step: Step, path: str) -> Result[HttpAnswer, PeerError]:
-        """Note the era that an answer states; an answer of an earlier one than known is an error.
+        """Note the era if an answer states one; an earlier one than the known era is an error.
 
         Calls overlap, so that an answer from before a restoration may arrive after a later one.
         """
-        stated = answer.headers.get(ERA_HEADER, "0")
+        stated = answer.headers.get(ERA_HEADER)
+        if stated is None:
+            return Ok(answer)
         if not stated.isascii() or not stated.isdigit():
             reason = f"{path}: header {ERA_HEADER} is not a number: {stated[:40]!r}"
             return Err(PeerError(step, self._url, reason))
--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -93,10 +93,15 @@
     """Applications that hosts serve to each other, by address.
 
     While `lose_answers` is set, calls are run, but the client times out without their answers.
+    `calls` has the method and path of each call.
     """
 
     lose_answers = False
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls: list[tuple[str, str]] = []
+
 
 class PeerClient(BaseHttpClient):
     """HTTP client through which one host calls the applications of the other hosts."""
@@ -117,6 +122,7 @@
         parts = urlsplit(url)
         if parts.netloc not in self._apps:
             raise httpcore.ConnectError("refused")
+        self._apps.calls.append((method, parts.path))
         await trio.sleep(0.001)
         sent: list[dict[str, Any]] = []
         asked = [{"type": "http.request", "body": body, "more_body": False}]
--- a/mulberrycleat/platform/tests/test_restored_store.py
+++ b/mulberrycleat/platform/tests/test_restored_store.py
@@ -11,6 +11,7 @@
 from mulberrycleat.platform.tests.fixtures import CONFIG, HostHarness, entry_host, entry_hosts
 from mulberrycleat.platform.tests.test_crashing_parts import CRASHING_PART, FLEET_CONFIG, prompt
 from mulberrycleat.platform.tests.test_crashing_parts import engine as engine_that_crashes
+from mulberrycleat.prepaid.sharding import shard_of
 from mulberrycleat.testing import fixture
 
 # The platform's `config_apply_ms`, and its `drain_ms`.
@@ -204,6 +205,27 @@
             assert len(engine.seen) * REQUEST_TOKENS <= PREPAID, (survivor, seed)
 
 
+async def test_a_slow_store_does_not_have_records_handed_over_for_each_append(engine):
+    async with entry_hosts(HOSTS, engine) as harnesses:
+        apps, store = harnesses[0].apps, harnesses[0].store
+        store.latency_s = 0.2
+        apps.calls.clear()
+        began = trio.current_time()
+        await spend(harnesses, 60, "a", 0.1)
+        shard = shard_of(CONFIG["tenants"][0]["name"])
+        handed = [path for method, path in apps.calls if method == "PUT" and f"/{shard}/" in path]
+        # One record each half second to the witness, and each five seconds one to two other hosts.
+        assert len(handed) <= HOSTS * (2 + 2 / 5) * (trio.current_time() - began + 1.0)
+
+
+async def test_answers_that_state_no_era_are_read(booking_server):
+    async with entry_host(booking_server) as harness:
+        harness.store.era = None
+        publish(harness.store, 9, routes=[])
+        await trio.sleep(APPLY_S)
+        assert (await harness.send_request("/book/x")).status == 404
+
+
 async def test_a_part_stays_refused_when_the_store_has_lost_the_reports():
     engines = [engine_that_crashes(number) for number in range(1, 7)]
     async with entry_host(*engines, config=FLEET_CONFIG) as harness:
