Name the flag of a ledger that has to be read again after what it means

_restored read as if the ledger had been restored. A comment says what the numbers by host and incarnation are; a test assigned a value that was there already.

--- a/mulberrycleat/entry/slices.py
+++ b/mulberrycleat/entry/slices.py
@@ -143,7 +143,7 @@
         self._decisions = decisions
         self._random = random
         self._position: Position | None = None
-        self._restored = False
+        self._reread_due = False
         self._hand_over_due = False
         self._handed_over_at = float("-inf")
         self._unwitnessed: HolderRecord | None = None
@@ -403,10 +403,10 @@
 
     async def _cycle(self) -> None:
         """Append a record if one is needed; otherwise read the ledger if a read is due."""
-        if self._position is None or self._restored:
+        if self._position is None or self._reread_due:
             if not await self._read_ledger():
                 return
-            self._restored = False
+            self._reread_due = False
         if not self._participates():
             return
         appended = await self._append_record()
@@ -601,7 +601,7 @@
 
     def store_restored(self) -> None:
         """Read the ledger again soon: the store was restored from an older copy."""
-        self._restored = True
+        self._reread_due = True
         self._wake.set()
 
     def update_roles(self) -> None:
--- a/mulberrycleat/platform/tests/test_crashing_requests.py
+++ b/mulberrycleat/platform/tests/test_crashing_requests.py
@@ -168,7 +168,7 @@
         await play.run(10.0, 0.5)
         for server in play.endpoints:
             server.crash_target = ""
-        play.target, play.statuses = "/find/crash", []
+        play.statuses.clear()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(play.run, 30.0, 0.5)
             await trio.sleep(5.0)
--- a/mulberrycleat/prepaid/ledger.py
+++ b/mulberrycleat/prepaid/ledger.py
@@ -211,6 +211,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, HolderRecord] = {}
+        # Largest number of a record read of each incarnation, by host.
         self._known: dict[str, dict[str, int]] = {}
         self._handed_over: dict[str, HolderRecord] = {}
         self._lost: dict[str, HolderRecord] = {}
