--- a/mulberrycleat/endpoint/directory.py
+++ b/mulberrycleat/endpoint/directory.py
@@ -38,6 +38,8 @@
         Remaining time for which the endpoint is slow after its start, in seconds.
     born : float
         Start time that the endpoint states; distinguishes two incarnations with the same id.
+    version : str
+        Version of the endpoint's software; empty if it states none.
     """
 
     id: str
@@ -48,6 +50,7 @@
     slots: int = 1
     cold_s: float = 0.0
     born: float = 0.0
+    version: str = ""
 
     @property
     def incarnation(self) -> str:
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -233,12 +233,15 @@
             "sent",
             request=request_id,
             endpoint=entry.id,
+            version=entry.version,
             offer=tries.count,
             why=tries.last,
             expected_s=round(placement.expected_s, 4),
             cached_tokens=placement.cached_tokens,
             candidates=placement.candidates,
             resumed_after=call.progress.last_event_id,
+            taken_up_after=call.facts.last_event_id,
+            resumes=call.facts.resumes,
         )
 
         def heard() -> None:
--- a/mulberrycleat/entry/protocol.py
+++ b/mulberrycleat/entry/protocol.py
@@ -35,6 +35,8 @@
         Parts of the prompt in order; the last part belongs to the request or its session alone.
     last_event_id : int or None
         Id of the last event of the stream that the caller has received.
+    resumes : str
+        Id of the caller's attempt that brought the first event of the stream; empty if not stated.
     fault : str
         Faults found in the headers; empty if all could be read.
     """
@@ -47,6 +49,7 @@
     max_output_tokens: int = 0
     parts: tuple[Part, ...] = ()
     last_event_id: int | None = None
+    resumes: str = ""
     fault: str = ""
 
     @property
--- a/mulberrycleat/platform/config.py
+++ b/mulberrycleat/platform/config.py
@@ -94,6 +94,7 @@
 
     `service` is the name of a pool. `cold_remaining_ms` is how long the server will still be slow
     after its start. `born` is the server's start time; a changed value means a new incarnation.
+    `version` is that of its software, not of a model's weights.
     """
 
     service: str
@@ -103,6 +104,7 @@
     slots: int = 1
     cold_remaining_ms: float = 0.0
     born: float = 0.0
+    version: str = ""
 
 
 _ROUTE_KINDS = {
@@ -166,6 +168,7 @@
             slots=max(1, server.slots),
             cold_s=server.cold_remaining_ms / 1000,
             born=server.born,
+            version=server.version,
         )
     )
 
--- a/mulberrycleat/platform/headers.py
+++ b/mulberrycleat/platform/headers.py
@@ -28,6 +28,8 @@
 # separate the parts.
 PROMPT_PARTS = b"prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
+# REQUEST_ID of the caller's own attempt that brought the first event of the stream.
+RESUMES = b"resumes"
 ACCOUNT = b"tenant"
 ENDPOINT = b"target-instance"
 PRIORITY = b"request-priority"
@@ -113,6 +115,7 @@
             max_output_tokens=output,
             parts=_parse_parts(found.get(PROMPT_PARTS, ""), faults),
             last_event_id=parse_count(found.get(LAST_EVENT_ID, "")),
+            resumes=found.get(RESUMES, ""),
             fault="; ".join(faults),
         )
 
