--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -78,6 +78,8 @@
         ``:body``, and the time of arrival on trio's clock as ``:at``.
     running : int
         Number of requests that it is running, which its load reports state.
+    version : str
+        Version of its software, which its directory entry states.
     """
 
     id: str
@@ -107,6 +109,7 @@
     declined_at: list[float] = field(default_factory=list)
     seen: list[dict[str, str]] = field(default_factory=list)
     running: int = 0
+    version: str = "v1"
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the directory entry that the server writes to the store."""
@@ -114,6 +117,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
+            "version": self.version,
             "state": state,
             "slots": 8,
         }
