Let a stream go on only at the software version that began it

Cause: a host that resumed a stream, or that was asked to take one up, chose any endpoint of the pool, as neither the version in an endpoint's entry nor the header that names the caller's first attempt was read, and no host knew where a stream had begun. Class: a choice among endpoints that are taken to be interchangeable and are not.

Now each choice for a stream that has begun is restricted to its version and its pool. Hosts record origins in the store: before the first event is forwarded while a pool has or lately had several versions, in the background otherwise. A host that doesn't know a stream reads them; one of unknown version is not joined while there are several.

--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -28,6 +28,7 @@
     DispatchFilter,
     PrepaidFilter,
     RouteFilter,
+    StreamVersionFilter,
 )
 from mulberrycleat.entry.frontend import HttpFrontend
 from mulberrycleat.entry.metrics import EntryMetrics
@@ -40,6 +41,7 @@
 from mulberrycleat.entry.shutdown import GracefulShutdown
 from mulberrycleat.entry.slices import HeartbeatCount, SliceController
 from mulberrycleat.entry.store import StateStore
+from mulberrycleat.entry.stream_origins import OriginController
 from mulberrycleat.entry.supervision import keep_running
 from mulberrycleat.prepaid import Allowance, AllowanceSettings
 from mulberrycleat.router.chain import FilterChain
@@ -174,13 +176,22 @@
                 shard,
             )
         )
+        self._origins = OriginController(
+            settings.host,
+            self._store,
+            self._registry.directory,
+            settings.times,
+            decisions,
+            lambda: self._roster.coordinators.host_count(trio.current_time()),
+            self._store.recall_origin,
+        )
         self._maps = MapFeed(
             self._store,
             settings.times,
             self._bounds,
             decisions,
             self._apply_table,
-            self._slices.store_restored,
+            self._apply_restoration,
             self._store.recall_map,
         )
         self._directory = DirectoryFeed(
@@ -201,7 +212,11 @@
             self._endpoint_limits,
         )
         self._relay = RelayServer(
-            self._store, self._maps.snapshot, self._directory.snapshot, self._roster.snapshot
+            self._store,
+            self._maps.snapshot,
+            self._directory.snapshot,
+            self._roster.snapshot,
+            self._origins.known,
         )
         self._metrics = EntryMetrics()
         self._chain = FilterChain(
@@ -210,6 +225,7 @@
                 AccountFilter(),
                 DeadlineFilter(),
                 CrashingPartFilter(self._reports),
+                StreamVersionFilter(self._origins, self._registry, decisions),
                 PrepaidFilter(self._slices, decisions, trio.current_time),
                 DispatchFilter(
                     codec,
@@ -217,6 +233,7 @@
                     self._retry_budget,
                     self._connections,
                     self._reports,
+                    self._origins,
                     decisions,
                 ),
             )
@@ -294,6 +311,8 @@
                 "usage reports": self._slices.run_usage_reports,
                 "endpoint reports": self._reports.run_reads,
                 "own endpoint reports": self._reports.run_appends,
+                "stream origins": self._origins.run_start,
+                "own stream origins": self._origins.run_appends,
                 "housekeeping": self._run_housekeeping,
                 "metrics": self._metrics.watch_loop,
             }
@@ -421,6 +440,11 @@
 
     def _forget_absent_endpoints(self) -> None:
         self._registry.forget_absent()
+        self._origins.observe_directory()
+
+    def _apply_restoration(self) -> None:
+        self._slices.store_restored()
+        self._origins.store_restored()
 
     def _count_request(self, call: EntryCall, outcome: Result[Served, Refusal] | None) -> None:
         self._metrics.count(call, outcome)
--- a/mulberrycleat/entry/call.py
+++ b/mulberrycleat/entry/call.py
@@ -29,6 +29,8 @@
         Number of events of a stream that were forwarded to the caller.
     last_event_id : int or None
         Id of the last of these events.
+    version : str or None
+        Software version of the endpoint that began the stream, once its first event is forwarded.
     first_at : float or None
         When the first event of a stream was forwarded, in seconds on trio's clock.
     endpoint : str
@@ -46,6 +48,7 @@
     runs: int = 0
     delivered_events: int = 0
     last_event_id: int | None = None
+    version: str | None = None
     first_at: float | None = None
     endpoint: str = ""
     suspects: tuple[str, ...] | None = None
@@ -70,6 +73,8 @@
         Route map that was active when the request began; it is used until the request ends.
     deadline : float
         When the request is aborted, in seconds on trio's clock.
+    version : str or None
+        Software version that began the stream which the caller takes up; None for a new stream.
     """
 
     method: str
@@ -86,8 +91,20 @@
     account: ClientAccount | None = None
     pool: Pool | None = None
     deadline: float = math.inf
+    version: str | None = None
     progress: Progress = field(default_factory=Progress)
 
+    @property
+    def required_version(self) -> str | None:
+        """The only software version that may go on with the stream, None if any may begin it."""
+        return self.version if self.progress.version is None else self.progress.version
+
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether the caller takes up a stream of which it has events."""
+        facts = self.facts
+        return self.route.resumable and (facts.last_event_id is not None or bool(facts.resumes))
+
     @property
     def suspects(self) -> tuple[str, ...]:
         """What may crash the endpoints that run the request: its content, and shared prompt parts.
--- a/mulberrycleat/entry/endpoints.py
+++ b/mulberrycleat/entry/endpoints.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from mulberrycleat.endpoint.directory import Directory
+from mulberrycleat.endpoint.directory import Directory, Entry
 from mulberrycleat.endpoint.placer import Placement, Placer, PlacerSettings, Work
 from mulberrycleat.endpoint.rate_limits import EndpointLimits
 from mulberrycleat.endpoint.statements import EndpointStatements
@@ -67,7 +67,7 @@
         Endpoints that take no request of this host now, because of what they state, are left out.
         """
         now = trio.current_time()
-        entries = self._limits.sendable(self._directory.ready(call.pool.name, now), now)
+        entries = self._limits.sendable(self._entries(call, now), now)
         entries = self._statements.sendable(entries, now, self._drain_s())
         return self.placer(call.pool.name).choose(entries, work_of(call.facts), now, tried)
 
@@ -77,14 +77,24 @@
         None if the limits leave an endpoint at once, or if there is no endpoint at all.
         """
         now = trio.current_time()
-        entries = self._directory.ready(call.pool.name, now)
+        entries = self._entries(call, now)
         wait_s = min((self._limits.wait_s(entry, now) for entry in entries), default=0.0)
         return wait_s if wait_s > 0 else None
 
     def paused_wait_s(self, call: EntryCall) -> float | None:
         """Return the time until the pause of an endpoint ends, in seconds; None without a pause."""
         now = trio.current_time()
-        return self._statements.wait_s(self._directory.ready(call.pool.name, now), now)
+        return self._statements.wait_s(self._entries(call, now), now)
+
+    def has_endpoint(self, call: EntryCall) -> bool:
+        """Whether any endpoint may serve a request, even if none takes it now."""
+        return bool(self._entries(call, trio.current_time()))
+
+    def _entries(self, call: EntryCall, now: float) -> list[Entry]:
+        """Return the endpoints that may serve a request: those of its version, if it needs one."""
+        entries = self._directory.ready(call.pool.name, now)
+        version = call.required_version
+        return entries if version is None else [e for e in entries if e.version == version]
 
     def placer(self, pool: str) -> Placer:
         """Return the placer of one pool, which is created on first use."""
--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -105,6 +105,8 @@
         Called with the facts read from the answer's headers.
     on_answer : callable
         Called when the first event of a stream, or a complete answer, has arrived with success.
+    before_stream : callable
+        Awaited before the first event of a stream is forwarded.
     """
 
     def __init__(
@@ -114,12 +116,14 @@
         on_data: Callable[[], None],
         on_facts: Callable[[AnswerFacts], None],
         on_answer: Callable[[], None],
+        before_stream: Callable[[], Awaitable[None]],
     ) -> None:
         self._codec = codec
         self._connections = connections
         self._on_data = on_data
         self._on_facts = on_facts
         self._on_answer = on_answer
+        self._before_stream = before_stream
 
     async def run(
         self, call: EntryCall, placement: Placement, first_s: float, pause_s: float
@@ -264,6 +268,7 @@
                     return ExchangeFailed("events that were passed on before")
                 pause.deadline = float("inf")
                 if not call.responder.started:
+                    await self._before_stream()
                     await start_answer(call, head.status, self._codec.answer_headers(head))
                     progress.first_at = trio.current_time()
                 # An event counts only once it is written: after a freeze of the host, the time
--- a/mulberrycleat/entry/filters/__init__.py
+++ b/mulberrycleat/entry/filters/__init__.py
@@ -4,6 +4,7 @@
 from mulberrycleat.entry.filters.crashing_parts import CrashingPartFilter
 from mulberrycleat.entry.filters.dispatch import DispatchFilter
 from mulberrycleat.entry.filters.prepaid import PrepaidFilter
+from mulberrycleat.entry.filters.stream_version import StreamVersionFilter
 
 __all__ = [
     "AccountFilter",
@@ -12,4 +13,5 @@
     "DispatchFilter",
     "PrepaidFilter",
     "RouteFilter",
+    "StreamVersionFilter",
 ]
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -29,6 +29,7 @@
 from mulberrycleat.entry.filters.admit import Proceed
 from mulberrycleat.entry.protocol import AnswerFacts, HeaderCodec
 from mulberrycleat.entry.retries import FleetRetryBudget
+from mulberrycleat.entry.stream_origins import OriginController
 from mulberrycleat.routes import RouteKind
 from mulberrycleat.web.upstream import ConnectionPool
 
@@ -142,6 +143,8 @@
         Connections to endpoints.
     reports : EndpointReports
         What the hosts report about endpoints; a request that may crash them is not retried.
+    origins : OriginController
+        Records which version begins a stream.
     decisions : DecisionLog
         Log of each attempt and its end.
     """
@@ -153,9 +156,11 @@
         retry_budget: FleetRetryBudget,
         connections: ConnectionPool,
         reports: EndpointReports,
+        origins: OriginController,
         decisions: DecisionLog,
     ) -> None:
         self._codec = codec
+        self._origins = origins
         self._registry = registry
         self._retry_budget = retry_budget
         self._connections = connections
@@ -262,7 +267,14 @@
             attempt.answered = True
             self._reports.record_answer(call.suspects)
 
-        exchange = Exchange(self._codec, self._connections, heard, record_facts, record_answer)
+        async def before_stream() -> None:
+            call.progress.version = entry.version
+            if call.route.resumable and not call.is_taken_up:
+                await self._origins.record_start(request_id, entry)
+
+        exchange = Exchange(
+            self._codec, self._connections, heard, record_facts, record_answer, before_stream
+        )
         timeouts = self._timeouts(call, placement, tries)
         outcome: Outcome | None = None
         try:
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -12,6 +12,7 @@
 
 from mulberrycleat.core import PeerError, Position, Step
 from mulberrycleat.endpoint.reports import EndpointReport
+from mulberrycleat.endpoint.stream_origins import OriginRecord, StreamOrigin
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.store import (
@@ -19,6 +20,7 @@
     DirectoryUpdate,
     HostUpdate,
     MapUpdate,
+    OriginUpdate,
     RecordUpdate,
     ReportUpdate,
     StateStore,
@@ -41,6 +43,9 @@
 # Other hosts asked for what they remember, if none of them reaches the store. One that was cut off
 # for longer may remember an older state than the others.
 MEMORY_ATTEMPTS = 4
+# Other hosts asked for the origin of a stream, which any of them may know. Their answers take some
+# milliseconds.
+ORIGIN_ATTEMPTS, ORIGIN_TIMEOUT_S = 16, 0.2
 MESSAGE_TYPE = "application/msgpack"
 RELAY_PATH = "/store/{call}"
 
@@ -54,6 +59,8 @@
     shard: Annotated[int, msgspec.Meta(ge=0, lt=SHARDS)] = 0
     host: str = ""
     reports: tuple[EndpointReport, ...] = ()
+    origins: tuple[OriginRecord, ...] = ()
+    request: str = ""
 
 
 class RelayedStore:
@@ -209,6 +216,46 @@
             AppendOutcome,
         )
 
+    async def read_origins(self, position: Position) -> Result[OriginUpdate, PeerError]:
+        """Return origins of streams recorded since `position`."""
+        arguments = _CallArguments(position)
+        return await self._call(
+            lambda: self._inner.read_origins(position), "read_origins", arguments, OriginUpdate
+        )
+
+    async def append_origins(
+        self, host: str, records: tuple[OriginRecord, ...]
+    ) -> Result[AppendOutcome, PeerError]:
+        """Append origins of streams that began at a host."""
+        arguments = _CallArguments(host=host, origins=records)
+        return await self._call(
+            lambda: self._inner.append_origins(host, records),
+            "append_origins",
+            arguments,
+            AppendOutcome,
+        )
+
+    async def recall_origin(self, request_id: str) -> StreamOrigin | None:
+        """Return the origin of a stream if one of some other hosts remembers it."""
+        peers = list(self._peers())
+        self._random.shuffle(peers)
+        found: list[StreamOrigin] = []
+
+        async def ask(peer: str, nursery: trio.Nursery) -> None:
+            arguments = _CallArguments(request=request_id)
+            match await self._ask_peer(peer, "known_origin", arguments, StreamOrigin | None):
+                case Ok(origin) if origin is not None:
+                    found.append(origin)
+                    nursery.cancel_scope.cancel()
+                case Err(error):
+                    self._decisions.info("stream origin not recalled", peer=peer, why=str(error))
+
+        with trio.move_on_after(ORIGIN_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for peer in peers[:ORIGIN_ATTEMPTS]:
+                    nursery.start_soon(ask, peer, nursery)
+        return found[0] if found else None
+
     async def _call(
         self,
         direct: Callable[[], Awaitable[Result[T, PeerError]]],
@@ -313,6 +360,8 @@
         Returns the endpoints' entries for the same purpose, or None before the directory is read.
     known_hosts : callable
         Returns the roster of entry hosts for the same purpose, or None before it is read.
+    known_origin : callable
+        Returns the origin of a stream by its request id, or None if this host does not remember it.
     """
 
     def __init__(
@@ -321,8 +370,10 @@
         known_map: Callable[[], MapUpdate | None],
         known_entries: Callable[[], DirectoryUpdate | None],
         known_hosts: Callable[[], HostUpdate | None],
+        known_origin: Callable[[str], StreamOrigin | None],
     ) -> None:
         self._known_hosts = known_hosts
+        self._known_origin = known_origin
         self._store = store
         self._known_map = known_map
         self._known_entries = known_entries
@@ -381,8 +432,20 @@
                 return await inner.read_reports(arguments.position, 0.0)
             case "append_reports" if not lost and arguments.reports:
                 return await inner.append_reports(arguments.host, arguments.reports)
+            case "known_origin":
+                return Ok(self._known_origin(arguments.request))
+            case "read_origins" if not lost and arguments.position is not None:
+                return await inner.read_origins(arguments.position)
+            case "append_origins" if not lost and arguments.origins:
+                return await inner.append_origins(arguments.host, arguments.origins)
             case (
-                "read_slices" | "append_slices" | "append_host" | "read_reports" | "append_reports"
+                "read_slices"
+                | "append_slices"
+                | "append_host"
+                | "read_reports"
+                | "append_reports"
+                | "read_origins"
+                | "append_origins"
             ):
                 return unreachable
         return None
--- a/mulberrycleat/entry/store.py
+++ b/mulberrycleat/entry/store.py
@@ -9,6 +9,7 @@
 from mulberrycleat.core import PeerError, Position
 from mulberrycleat.endpoint.directory import Entry
 from mulberrycleat.endpoint.reports import EndpointReport
+from mulberrycleat.endpoint.stream_origins import OriginRecord
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.prepaid import HolderRecord
 from mulberrycleat.routes import RouteMap
@@ -19,6 +20,7 @@
     "DirectoryUpdate",
     "HostUpdate",
     "MapUpdate",
+    "OriginUpdate",
     "RecordUpdate",
     "StateStore",
 ]
@@ -127,6 +129,27 @@
     faults: tuple[str, ...] = ()
 
 
+class OriginUpdate(NamedTuple):
+    """Result of a read of the origins of streams.
+
+    Attributes
+    ----------
+    next : Position
+        Position to read from next.
+    records : tuple of OriginRecord
+        Records in the order of the store.
+    at_end : bool
+        Whether there were no more records when the store answered.
+    faults : tuple of str
+        Descriptions of what could not be decoded.
+    """
+
+    next: Position
+    records: tuple[OriginRecord, ...]
+    at_end: bool
+    faults: tuple[str, ...] = ()
+
+
 class AppendOutcome(NamedTuple):
     """Result of a conditional append.
 
@@ -196,3 +219,16 @@
     ) -> Result[AppendOutcome, PeerError]:
         """Append reports of a host; all of them or none."""
         ...
+
+    async def read_origins(self, position: Position) -> Result[OriginUpdate, PeerError]:
+        """Return origins of streams recorded since `position`.
+
+        Records that have expired are left out.
+        """
+        ...
+
+    async def append_origins(
+        self, host: str, records: tuple[OriginRecord, ...]
+    ) -> Result[AppendOutcome, PeerError]:
+        """Append origins of streams that began at a host; all of them or none."""
+        ...
--- /dev/null
+++ b/mulberrycleat/entry/stream_origins.py
@@ -0,0 +1,250 @@
+"""Controller of the origins of streams: records them in the store and looks them up."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+from result import Err, Ok
+
+from mulberrycleat.core import START, Position
+from mulberrycleat.endpoint.directory import Directory, Entry
+from mulberrycleat.endpoint.stream_origins import (
+    MAX_REQUESTS,
+    OriginRecord,
+    StreamOrigin,
+    StreamOrigins,
+)
+from mulberrycleat.entry.decisions import DecisionLog
+from mulberrycleat.entry.settings import EntryTimes
+from mulberrycleat.entry.store import StateStore
+
+__all__ = ["OriginController"]
+
+# The first event of a stream is held for at most this time until the origin is recorded, in
+# seconds. Events may reach the caller 0.12 s after the endpoint made them.
+MAX_HOLD_S = 0.08
+# Shortest time between two appends of this host, in seconds: while an event waits for a record, and
+# otherwise.
+HELD_INTERVAL_S, IDLE_INTERVAL_S = 0.02, 1.0
+# Most appends that all hosts together make in a second while events wait for records, and
+# otherwise. The store makes 500 a second in one log.
+FLEET_APPENDS_PER_S, FLEET_IDLE_APPENDS_PER_S = 300.0, 100.0
+# Most streams that wait to be recorded; further ones are not recorded.
+MAX_PENDING = 16 * MAX_REQUESTS
+# Interval between attempts to read what was recorded before this host started, in seconds.
+START_READ_INTERVAL_S = 0.3
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A stream to record; `recorded` is set once it is."""
+
+    request_id: str
+    origin: StreamOrigin
+    recorded: trio.Event = field(default_factory=trio.Event)
+
+
+class OriginController:
+    """Records which version began each stream, and tells where one may go on.
+
+    While a pool has endpoints of several versions, or had them lately, the first event of a stream
+    is held until the origin is recorded, so that a host that takes up the stream finds it, even if
+    all hosts have been killed in the meantime. Otherwise origins are recorded in the background.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    store : StateStore
+        Where origins are recorded.
+    directory : Directory
+        The endpoints and their versions.
+    times : EntryTimes
+        Intervals of the loops.
+    decisions : DecisionLog
+        Log of streams without a known origin, and of failures.
+    host_count : callable
+        Returns the number of active hosts, which share the store's rate of appends.
+    ask_others : callable
+        Asks the other hosts for the origin of a stream, by its request id; used while no host that
+        is tried reaches the store.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        store: StateStore,
+        directory: Directory,
+        times: EntryTimes,
+        decisions: DecisionLog,
+        host_count: Callable[[], int],
+        ask_others: Callable[[str], Awaitable[StreamOrigin | None]],
+    ) -> None:
+        self._host = host
+        self._store = store
+        self._directory = directory
+        self._times = times
+        self._decisions = decisions
+        self._host_count = host_count
+        self._ask_others = ask_others
+        self._origins = StreamOrigins()
+        self._position: Position = START
+        self._reading = trio.Lock()
+        self._read_from = float("-inf")
+        self._pending: list[_Pending] = []
+        self._held = trio.Event()
+        self._failing = False
+
+    @property
+    def pending(self) -> int:
+        """Number of streams that wait to be recorded."""
+        return len(self._pending)
+
+    def known(self, request_id: str) -> StreamOrigin | None:
+        """Return the origin of a stream if this host remembers it."""
+        return self._origins.find(request_id, trio.current_time())
+
+    def observe_directory(self) -> None:
+        """Note the versions that are in the directory."""
+        self._origins.observe(self._directory.entries.values(), trio.current_time())
+
+    async def record_start(self, request_id: str, entry: Entry) -> None:
+        """Record that a stream begins at an endpoint; returns when its first event may be sent."""
+        now = trio.current_time()
+        origin = StreamOrigin(entry.pool, entry.version)
+        self._origins.add(request_id, origin, now, own=True)
+        if len(self._pending) >= MAX_PENDING:
+            self._decisions.warning(
+                "stream origin dropped", request=request_id, step="append", why="too many pending"
+            )
+            return
+        stream = _Pending(request_id, origin)
+        self._pending.append(stream)
+        if not self._is_mixed(entry.pool):
+            return
+        self._held.set()
+        if self._failing:
+            return
+        with trio.move_on_after(MAX_HOLD_S) as limit:
+            await stream.recorded.wait()
+        if limit.cancelled_caught:
+            self._decisions.warning(
+                "stream origin not recorded in time", request=request_id, version=origin.version
+            )
+
+    async def find(self, request_id: str, pool: str) -> StreamOrigin | None:
+        """Return the origin of a stream that a caller takes up, or None if it can't be known.
+
+        A stream that is recorded nowhere began at the only version that the pool has had lately, if
+        there is only one.
+
+        Parameters
+        ----------
+        request_id : str
+            The caller's attempt that brought the first event; empty if the caller does not state
+            it.
+        pool : str
+            Pool that its route leads to.
+        """
+        if request_id:
+            found = self.known(request_id)
+            if found is None:
+                up_to_date = await self._read_records()
+                found = self.known(request_id)
+                if found is None and not up_to_date:
+                    found = await self._ask_others(request_id)
+            if found is not None:
+                return found
+        self.observe_directory()
+        versions = self._origins.versions(pool, trio.current_time())
+        if len(versions) == 1 and self._read_from > float("-inf"):
+            return StreamOrigin(pool, versions.pop())
+        return None
+
+    def store_restored(self) -> None:
+        """Record this host's streams again, since the store may have lost them."""
+        waiting = {stream.request_id for stream in self._pending}
+        self._pending += [
+            _Pending(request_id, origin)
+            for request_id, origin in self._origins.own_streams(trio.current_time())
+            if request_id not in waiting
+        ]
+        self._held.set()
+
+    async def run_start(self) -> None:
+        """Read what was recorded before this host started, until it has been read once."""
+        while not await self._read_records():
+            await trio.sleep(START_READ_INTERVAL_S)
+        await trio.sleep_forever()
+
+    async def run_appends(self) -> None:
+        """Record origins until cancelled."""
+        while True:
+            hosts = max(1, self._host_count())
+            with trio.move_on_after(max(IDLE_INTERVAL_S, hosts / FLEET_IDLE_APPENDS_PER_S)):
+                await self._held.wait()
+            self._held = trio.Event()
+            while self._pending:
+                await self._append_pending()
+            await trio.sleep(max(HELD_INTERVAL_S, hosts / FLEET_APPENDS_PER_S))
+
+    async def _append_pending(self) -> None:
+        """Record pending streams; those whose append fails stay pending.
+
+        A stream may be recorded twice if an answer of the store is lost, which changes nothing.
+        """
+        batch = self._pending[:MAX_REQUESTS]
+        requests: dict[StreamOrigin, list[str]] = defaultdict(list)
+        for stream in batch:
+            requests[stream.origin].append(stream.request_id)
+        records = tuple(OriginRecord(*origin, tuple(ids)) for origin, ids in requests.items())
+        match await self._store.append_origins(self._host, records):
+            case Ok(_):
+                del self._pending[: len(batch)]
+                self._failing = False
+                for stream in batch:
+                    stream.recorded.set()
+            case Err(error):
+                self._log_failure("append", str(error))
+                await trio.sleep(self._times.outage_retry_interval_s)
+
+    async def _read_records(self) -> bool:
+        """Read all that was recorded before the call; return whether that succeeded."""
+        asked_at = trio.current_time()
+        async with self._reading:
+            # A read that began after this call has found all of it.
+            while self._read_from < asked_at:
+                began = trio.current_time()
+                if not await self._read_to_end():
+                    return False
+                self._read_from = began
+        return True
+
+    async def _read_to_end(self) -> bool:
+        while True:
+            match await self._store.read_origins(self._position):
+                case Err(error):
+                    self._log_failure("read", str(error))
+                    return False
+                case Ok(update):
+                    now = trio.current_time()
+                    for fault in update.faults:
+                        self._decisions.warning("stream origin unreadable", why=fault)
+                    for record in update.records:
+                        self._origins.apply(record, now)
+                    self._position = update.next
+                    if update.at_end:
+                        return True
+
+    def _is_mixed(self, pool: str) -> bool:
+        """Whether streams of several versions of a pool may still be taken up."""
+        self.observe_directory()
+        return len(self._origins.versions(pool, trio.current_time())) > 1
+
+    def _log_failure(self, step: str, why: str) -> None:
+        if not self._failing:
+            self._decisions.warning("stream origins not reached", step=step, peer="store", why=why)
+        self._failing = True
--- a/mulberrycleat/entry/tests/test_exchange.py
+++ b/mulberrycleat/entry/tests/test_exchange.py
@@ -47,7 +47,9 @@
     responder, progress = Responder(send), Progress()
     call = SimpleNamespace(responder=responder, progress=progress)
     codec = SimpleNamespace(answer_headers=lambda head: [])
-    exchange = Exchange(codec, None, lambda: None, lambda facts: None, lambda: None)
+    exchange = Exchange(
+        codec, None, lambda: None, lambda facts: None, lambda: None, trio.lowlevel.checkpoint
+    )
     first = trio.CancelScope(deadline=trio.current_time() + PAUSE_S)
     head, connection = SimpleNamespace(status=200), LateConnection(on_time)
     outcome = await exchange._forward_events(call, connection, head, first, PAUSE_S)
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -12,12 +12,14 @@
 
 from mulberrycleat.core import PeerError, Position, Step
 from mulberrycleat.endpoint.reports import EndpointReport
+from mulberrycleat.endpoint.stream_origins import OriginRecord
 from mulberrycleat.entry.coordinators import HostEntry
 from mulberrycleat.entry.store import (
     AppendOutcome,
     DirectoryUpdate,
     HostUpdate,
     MapUpdate,
+    OriginUpdate,
     RecordUpdate,
     ReportUpdate,
 )
@@ -38,6 +40,8 @@
 HOST_TOPIC = "keyed.hosts"
 # Its records expire, as they say nothing about the present after a while.
 REPORT_TOPIC = "endpoint-reports"
+# Its records expire; no stream lasts as long as they are kept.
+ORIGIN_TOPIC = "stream-origins"
 PRECONDITION_FAILED, GONE, NOT_FOUND = 412, 410, 404
 MAX_READ_KB = 1024
 # The store raises this number in its answers each time that it is restored from an older copy.
@@ -86,13 +90,15 @@
     """Records of a topic.
 
     `next` is the position to read from next. `snapshot` says whether `records` are the newest of
-    each key, `lost` whether the store no longer has all records since the requested position.
+    each key, `lost` whether the store no longer has all records since the requested position, and
+    `at_end` whether there were no further records.
     """
 
     next: Position
     snapshot: bool
     records: tuple[_Record, ...]
     lost: bool = False
+    at_end: bool = True
 
 
 class PlatformStore:
@@ -211,17 +217,39 @@
         self, position: Position, wait_s: float
     ) -> Result[ReportUpdate, PeerError]:
         """Return the reports on endpoints since `position`, waiting for up to `wait_s` seconds."""
+        return (await self._read_log(REPORT_TOPIC, position, wait_s)).map(_decode_reports)
+
+    async def read_origins(self, position: Position) -> Result[OriginUpdate, PeerError]:
+        """Return the origins of streams recorded since `position`."""
+        match await self._read_log(ORIGIN_TOPIC, position):
+            case Err(error):
+                return Err(error)
+            case Ok(changes):
+                records, faults = _decode_values(changes.records, OriginRecord)
+                return Ok(OriginUpdate(changes.next, records, changes.at_end, faults))
+
+    async def append_origins(
+        self, host: str, records: tuple[OriginRecord, ...]
+    ) -> Result[AppendOutcome, PeerError]:
+        """Append origins of streams that began at a host."""
+        path = f"/log-append?topic={ORIGIN_TOPIC}&part=0"
+        return await self._append(path, host, *map(msgspec.msgpack.encode, records))
+
+    async def _read_log(
+        self, topic: str, position: Position, wait_s: float = 0.0
+    ) -> Result[_Changes, PeerError]:
+        """Return the records of a log since `position`, or from the first one that is kept."""
         while True:
             if position.era < self._era:
                 position = Position(self._era, 0)
-            path = _read_path(REPORT_TOPIC, position.offset, wait_s)
+            path = _read_path(topic, position.offset, wait_s)
             match await self._call("GET", path, b"", Step.READ, wait_s):
                 case Err(error):
                     return Err(error)
                 case Ok(_) if position.era < self._era:
                     continue
                 case Ok(answer) if answer.status == NOT_FOUND:
-                    return Ok(ReportUpdate(position, ()))
+                    return Ok(_Changes(position, False, ()))
                 case Ok(answer) if answer.status == GONE:
                     try:
                         first = msgspec.json.decode(answer.body, type=_Expired).first
@@ -232,9 +260,7 @@
                         return Err(PeerError(Step.READ, self._url, reason))
                     position = position._replace(offset=first)
                 case Ok(answer) if answer.status == 200:
-                    return self._decode_read(answer.body, position, path).map(
-                        lambda changes, first=position: _decode_reports(changes, first)
-                    )
+                    return self._decode_read(answer.body, position, path)
                 case Ok(answer):
                     return Err(self._status_error(answer, Step.READ, path))
 
@@ -320,10 +346,12 @@
     ) -> Result[_Changes, PeerError]:
         try:
             # The first 16 bytes are two offsets: the end of the topic, and its first record.
+            (end,) = struct.unpack_from(">Q", data)
             records = tuple(decode_records(data[16:]))
         except (struct.error, IndexError) as error:
             return Err(PeerError(Step.READ, self._url, f"{path}: {error}"))
-        return Ok(_Changes(position.after(len(records)), False, records))
+        after = position.after(len(records))
+        return Ok(_Changes(after, False, records, at_end=after.offset >= end))
 
     async def _call(
         self, method: str, path: str, body: bytes, step: Step, wait_s: float = 0.0
@@ -368,8 +396,9 @@
     return struct.pack(">I", len(payload)) + payload
 
 
-def _decode_reports(changes: _Changes, first: Position) -> ReportUpdate:
-    """Decode reports on endpoints, the first of which is at the position `first`."""
+def _decode_reports(changes: _Changes) -> ReportUpdate:
+    """Decode reports on endpoints."""
+    first = changes.next.after(-len(changes.records))
     found, faults = [], []
     for number, record in enumerate(changes.records):
         try:
--- a/mulberrycleat/platform/tests/test_stream_versions.py
+++ b/mulberrycleat/platform/tests/test_stream_versions.py
@@ -184,3 +184,12 @@
     async with entry_hosts(3, *servers, config=config) as harnesses:
         await begin(harnesses, servers)
         assert await take_up(harnesses, servers) == STREAMS
+
+
+async def test_an_unreadable_origin_does_not_hide_those_after_it():
+    servers = engines("v1", "v2", "v1", "v2")
+    async with entry_hosts(3, *servers, config=TAKEN_UP) as harnesses:
+        for value in (b"", b"\x81", b"\xc1" * 40):
+            harnesses[0].store.append("stream-origins", "a1", value)
+        await begin(harnesses, servers)
+        assert await take_up(harnesses, servers) == STREAMS
