--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -11,7 +11,7 @@
 
 from mulberrycleat.web.upstream import ConnectError, ConnectionSettings
 
-__all__ = ["ServerStandin", "Servers"]
+__all__ = ["MemoryPipe", "ServerStandin", "Servers"]
 
 # Interval between the bytes of a stalled stream, in seconds.
 TRICKLE_INTERVAL_S = 0.1
@@ -158,7 +158,7 @@
         """Make a server reachable at its address."""
         self._by_address[server.address] = server
 
-    async def connect(self, address: str, settings: ConnectionSettings) -> _MemoryPipe:
+    async def connect(self, address: str, settings: ConnectionSettings) -> MemoryPipe:
         """Open a connection; raises ConnectError if the server is unknown or refuses it."""
         server = self._by_address.get(address)
         if server is None or server.refuses_connections:
@@ -166,10 +166,10 @@
         self.opened += 1
         client_end, server_end = trio.testing.memory_stream_pair()
         self._nursery.start_soon(_serve_connection, server, server_end)
-        return _MemoryPipe(client_end)
+        return MemoryPipe(client_end)
 
 
-class _MemoryPipe:
+class MemoryPipe:
     """Client end of an in-memory connection, with the methods of ``web.upstream.Pipe``."""
 
     def __init__(self, stream: trio.StapledStream) -> None:
--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -4,23 +4,25 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from enum import Enum
 from typing import Any
 from urllib.parse import urlsplit
 
 import httpcore
 import trio
+import trio.testing
 
 from mulberrycleat.entry.app import EntryHost, EntryPorts
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.settings import EntrySettings, FleetRequirements
 from mulberrycleat.entry.tests.test_decisions import records  # noqa: F401 (a fixture)
 from mulberrycleat.platform.headers import PlatformHeaderCodec
-from mulberrycleat.platform.standin import Servers, ServerStandin
+from mulberrycleat.platform.standin import MemoryPipe, Servers, ServerStandin
 from mulberrycleat.platform.store import PlatformStore
 from mulberrycleat.platform.store_standin import StoreClient, StoreStandin
 from mulberrycleat.web import BaseHttpClient, StreamedAnswer
-from mulberrycleat.web.upstream import ConnectionSettings, Pipe
+from mulberrycleat.web.upstream import ConnectError, ConnectionSettings, Pipe
 
 # A caller keeps no more of an answer than this, so that tests can measure the memory of the host.
 MAX_KEPT_BYTES = 1_048_576
@@ -154,6 +156,109 @@
     yield data
 
 
+class PathFault(Enum):
+    """How a host's connections to endpoints fail."""
+
+    SILENT = "silent"
+    RESET = "reset"
+    # Open connections live on, and new ones are refused.
+    REFUSED = "refused"
+
+
+class Links:
+    """Connections between hosts, and from hosts to endpoints.
+
+    Attributes
+    ----------
+    faults : dict of str to PathFault
+        Faults of the paths from hosts to all endpoints, by the host's name.
+    tunnels_opened : int
+        Connections between hosts opened so far.
+    """
+
+    def __init__(self) -> None:
+        self.faults: dict[str, PathFault] = {}
+        self.tunnels_opened = 0
+        self._handlers: dict[str, tuple[Callable[[Pipe], Awaitable[None]], trio.Nursery]] = {}
+
+    async def serve(self, handler: Callable[[Pipe], Awaitable[None]], address: str) -> None:
+        """Serve connections of other hosts until cancelled, as when the host is killed."""
+        async with trio.open_nursery() as nursery:
+            self._handlers[address] = (handler, nursery)
+            try:
+                await trio.sleep_forever()
+            finally:
+                del self._handlers[address]
+
+    async def connect_host(self, address: str, settings: ConnectionSettings) -> Pipe:
+        """Open a connection to another host; raises ConnectError if it does not run."""
+        if address not in self._handlers:
+            raise ConnectError(f"connect {address}: refused")
+        handler, nursery = self._handlers[address]
+        self.tunnels_opened += 1
+        near, far = trio.testing.memory_stream_pair()
+        nursery.start_soon(handler, MemoryPipe(far))
+        return MemoryPipe(near)
+
+    def connect_from(self, host: str, connect: Connect) -> Connect:
+        """Return a function that opens connections from a host to endpoints."""
+
+        async def connect_or_fail(address: str, settings: ConnectionSettings) -> Pipe:
+            match self.faults.get(host):
+                case PathFault.SILENT:
+                    await trio.sleep(settings.connect_timeout_s)
+                    raise ConnectError(f"connect {address}: no answer", True)
+                case PathFault.RESET | PathFault.REFUSED:
+                    raise ConnectError(f"connect {address}: refused")
+            pipe = await connect(address, settings)
+            return _FaultyPipe(pipe, lambda: self.faults.get(host), settings)
+
+        return connect_or_fail
+
+
+class _FaultyPipe:
+    """Connection to an endpoint that fails while the path is lost."""
+
+    def __init__(
+        self,
+        pipe: Pipe,
+        fault: Callable[[], PathFault | None],
+        settings: ConnectionSettings,
+    ) -> None:
+        self._pipe = pipe
+        self._fault = fault
+        self._timeout_s = settings.unacknowledged_timeout_s
+        self._silent_since: float | None = None
+        self.close = pipe.close
+
+    async def send_all(self, data: bytes) -> None:
+        self._check()
+        if self._silent_since is None:
+            await self._pipe.send_all(data)
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        while True:
+            self._check()
+            with trio.move_on_after(0.05):
+                if self._silent_since is not None:
+                    await trio.sleep_forever()
+                data = await self._pipe.receive_some(max_bytes)
+                self._check()
+                return data
+
+    def is_readable(self) -> bool:
+        return self._fault() is PathFault.RESET or self._pipe.is_readable()
+
+    def _check(self) -> None:
+        fault, now = self._fault(), trio.current_time()
+        if fault is PathFault.RESET:
+            raise trio.BrokenResourceError("reset")
+        if fault is PathFault.SILENT and self._silent_since is None:
+            self._silent_since = now
+        if self._silent_since is not None and now >= self._silent_since + self._timeout_s:
+            raise trio.BrokenResourceError("not acknowledged")
+
+
 @dataclass
 class HostHarness:
     """A running entry host and the stand-ins that it uses.
@@ -168,11 +273,12 @@
     apps: PeerApps
     scope: trio.CancelScope
     stop: trio.Event
+    links: Links | None = None
 
     def restart(self, name: str) -> HostHarness:
         """Kill the host and start its next incarnation."""
         self.scope.cancel()
-        return start_host(name, self.store, self.servers, self.nursery, self.apps)
+        return start_host(name, self.store, self.servers, self.nursery, self.apps, links=self.links)
 
     async def send_request(
         self,
@@ -259,11 +365,13 @@
     store: StoreStandin | None = None,
     wait_s: float = 1.0,
     connect: Connect | None = None,
+    links: Links | None = None,
 ) -> AsyncIterator[list[HostHarness]]:
     """Run `count` entry hosts of one zone, named a1, a2 and so on, while the block is executed.
 
     The block starts `wait_s` seconds after the hosts. An empty `config` is not stored. `connect`
-    opens connections to endpoints instead of the stand-ins.
+    opens connections to endpoints instead of the stand-ins. Hosts open connections for each other
+    if `links` are given.
     """
     store = store or StoreStandin()
     if config:
@@ -274,7 +382,7 @@
     async with trio.open_nursery() as nursery:
         servers = Servers(nursery, standins)
         harnesses = [
-            start_host(f"a{number}", store, servers, nursery, apps, connect)
+            start_host(f"a{number}", store, servers, nursery, apps, connect, links)
             for number in range(1, count + 1)
         ]
         await trio.sleep(wait_s)
@@ -289,6 +397,7 @@
     nursery: trio.Nursery,
     apps: PeerApps,
     connect: Connect | None = None,
+    links: Links | None = None,
 ) -> HostHarness:
     """Start an entry host; a second start under the same name is a new incarnation."""
     address = f"{name}:3"
@@ -307,7 +416,10 @@
     async def serve(app: Any, address: str, *rest: Any, **options: Any) -> None:
         await trio.sleep_forever()
 
-    ports = EntryPorts(PeerClient(apps), connect or servers.connect, serve, trio.current_time)
+    connect = connect or servers.connect
+    ports = EntryPorts(PeerClient(apps), connect, serve_http=serve, wall=trio.current_time)
+    if links is not None:
+        ports = replace(ports, connect=links.connect_from(name, connect))
     platform = PlatformStore(settings.store, StoreClient(store, name), 0.4)
     host = EntryHost(
         settings, PlatformHeaderCodec(), platform, DecisionLog(trio.current_time), ports
@@ -315,7 +427,7 @@
     apps[address] = host.peers_app
     scope, stop = trio.CancelScope(), trio.Event()
     nursery.start_soon(_run, host, scope, stop)
-    return HostHarness(host, store, servers, nursery, apps, scope, stop)
+    return HostHarness(host, store, servers, nursery, apps, scope, stop, links)
 
 
 async def _run(host: EntryHost, scope: trio.CancelScope, stop: trio.Event) -> None:
