Keep to the places of brittle endpoints, so that they turn nobody away

What callers would see: endpoints that state how many requests a second they can turn away fail under more, and their callers with them.

Cause: the statement was not read, and hosts learn of a full endpoint by being turned away, each for itself. Class: a limit for all hosts together that each applies alone, as with stated limits (endpoint_limits).

The places are divided among the hosts by the order that limits use; a few hosts may exceed their part, within what the endpoint bears.

--- /dev/null
+++ b/mulberrycleat/endpoint/brittleness.py
@@ -0,0 +1,131 @@
+"""Endpoints that fail if they have to turn away too many requests in a second. Free of I/O.
+
+Brittle endpoints state in their answers how many requests a second they can turn away for want of
+room, from all entry hosts together. The hosts share the places of an endpoint without asking each
+other: all of them know the same order of hosts for it. As long as each keeps to its part, the
+endpoint turns nobody away. The last hosts of the order, which may have no part, may exceed it,
+but so few of them and so seldom that the endpoint can turn all excess requests away.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from mulberrycleat.endpoint.directory import Entry
+from mulberrycleat.endpoint.rate_limits import HostPlace
+
+__all__ = ["BrittleEndpoints"]
+
+# A pool is taken to be brittle for this time after one of its endpoints has last stated it, in
+# seconds.
+STATEMENT_TTL_S = 4.0
+# Share of the rejections of one second that excess requests may cause at once, and by their mean
+# rate. The rest is for hosts that have not learned of it.
+EXCESS_SHARE = 0.4
+
+
+@dataclass(slots=True)
+class _Excess:
+    """Requests beyond its part that this host may send to an endpoint; as of `at`, in seconds."""
+
+    requests: float
+    at: float
+
+
+@dataclass(slots=True)
+class _Statement:
+    """Rejections a second that endpoints of a pool can bear; as of `at`, in seconds."""
+
+    rejections_per_s: float
+    at: float
+
+
+class BrittleEndpoints:
+    """Pools whose endpoints are brittle, and this host's part of their places.
+
+    Times `now` are in seconds, on any clock that does not go back.
+
+    Parameters
+    ----------
+    place : callable
+        Returns this host's place in the order of all hosts for an endpoint, given its incarnation
+        and its availability zone. The order is the same at all hosts.
+
+    Examples
+    --------
+    >>> entry = Entry("e1", "huts", "10.0.0.1:80", "a", slots=6)
+    >>> brittle = BrittleEndpoints(lambda endpoint, zone: HostPlace(rank=0, hosts=3))
+    >>> brittle.observe("huts", 3.0, now=0.0)
+    True
+    >>> brittle.takes(entry, in_flight=1, now=0.0), brittle.takes(entry, in_flight=2, now=0.0)
+    (True, False)
+    """
+
+    def __init__(self, place: Callable[[str, str], HostPlace]) -> None:
+        self._place = place
+        self._pools: dict[str, _Statement] = {}
+        self._excess: dict[str, _Excess] = {}
+
+    @property
+    def pools(self) -> tuple[str, ...]:
+        """Pools whose endpoints have stated that they are brittle."""
+        return tuple(self._pools)
+
+    def observe(self, pool: str, rejections_per_s: float | None, now: float) -> bool:
+        """Apply what an answer of an endpoint states; return whether that is news.
+
+        Parameters
+        ----------
+        rejections_per_s : float or None
+            Requests a second that the endpoint can turn away; None if it is not brittle.
+        """
+        known = self._pools.get(pool)
+        if rejections_per_s is None:
+            if known is None or now - known.at < STATEMENT_TTL_S:
+                return False
+            del self._pools[pool]
+            self._excess.clear()
+            return True
+        self._pools[pool] = _Statement(rejections_per_s, now)
+        return known is None
+
+    def takes(self, entry: Entry, in_flight: int, now: float) -> bool:
+        """Whether this host may send a request to an endpoint where `in_flight` of its own run."""
+        statement = self._statement(entry, now)
+        if statement is None or in_flight < self._part(entry):
+            return True
+        return self._excess_of(entry, statement, now).requests >= 1.0
+
+    def record_send(self, entry: Entry, in_flight: int, now: float) -> None:
+        """Record a request that is sent to an endpoint where `in_flight` of this host's run."""
+        statement = self._statement(entry, now)
+        if statement is not None and in_flight >= self._part(entry):
+            self._excess_of(entry, statement, now).requests -= 1.0
+
+    def retain(self, endpoints: Collection[str]) -> None:
+        """Forget the endpoints that are not in `endpoints`."""
+        self._excess = {e: found for e, found in self._excess.items() if e in endpoints}
+
+    def _statement(self, entry: Entry, now: float) -> _Statement | None:
+        statement = self._pools.get(entry.pool)
+        return statement if statement and now - statement.at < STATEMENT_TTL_S else None
+
+    def _part(self, entry: Entry) -> int:
+        """Return the number of an endpoint's places that are for this host alone."""
+        place = self._place(entry.incarnation, entry.zone)
+        hosts = max(1, place.hosts)
+        if place.rank >= hosts:
+            return 0
+        return entry.slots // hosts + (place.rank < entry.slots % hosts)
+
+    def _excess_of(self, entry: Entry, statement: _Statement, now: float) -> _Excess:
+        place = self._place(entry.incarnation, entry.zone)
+        rate = EXCESS_SHARE * statement.rejections_per_s
+        sharing = min(place.hosts, int(rate))
+        excess = self._excess.setdefault(entry.incarnation, _Excess(0.0, now))
+        if place.rank >= place.hosts - sharing:
+            gained = (now - excess.at) * rate / max(1, sharing)
+            excess.requests = min(1.0, excess.requests + gained)
+        excess.at = now
+        return excess
--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -14,6 +14,7 @@
 from result import Result
 
 from mulberrycleat.core import Refusal, Served, new_id
+from mulberrycleat.endpoint.brittleness import BrittleEndpoints
 from mulberrycleat.endpoint.rate_limits import EndpointLimits, HostPlace
 from mulberrycleat.endpoint.reachability import Helper
 from mulberrycleat.entry.call import EntryCall
@@ -151,8 +152,13 @@
         self._peer_http = ports.peer_http
         self._shutdown = GracefulShutdown(settings.bounds, settings.times)
         self._endpoint_limits = EndpointLimits(self._place_for)
+        self._brittle = BrittleEndpoints(self._place_for)
         self._registry = EndpointRegistry(
-            settings.zone, random, self._endpoint_limits, lambda: self._bounds().drain_s
+            settings.zone,
+            random,
+            self._endpoint_limits,
+            self._brittle,
+            lambda: self._bounds().drain_s,
         )
         self._retry_budget = FleetRetryBudget(settings.bounds)
         self._paths = EndpointPaths(
@@ -258,6 +264,7 @@
                     self._retry_budget,
                     self._connections,
                     self._reports,
+                    self._brittle,
                     self._origins,
                     self._paths,
                     self._statement_exchange,
@@ -413,6 +420,7 @@
         self._metrics.hosts.set(self._roster.coordinators.host_count(now))
         self._metrics.relayed_calls.set(self._store.relayed)
         self._metrics.store_lost.set(self._store.lost)
+        self._metrics.brittle_pools.set(len(self._brittle.pools))
         self._metrics.lost_paths.set(len(self._paths.lost))
         self._metrics.tunnels_served.set(self._paths.serving)
         self._metrics.pending_origins.set(self._origins.pending)
--- a/mulberrycleat/entry/endpoints.py
+++ b/mulberrycleat/entry/endpoints.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from mulberrycleat.endpoint.brittleness import BrittleEndpoints
 from mulberrycleat.endpoint.directory import Directory, Entry, EntryState
 from mulberrycleat.endpoint.placer import Placement, Placer, PlacerSettings, Work
 from mulberrycleat.endpoint.rate_limits import EndpointLimits
@@ -28,6 +29,8 @@
         Random source for the choice among equally good endpoints.
     limits : EndpointLimits
         The limits that endpoints state.
+    brittle : BrittleEndpoints
+        Which endpoints are brittle, and this host's part of their places.
     drain_s : callable
         Returns the time for which an endpoint that leaves may still get requests, in seconds.
     settings : PlacerSettings, optional
@@ -39,12 +42,14 @@
         zone: str,
         random: Random,
         limits: EndpointLimits,
+        brittle: BrittleEndpoints,
         drain_s: Callable[[], float],
         settings: PlacerSettings | None = None,
     ) -> None:
         self._zone = zone
         self._random = random
         self._limits = limits
+        self._brittle = brittle
         self._drain_s = drain_s
         self._statements = EndpointStatements()
         self._settings = settings or PlacerSettings()
@@ -69,6 +74,7 @@
         now = trio.current_time()
         entries = self._limits.sendable(self._entries(call, now), now)
         entries = self._statements.sendable(entries, now, self._drain_s())
+        entries = self._with_room(call.pool.name, entries, now)
         return self.placer(call.pool.name).choose(entries, work_of(call.facts), now, tried)
 
     def limited_wait_s(self, call: EntryCall) -> float | None:
@@ -90,6 +96,24 @@
         """Whether any endpoint may serve a request, even if none takes it now."""
         return bool(self._entries(call, trio.current_time()))
 
+    def is_full(self, call: EntryCall) -> bool:
+        """Whether this host's part of the places of brittle endpoints is taken."""
+        now = trio.current_time()
+        entries = self._entries(call, now)
+        return bool(entries) and not self._with_room(call.pool.name, entries, now)
+
+    def record_send(self, entry: Entry, now: float) -> None:
+        """Record that a request is sent to an endpoint, before the placer knows of it."""
+        self._statements.record_send(entry.incarnation, now)
+        self._brittle.record_send(entry, self.placer(entry.pool).in_flight(entry.id), now)
+
+    def _with_room(self, pool: str, entries: list[Entry], now: float) -> list[Entry]:
+        """Return the endpoints that are not brittle, or have room for a request of this host."""
+        if pool not in self._brittle.pools:
+            return entries
+        placer = self.placer(pool)
+        return [e for e in entries if self._brittle.takes(e, placer.in_flight(e.id), now)]
+
     def _entries(self, call: EntryCall, now: float) -> list[Entry]:
         """Return the endpoints that may serve a request: those of its version, if it needs one."""
         entries = self._directory.ready(call.pool.name, now)
@@ -116,6 +140,7 @@
             placer.retain(self._directory.entries)
         incarnations = {entry.incarnation for entry in self._directory.entries.values()}
         self._limits.retain(incarnations, trio.current_time())
+        self._brittle.retain(incarnations)
 
     def addresses(self) -> set[str]:
         """Return the addresses of all endpoints but those that state that they leave."""
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import MayHaveRun, NotRun, Position, Refusal, Served, Step
+from mulberrycleat.endpoint.brittleness import BrittleEndpoints
 from mulberrycleat.endpoint.placer import Placement
 from mulberrycleat.endpoint.statements import Leaving, Pause
 from mulberrycleat.entry.call import EntryCall
@@ -146,6 +147,8 @@
         Connections to endpoints.
     reports : EndpointReports
         What the hosts report about endpoints; a request that may crash them is not retried.
+    brittle : BrittleEndpoints
+        Which endpoints are brittle.
     origins : OriginController
         Records which version begins a stream.
     paths : EndpointPaths
@@ -163,11 +166,13 @@
         retry_budget: FleetRetryBudget,
         connections: ConnectionPool,
         reports: EndpointReports,
+        brittle: BrittleEndpoints,
         origins: OriginController,
         paths: EndpointPaths,
         statement_exchange: StatementExchange,
         decisions: DecisionLog,
     ) -> None:
+        self._brittle = brittle
         self._paths = paths
         self._statement_exchange = statement_exchange
         self._codec = codec
@@ -242,9 +247,9 @@
         tries.count += 1
         call.progress.endpoint, call.progress.helper = entry.id, ""
         attempt = _Attempt(placement, trio.current_time(), self._reports.read_to, tries.crashed)
+        self._registry.record_send(entry, attempt.sent_at)
         placer.sent(placement, request_id, work_of(call.facts), attempt.sent_at)
         self._reports.record_send(entry)
-        self._registry.statements.record_send(entry.incarnation, attempt.sent_at)
         self._decisions.info(
             "sent",
             request=request_id,
@@ -297,6 +302,13 @@
     def _record_statements(self, call: EntryCall, attempt: _Attempt, facts: AnswerFacts) -> None:
         """Apply what an endpoint states of itself in an answer, and log what changes."""
         statements, now = self._registry.statements, trio.current_time()
+        if self._brittle.observe(call.pool.name, facts.rejections_per_s, now):
+            self._decisions.warning(
+                "brittleness changed",
+                pool=call.pool.name,
+                rejections_per_s=facts.rejections_per_s,
+                request=call.facts.request_id,
+            )
         incarnation = attempt.placement.entry.incarnation
         fields = {"endpoint": incarnation, "request": call.facts.request_id}
         peer = self._paths.peer_of(call.progress.helper)
@@ -429,6 +441,9 @@
         if paused_s is not None:
             reason = f"the endpoints of pool {call.pool.name!r} want no requests now"
             return NotRun(Step.CHOOSE, "", reason, 503, paused_s, "paused")
+        if not tries.count and self._registry.is_full(call):
+            reason = f"this host's places at the endpoints of pool {call.pool.name!r} are taken"
+            return NotRun(Step.CHOOSE, "", reason, 503, FULL_RETRY_AFTER_S, "no_place")
         if not tries.count:
             reason = f"pool {call.pool.name!r} has no endpoint to take the request"
             return NotRun(Step.CHOOSE, "", reason, 503, NO_ENDPOINT_RETRY_AFTER_S, "no_endpoint")
--- a/mulberrycleat/entry/metrics.py
+++ b/mulberrycleat/entry/metrics.py
@@ -85,6 +85,9 @@
         self.store_lost = Gauge(
             f"{PREFIX}store_lost", "1 while the store does not answer this host", registry=registry
         )
+        self.brittle_pools = Gauge(
+            f"{PREFIX}brittle_pools", "Pools whose endpoints are brittle", registry=registry
+        )
         self.lost_paths = Gauge(
             f"{PREFIX}lost_paths", "Endpoints that only other hosts reach", registry=registry
         )
--- a/mulberrycleat/entry/protocol.py
+++ b/mulberrycleat/entry/protocol.py
@@ -91,6 +91,8 @@
         Load report, if the answer has one.
     limit_per_s : float or None
         Requests that the endpoint takes from all hosts together, a second, if it states a limit.
+    rejections_per_s : float or None
+        Requests that the endpoint can turn away for want of room, a second, if it is brittle.
     pause_s : float or None
         Time for which the endpoint wants no requests of this host, in seconds, if it states one.
     leaving : bool
@@ -106,6 +108,7 @@
     retry_after_s: float | None = None
     load: EndpointLoad | None = None
     limit_per_s: float | None = None
+    rejections_per_s: float | None = None
     pause_s: float | None = None
     leaving: bool = False
     fault: str = ""
--- a/mulberrycleat/platform/headers.py
+++ b/mulberrycleat/platform/headers.py
@@ -41,6 +41,9 @@
 SERVER_LOAD = b"server-load"
 # Requests a second that the server takes from all machines together; absent without a limit.
 SERVER_LIMIT = b"server-limit"
+# Requests a second that the server can turn away for want of room; it fails if there are more.
+# Absent from the answers of a server that is not brittle.
+SERVER_BRITTLE = b"server-brittle"
 RETRY_AFTER = b"retry-after"
 # All answers of a server that leaves have this header.
 SERVER_LEAVING = b"server-leaving"
@@ -157,6 +160,7 @@
             fault=_retry_after_fault(retry_after) if is_pause and pause_s is None else "",
             load=_parse_load(head.get(SERVER_LOAD)),
             limit_per_s=parse_rate(head.get(SERVER_LIMIT) or ""),
+            rejections_per_s=parse_rate(head.get(SERVER_BRITTLE) or ""),
         )
 
     def answer_headers(self, head: AnswerHead) -> RawHeaders:
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -80,6 +80,16 @@
         Number of requests that it is running, which its load reports state.
     version : str
         Version of its software, which its directory entry states.
+    slots : int
+        Number of requests that it runs at the same time, as its directory entry states.
+    queue : int or None
+        Number of requests that may wait for a slot; it declines further ones. None for any number
+        of requests that run at the same time.
+    brittle : int or None
+        Declined requests in a second beyond which it crashes, as its answers state; None if it is
+        not brittle.
+    crashes_from : float
+        Time from which it does, in seconds on trio's clock.
     """
 
     id: str
@@ -110,6 +120,10 @@
     seen: list[dict[str, str]] = field(default_factory=list)
     running: int = 0
     version: str = "v1"
+    slots: int = 8
+    queue: int | None = None
+    brittle: int | None = None
+    crashes_from: float = 0.0
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Return the directory entry that the server writes to the store."""
@@ -119,7 +133,7 @@
             "zone": self.zone,
             "version": self.version,
             "state": state,
-            "slots": 8,
+            "slots": self.slots,
         }
 
     def crashes_on(self, headers: dict[str, str]) -> bool:
@@ -134,6 +148,13 @@
         for stream in self.open_streams:
             stream.send_stream.close()
 
+    def fails_by_declining(self) -> bool:
+        """Whether a brittle server has declined too many requests in the last second."""
+        now = trio.current_time()
+        if self.brittle is None or now < self.crashes_from:
+            return False
+        return sum(now - at < 1.0 for at in self.declined_at) > self.brittle
+
     @property
     def ran(self) -> list[str]:
         """Ids of the requests that it began to run, in order."""
@@ -275,6 +296,8 @@
     common_headers = [("Server-Load", f"{server.running},0,8")]
     if server.limit_per_s is not None:
         common_headers.append(("Server-Limit", f"{server.limit_per_s:g}"))
+    if server.brittle is not None:
+        common_headers.append(("Server-Brittle", str(server.brittle)))
     if server.leaving:
         common_headers.append(("Server-Leaving", "1"))
     if not server.omits_request_id:
@@ -285,8 +308,12 @@
         )
         await send(h11.EndOfMessage())
         return
-    if server.declines:
+    full = server.queue is not None and server.running >= server.slots + server.queue
+    if server.declines or full:
         server.declined_at.append(trio.current_time())
+        if server.fails_by_declining():
+            server.crash()
+            raise trio.BrokenResourceError
         declined_headers = [*common_headers, ("Not-Executed", "1"), ("Content-Length", "0")]
         if server.retry_after:
             declined_headers.append(("Retry-After", server.retry_after))
