Refuse directory entries whose numbers or names can't be those of an endpoint

Here, by tests that failed: an entry with port 70000 was taken, and connecting raised OverflowError, which ended the request as an internal error instead of trying another endpoint; numbers beyond 64 bits were taken; an id that is no header value failed each request that was sent there. Deep nesting and bytes that are no JSON were refused before.

Cause: values were checked for their type only. Now an entry states a numeric address with a valid port, bounded numbers, and a printable name, or it is refused with a line.

--- a/mulberrycleat/platform/config.py
+++ b/mulberrycleat/platform/config.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -21,6 +25,14 @@
 __all__ = ["decode_config", "decode_entry"]
 
 
+# Largest values that an entry may state; other writers leave entries, too.
+MAX_SLOTS, MAX_COLD_MS, MAX_UNIX_MS = 2**20, 86_400_000, 10**15
+MAX_PORT = 65_535
+# Names of servers are sent in a header.
+_SERVER_NAME = re.compile(r"[!-~]{1,128}")
+_Name = Annotated[str, msgspec.Meta(max_length=256)]
+
+
 class _TrafficSplit(msgspec.Struct):
     service: str
     weight: float
@@ -97,14 +109,14 @@
     `version` is that of its software, not of a model's weights.
     """
 
-    service: str
-    address: str
-    zone: str
+    service: _Name
+    address: Annotated[str, msgspec.Meta(max_length=64)]
+    zone: _Name
     state: str
-    slots: int = 1
-    cold_remaining_ms: float = 0.0
-    born: float = 0.0
-    version: str = ""
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = 1
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)] = 0.0
+    born: Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_MS)] = 0.0
+    version: _Name = ""
 
 
 _ROUTE_KINDS = {
@@ -149,14 +161,15 @@
 
 def decode_entry(name: str, data: bytes) -> Result[Entry, str]:
     """Decode the entry of the server `name`, or return why the entry can't be used."""
+    if not _SERVER_NAME.fullmatch(name):
+        return Err(f"entry {name[:40]!r}: not a name of printable ASCII characters")
     try:
         server = msgspec.json.decode(data, type=_Server)
     except (msgspec.DecodeError, RecursionError) as error:
         return Err(f"entry {name}: {error}")
     if server.state not in _ENTRY_STATES:
         return Err(f"entry {name}: state: unknown value {server.state!r}")
-    host, _, port = server.address.rpartition(":")
-    if not host or parse_count(port) is None:
+    if not _is_address(server.address):
         return Err(f"entry {name}: address: {server.address!r} is not ip:port")
     return Ok(
         Entry(
@@ -173,6 +186,16 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Whether `text` is an IPv4 address, a colon and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < (parse_count(port) or 0) <= MAX_PORT
+
+
 def _decode_route(route: _Route) -> Route:
     if route.traffic_split:
         shares = tuple(
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -156,7 +156,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
         with trio.fail_after(settings.connect_timeout_s):
             await sock.connect((host, int(port)))
-    except (OSError, ValueError, trio.TooSlowError) as error:
+    except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
         sock.close()
         timed_out = isinstance(error, trio.TooSlowError)
         reason = f"connect {address}: {'no answer' if timed_out else error}"
