Believe that a request has not run only if the answer names the request

A refusal that names the earlier request was recognized before.

Cause: an answer without an id was taken for that of the present request, also where an earlier one could come again. Now a connection that was used before has to bring an answer that names the request, and 408, 421, 429 and 503 are forwarded only with the statement.

--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -42,6 +42,8 @@
 NON_RETRYABLE_MAX_IDLE_S = 0.3
 MAX_PRIORITY = 9
 SERVER_ERROR = 500
+# Callers take these statuses as a promise that the request has not run and will not.
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,7 +187,9 @@
         head = await connection.read_head()
         facts = self._codec.read_answer(head)
         succeeded = 200 <= head.status < 300
-        if facts.request_id != call.facts.request_id and (facts.request_id or succeeded):
+        # On a connection that was used before, any answer may be an earlier one once more.
+        has_to_name_request = facts.request_id or succeeded or connection.reused
+        if has_to_name_request and facts.request_id != call.facts.request_id:
             return ExchangeFailed("the answer belongs to another request")
         self._on_data()
         self._on_facts(facts)
@@ -193,6 +197,9 @@
             call.progress.runs -= 1
             await _discard_body(connection)
             return Declined(head.status, facts.retry_after_s, facts.misdirected)
+        if head.status in PROMISES_NOT_RUN:
+            reason = f"status {head.status} without the statement that the request was not run"
+            return ExchangeFailed(reason)
         if head.get(b"content-encoding") is not None:
             return ExchangeFailed("the answer is encoded, though no encoding was asked for")
         if succeeded and not facts.signed:
--- a/mulberrycleat/platform/tests/test_whole_path.py
+++ b/mulberrycleat/platform/tests/test_whole_path.py
@@ -272,3 +272,25 @@
     assert answer.status == 503
     assert float(answer.headers["retry-after"]) >= 0.3
     assert "late" not in server.ran
+
+
+async def test_an_earlier_refusal_that_comes_once_more_refuses_no_other_request():
+    for path in ("/book/x", "/find/x"):
+        for omits_request_id in (False, True):
+            faulty = booking_server("h1", omits_request_id=omits_request_id, declines=True)
+            async with entry_host(faulty) as harness:
+                assert (await harness.send_request(path, "r1")).status == 503
+                await trio.sleep(0.15)
+                other = booking_server("h2")
+                harness.servers.add(other)
+                faulty.declines, faulty.repeats_answers = False, True
+                answer = await harness.send_request(path, "r2")
+            assert faulty.ran == ["r2"]
+            assert answer.status == 502, (path, omits_request_id)
+
+
+async def test_a_status_that_promises_not_run_is_not_forwarded_without_the_statement():
+    for status in (408, 429, 503):
+        async with entry_host(booking_server("h1", status=status)) as harness:
+            answer = await harness.send_request("/book/x", "r1")
+        assert answer.status == 502, status
