Let streams go on at endpoints that leave, if their version has no others

At the end of a release, the last endpoints of the earlier version still take requests for a while after they have said that they leave; streams that callers took up in that time were refused (the test failed). The time is counted from the last read of the directory that found them ready, so that it ends before the platform's.

--- a/mulberrycleat/endpoint/directory.py
+++ b/mulberrycleat/endpoint/directory.py
@@ -80,6 +80,8 @@
         self._missing_until: dict[str, float] = {}
         self._departed: dict[str, float] = {}
         self._grace_until = 0.0
+        self._read_at = float("-inf")
+        self._ready_until: dict[str, float] = {}
 
     @property
     def entries(self) -> dict[str, Entry]:
@@ -88,6 +90,14 @@
 
     def put(self, entry: Entry, now: float) -> None:
         """Add or replace an entry after a heartbeat of its endpoint."""
+        known = self._entries.get(entry.id)
+        if entry.state is EntryState.READY:
+            self._ready_until.pop(entry.id, None)
+        elif known is not None and known.incarnation == entry.incarnation:
+            if known.state is EntryState.READY:
+                self._ready_until[entry.id] = self._read_at
+        else:
+            self._ready_until.pop(entry.id, None)
         self._entries[entry.id] = entry
         self._missing_until.pop(entry.id, None)
         self._departed.pop(entry.incarnation, None)
@@ -114,6 +124,10 @@
         for entry_id in [known for known in self._entries if known not in found]:
             self.drop(entry_id, now)
 
+    def record_read(self, now: float) -> None:
+        """Note that all changes up to `now` have been applied."""
+        self._read_at = now
+
     def store_reconnected(self, now: float) -> None:
         """Start the grace period: the store is reachable again, or has lost its history."""
         self._grace_until = now + GRACE_AFTER_OUTAGE_S
@@ -134,6 +148,16 @@
             if entry.pool == pool and entry.state is EntryState.READY
         ]
 
+    def leaving(self, pool: str, now: float, limit_s: float) -> list[Entry]:
+        """Return the endpoints of a pool that leave, and were ready `limit_s` ago or later."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.pool == pool
+            and entry.state is EntryState.LEAVING
+            and now < self._ready_until.get(entry.id, float("-inf")) + limit_s
+        ]
+
     def _is_outdated(self, entry: Entry, now: float) -> bool:
         """Whether an endpoint is known to be leaving or to have left, unlike its entry states."""
         known = self._entries.get(entry.id)
@@ -143,6 +167,7 @@
 
     def _remove(self, entry_id: str, now: float) -> None:
         self._missing_until.pop(entry_id, None)
+        self._ready_until.pop(entry_id, None)
         entry = self._entries.pop(entry_id, None)
         if entry is not None:
             self._departed = {name: until for name, until in self._departed.items() if now < until}
--- a/mulberrycleat/endpoint/statements.py
+++ b/mulberrycleat/endpoint/statements.py
@@ -13,7 +13,7 @@
 
 from mulberrycleat.endpoint.directory import Entry
 
-__all__ = ["EndpointStatements", "Leaving", "Pause", "Statement"]
+__all__ = ["DRAIN_MARGIN_S", "EndpointStatements", "Leaving", "Pause", "Statement"]
 
 # Longest pause that is taken as stated, in seconds; longer ones are cut to it.
 MAX_PAUSE_S = 600.0
--- a/mulberrycleat/endpoint/tests/test_directory.py
+++ b/mulberrycleat/endpoint/tests/test_directory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from mulberrycleat.endpoint.directory import Directory, Entry, EntryState
 from mulberrycleat.testing import fixture
 
@@ -59,3 +61,24 @@
 def test_dropping_an_unknown_entry_has_no_effect(directory):
     directory.drop("never", 1.0)
     assert ready(directory, 1.0) == ["e1", "e2"]
+
+
+def test_an_endpoint_that_leaves_is_known_to_have_been_ready_at_the_read_before():
+    directory = Directory()
+    ready = Entry("e1", "huts", "10.0.0.1:80", "a")
+    leaving = replace(ready, state=EntryState.LEAVING)
+    directory.put(ready, now=1.0)
+    directory.record_read(1.0)
+    directory.put(leaving, now=1.6)
+    directory.record_read(1.6)
+    directory.put(leaving, now=2.2)
+    assert directory.leaving("huts", 2.7, 1.8) == [leaving]
+    assert not directory.leaving("huts", 2.9, 1.8)
+    assert not directory.leaving("desks", 1.7, 1.8)
+
+
+def test_an_endpoint_that_was_leaving_when_it_was_first_read_may_have_left_long_ago():
+    directory = Directory()
+    directory.put(Entry("e1", "huts", "10.0.0.1:80", "a", EntryState.LEAVING), now=1.0)
+    directory.record_read(1.0)
+    assert not directory.leaving("huts", 1.0, 1.8)
--- a/mulberrycleat/entry/endpoints.py
+++ b/mulberrycleat/entry/endpoints.py
@@ -11,7 +11,7 @@
 from mulberrycleat.endpoint.directory import Directory, Entry, EntryState
 from mulberrycleat.endpoint.placer import Placement, Placer, PlacerSettings, Work
 from mulberrycleat.endpoint.rate_limits import EndpointLimits
-from mulberrycleat.endpoint.statements import EndpointStatements
+from mulberrycleat.endpoint.statements import DRAIN_MARGIN_S, EndpointStatements
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.protocol import RequestFacts
 
@@ -115,10 +115,20 @@
         return [e for e in entries if self._brittle.takes(e, placer.in_flight(e.id), now)]
 
     def _entries(self, call: EntryCall, now: float) -> list[Entry]:
-        """Return the endpoints that may serve a request: those of its version, if it needs one."""
+        """Return the endpoints that may serve a request: those of its version, if it needs one.
+
+        A stream goes on at endpoints that leave, within their time, if its version has no others.
+        """
         entries = self._directory.ready(call.pool.name, now)
         version = call.required_version
-        return entries if version is None else [e for e in entries if e.version == version]
+        if version is None:
+            return entries
+        found = [entry for entry in entries if entry.version == version]
+        if not found:
+            limit_s = self._drain_s() - DRAIN_MARGIN_S
+            leaving = self._directory.leaving(call.pool.name, now, limit_s)
+            found = [entry for entry in leaving if entry.version == version]
+        return found
 
     def accepts(self, address: str) -> bool:
         """Whether the endpoint at an address takes a request that is sent by this host now."""
--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -232,6 +232,7 @@
                 else:
                     self._directory.put(entry, now)
         self._directory.settle(now)
+        self._directory.record_read(now)
         self._failing, self._read = False, True
         # After an unexpected error above, the update is read once more.
         if update.next is not None:
--- a/mulberrycleat/platform/tests/test_stream_versions.py
+++ b/mulberrycleat/platform/tests/test_stream_versions.py
@@ -193,3 +193,20 @@
             harnesses[0].store.append("stream-origins", "a1", value)
         await begin(harnesses, servers)
         assert await take_up(harnesses, servers) == STREAMS
+
+
+async def test_a_stream_goes_on_at_endpoints_that_leave_if_its_version_has_no_others():
+    servers = engines("v1", "v1", "v2", "v2")
+    async with entry_hosts(3, *servers, config=TAKEN_UP) as harnesses:
+        await begin(harnesses, servers)
+        for server in servers[:2]:
+            harnesses[0].store.put("keyed.servers", server.id, server.entry("draining"))
+        leaving_at = trio.current_time()
+        await trio.sleep(0.7)
+        assert await take_up(harnesses, servers) == STREAMS
+        await trio.sleep(leaving_at + 2.0 - trio.current_time())
+        names = {"resumes": "s0", "last_event_id": "2"}
+        for number in range(STREAMS):
+            names["resumes"] = f"s{number}"
+            await harnesses[0].send_request("/ask/x", f"u{number}", **names, **PROMPT)
+        assert not versions_of({f"u{n}" for n in range(STREAMS)}, servers[:2])
