--- a/mulberrycleat/explain/trace.py
+++ b/mulberrycleat/explain/trace.py
@@ -17,6 +17,8 @@
         "stopping",
         "store lost",
         "store regained",
+        "path lost",
+        "path regained",
         "ledger lost",
         "ledger regained",
         "route map taken",
