Ask another host beside a connection that takes long, not after it

The direct connection and one through another host are now tried beside each other after 0.1 s, and a probe finds out whether the path is lost or the endpoint gone. Found by reading; the test fails before this change and passes with it.

--- a/mulberrycleat/entry/paths.py
+++ b/mulberrycleat/entry/paths.py
@@ -22,6 +22,9 @@
 # Most other hosts asked for one connection, and how many of them have to find an endpoint out of
 # reach until it is taken to be gone.
 MAX_HELPERS, GONE_ANSWERS = 4, 2
+# Time after which a direct connection that is not open yet is tried through another host, too, in
+# seconds: many times what one takes between two zones.
+DIRECT_HEAD_START_S = 0.1
 # Time that another host has for its reply besides that for its connection, in seconds.
 REPLY_MARGIN_S = 0.15
 # Interval between checks for trials that are due, in seconds, and most trials at the same time.
@@ -81,8 +84,8 @@
         self._serving = 0
         self._stopping = False
         self._trying: set[str] = set()
-        probes = trio.open_memory_channel[tuple[str, Callable[[bool], None]]](MAX_PROBES)
-        self._probes_in, self._probes = probes
+        self._probes_in, self._probes = trio.open_memory_channel[str](MAX_PROBES)
+        self._asked: dict[str, list[Callable[[bool], None]]] = {}
         self._settings = ConnectionSettings()
 
     @property
@@ -111,20 +114,13 @@
     async def connect(self, address: str, settings: ConnectionSettings) -> Pipe:
         """Open a connection to an endpoint; raises :class:`ConnectError`."""
         self._settings = settings
-        error: ConnectError | None = None
         if not self._paths.is_lost(address, trio.current_time()):
-            try:
-                return await self._open_directly(address)
-            except ConnectError as found:
-                error = found
-            if self._paths.is_gone(address, trio.current_time()):
-                raise error
-        tunnel = await self._open_through_others(address)
+            return await self._open_either_way(address)
+        tunnel = await self._open_through_others(address, MAX_HELPERS)
         if tunnel is not None:
+            self._note_lost(address, tunnel.helper)
             return tunnel
-        if error is None:
-            return await self._open_directly(address)
-        raise error
+        return await self._open_directly(address)
 
     async def serve(self, pipe: Pipe) -> None:
         """Serve one connection of another host: open a connection for it, and copy bytes."""
@@ -147,8 +143,12 @@
         if self._paths.is_lost(address, trio.current_time()):
             then(True)
             return
+        if address in self._asked:
+            self._asked[address].append(then)
+            return
         try:
-            self._probes_in.send_nowait((address, then))
+            self._probes_in.send_nowait(address)
+            self._asked[address] = [then]
         except trio.WouldBlock:
             then(False)
 
@@ -174,17 +174,75 @@
 
     async def _run_probes(self) -> None:
         while True:
-            address, then = await self._probes.receive()
+            address = await self._probes.receive()
             is_lost = False
             try:
-                (await self._open_directly(address)).close()
-            except ConnectError:
-                if not self._paths.is_gone(address, trio.current_time()):
-                    tunnel = await self._open_through_others(address)
-                    if tunnel is not None:
-                        tunnel.close()
-                        is_lost = True
-            then(is_lost)
+                is_lost = await self._find_out(address)
+            finally:
+                for then in self._asked.pop(address, ()):
+                    then(is_lost)
+
+    async def _find_out(self, address: str) -> bool:
+        """Return whether the path to an endpoint is lost, rather than open or the endpoint gone."""
+        try:
+            (await self._open_directly(address)).close()
+            return False
+        except ConnectError:
+            if self._paths.is_gone(address, trio.current_time()):
+                return False
+        tunnel = await self._open_through_others(address, GONE_ANSWERS)
+        if tunnel is None:
+            self._paths.note_gone(address, trio.current_time())
+            return False
+        tunnel.close()
+        self._note_lost(address, tunnel.helper)
+        return True
+
+    def _note_lost(self, address: str, helper: str) -> None:
+        if self._paths.note_lost(address, trio.current_time()):
+            self._decisions.warning("path lost", peer=address, through=helper)
+            self._on_change(address)
+
+    async def _open_either_way(self, address: str) -> Pipe:
+        """Open a direct connection, and one through another host if that fails or takes too long.
+
+        Callers don't wait for an endpoint that is gone: one other host is asked, and a probe finds
+        out the rest.
+        """
+        opened: list[Pipe] = []
+        errors: list[ConnectError] = []
+        failed = trio.Event()
+
+        async def open_late(nursery: trio.Nursery) -> None:
+            with trio.move_on_after(DIRECT_HEAD_START_S):
+                await failed.wait()
+            if self._paths.is_gone(address, trio.current_time()):
+                return
+            tunnel = await self._open_through_others(address, 1)
+            if tunnel is not None:
+                opened.append(tunnel)
+                nursery.cancel_scope.cancel()
+
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(open_late, nursery)
+                try:
+                    opened.append(await self._open_directly(address))
+                    nursery.cancel_scope.cancel()
+                except ConnectError as error:
+                    errors.append(error)
+                    failed.set()
+        except BaseException:
+            for pipe in opened:
+                pipe.close()
+            raise
+        if len(opened) > 1:
+            opened.pop().close()
+        if not opened or isinstance(opened[0], TunnelPipe):
+            self.probe(address)
+        if not opened:
+            raise errors[0]
+        return opened[0]
 
     async def _open_directly(self, address: str) -> Pipe:
         pipe = await self._connect_directly(address, self._settings)
@@ -193,8 +251,11 @@
             self._on_change(address)
         return pipe
 
-    async def _open_through_others(self, address: str) -> Pipe | None:
-        """Return a connection that another host has opened, or None."""
+    async def _open_through_others(self, address: str, answers: int) -> TunnelPipe | None:
+        """Return a connection that another host has opened, or None.
+
+        Nobody else is asked once `answers` other hosts have found the endpoint out of reach.
+        """
         out_of_reach = 0
         order = self._paths.order_helpers(
             self._helpers(), self._in_use, self._random, trio.current_time()
@@ -207,9 +268,6 @@
             now = trio.current_time()
             match found:
                 case TunnelPipe():
-                    if self._paths.note_lost(address, now):
-                        self._decisions.warning("path lost", peer=address, through=helper)
-                        self._on_change(address)
                     self._in_use[helper] += 1
                     found.call_on_close(partial(self._in_use.subtract, (helper,)))
                     return found
@@ -217,10 +275,8 @@
                     self._paths.pause_helper(helper, now)
                 case TunnelReply.OUT_OF_REACH:
                     out_of_reach += 1
-                    if out_of_reach >= GONE_ANSWERS:
+                    if out_of_reach >= answers:
                         break
-        if out_of_reach:
-            self._paths.note_gone(address, trio.current_time())
         return None
 
     async def _open_for_other(self, address: str) -> Pipe | TunnelReply:
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -41,6 +41,8 @@
         Whether all its answers state that it leaves.
     refuses_connections : bool
         Whether connections are refused.
+    is_dark : bool
+        Whether connections get no answer.
     loses_answers : bool
         Whether a plain service resets the connection instead of sending the answer to a request
         that it has run.
@@ -103,6 +105,7 @@
     retry_after: str = ""
     leaving: bool = False
     refuses_connections: bool = False
+    is_dark: bool = False
     never_answers: bool = False
     break_after: int | None = None
     loses_answers: bool = False
@@ -182,6 +185,9 @@
     async def connect(self, address: str, settings: ConnectionSettings) -> MemoryPipe:
         """Open a connection; raises ConnectError if the server is unknown or refuses it."""
         server = self._by_address.get(address)
+        if server is not None and server.is_dark:
+            await trio.sleep(settings.connect_timeout_s)
+            raise ConnectError(f"connect {address}: no answer", True)
         if server is None or server.refuses_connections:
             raise ConnectError(f"connect {address}: refused")
         self.opened += 1
--- a/mulberrycleat/platform/tests/test_lost_paths.py
+++ b/mulberrycleat/platform/tests/test_lost_paths.py
@@ -136,6 +136,29 @@
         assert not any(harness.host.lost_paths for harness in play.harnesses)
 
 
+async def test_callers_do_not_wait_until_other_hosts_have_found_an_endpoint_dark():
+    async with fleet() as play:
+        for harness in play.harnesses:
+            harness.host._connections.close_unusable(())
+        for pool in (play.servers[:4], play.servers[4:]):
+            max(pool, key=lambda server: len(server.seen)).is_dark = True
+        took: list[float] = []
+
+        async def send(harness: HostHarness, path: str) -> None:
+            began = trio.current_time()
+            assert (await play.send(harness, path)).status == 200
+            took.append(trio.current_time() - began)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                path = ("/ask/x", "/book/x")[number % 2]
+                nursery.start_soon(send, play.harnesses[number % HOSTS], path)
+                await trio.sleep(INTERVAL_S)
+        # One connection that is not answered directly, and one that another host tries meanwhile.
+        assert max(took) <= 0.25 + 0.1 + 0.1 + 0.15, max(took)
+        assert not any(harness.host.lost_paths for harness in play.harnesses)
+
+
 async def test_a_lost_path_to_an_endpoint_is_not_taken_for_its_crash():
     async with fleet() as play:
         for _ in range(4):
