Wait at a stop for the connections that are open for other hosts

What callers would see: a request through a host that is stopped is broken off as soon as that host has no requests of its own, though it has seconds left (the test failed). Such a connection carries one request and counts as one. An error of the loop that accepts them no longer ends the process.

--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -62,7 +62,7 @@
     serve_app,
 )
 from mulberrycleat.web.tunnel import serve_pipes
-from mulberrycleat.web.upstream import ConnectionPool, ConnectionSettings, open_pipe
+from mulberrycleat.web.upstream import ConnectionPool, ConnectionSettings, Pipe, open_pipe
 
 __all__ = ["EntryHost", "EntryPorts"]
 
@@ -370,7 +370,7 @@
             if self._settings.peers_listen:
                 nursery.start_soon(self._serve, self.peers_app, self._settings.peers_listen)
             if self._tunnel_address:
-                nursery.start_soon(self._ports.serve_pipes, self._paths.serve, self._tunnel_address)
+                nursery.start_soon(keep_running, self._serve_tunnels, "tunnels", self._decisions)
             if self._settings.metrics:
                 nursery.start_soon(self._serve, self._metrics_app(), self._settings.metrics)
             nursery.start_soon(
@@ -401,6 +401,14 @@
 
         await self._ports.serve_http(app, address, trio.Event(), on_config=configure)
 
+    async def _serve_tunnels(self) -> None:
+        await self._ports.serve_pipes(self._serve_tunnel, self._tunnel_address)
+
+    async def _serve_tunnel(self, pipe: Pipe) -> None:
+        """Serve a connection of another host; it counts as a request, which a stop waits for."""
+        with self._shutdown.request():
+            await self._paths.serve(pipe)
+
     def _readiness_app(self) -> App:
         return App((Route("GET", "/{path:path}", self._answer_readiness),))
 
--- a/mulberrycleat/platform/tests/test_lost_paths.py
+++ b/mulberrycleat/platform/tests/test_lost_paths.py
@@ -48,7 +48,7 @@
     async def send(self, harness: HostHarness, path: str, **options) -> Answer:
         """Send a request with a new id, and a prompt if it is for a model."""
         self._count += 1
-        headers = PROMPT if path.startswith("/ask") else {}
+        headers = {**PROMPT, "timeout_remaining": "4900"} if path.startswith("/ask") else {}
         return await harness.send_request(path, f"r{self._count}", **headers, **options)
 
     async def send_for(self, harnesses: list[HostHarness], duration_s: float) -> list[Answer]:
@@ -177,6 +177,26 @@
         assert served_share(await play.send_for(cut, 3.0)) >= 0.95
 
 
+async def test_a_request_through_a_host_that_stops_is_answered():
+    async with fleet(hosts=2, work_s=0.3) as play:
+        cut = play.cut(PathFault.RESET, 1)
+        await play.send_for(cut, 1.0)
+        answers: list[Answer] = []
+
+        async def send(path: str) -> None:
+            answers.append(await play.send(cut[0], path))
+
+        for server in play.servers:
+            server.events = 14 if server.events else 0
+        async with trio.open_nursery() as nursery:
+            for path in ("/ask/x", "/book/x"):
+                nursery.start_soon(send, path)
+            await trio.sleep(0.05)
+            play.harnesses[1].stop.set()
+        assert served_share(answers) == 1.0
+        assert play.harnesses[1].host.tunnels_served == 0
+
+
 async def test_the_work_ends_when_the_caller_of_a_host_without_a_path_leaves():
     async with fleet(hosts=2) as play:
         cut = play.cut(PathFault.RESET, 1)
