--- a/mulberrycleat/endpoint/reachability.py
+++ b/mulberrycleat/endpoint/reachability.py
@@ -17,8 +17,9 @@
 # When this many paths are lost, and none was found open for this time, in seconds, the host takes
 # all its paths to be lost.
 MIN_LOST, OPEN_TTL_S = 2, 2.0
-# A host that could not open a connection is not asked again for this time, in seconds.
-HELPER_PAUSE_S = 1.0
+# A host that could not open a connection is asked last for this time, in seconds; the time doubles
+# with each such answer in a row.
+HELPER_PAUSE_S, MAX_HELPER_PAUSE_S = 1.0, 8.0
 # An endpoint that other hosts can't reach either is taken to be gone for this time, in seconds.
 GONE_S = 1.0
 
@@ -39,6 +40,13 @@
     cores: float
 
 
+class _Pause(NamedTuple):
+    """A host is asked last until a time; the pause was `length_s` long. Both are in seconds."""
+
+    until: float
+    length_s: float
+
+
 class Reachability:
     """Paths from this host to endpoints, by the endpoints' addresses.
 
@@ -61,7 +69,7 @@
         self._trial_at: dict[str, float] = {}
         self._opened_at = 0.0
         self._gone_until: dict[str, float] = {}
-        self._paused_until: dict[str, float] = {}
+        self._pauses: dict[str, _Pause] = {}
 
     @property
     def lost(self) -> tuple[str, ...]:
@@ -114,8 +122,16 @@
 
     def pause_helper(self, helper: str, now: float) -> None:
         """Record that another host could not open a connection."""
-        self._paused_until = {h: until for h, until in self._paused_until.items() if now < until}
-        self._paused_until[helper] = now + HELPER_PAUSE_S
+        known = self._pauses.get(helper)
+        length_s = HELPER_PAUSE_S
+        if known is not None:
+            length_s = known.length_s if now < known.until else 2 * known.length_s
+            length_s = min(length_s, MAX_HELPER_PAUSE_S)
+        self._pauses[helper] = _Pause(now + length_s, length_s)
+
+    def resume_helper(self, helper: str) -> None:
+        """Record that another host has answered as asked."""
+        self._pauses.pop(helper, None)
 
     def order_helpers(
         self, helpers: Sequence[Helper], in_use: dict[str, int], random: Random, now: float
@@ -131,8 +147,12 @@
             Open connections of this host through the others, by address.
         """
 
+        known = {helper.address for helper in helpers}
+        self._pauses = {a: pause for a, pause in self._pauses.items() if a in known}
+
         def cost(helper: Helper) -> tuple[bool, float, float]:
             load = in_use.get(helper.address, 0) / max(helper.cores, 0.1)
-            return now < self._paused_until.get(helper.address, now), load, random.random()
+            pause = self._pauses.get(helper.address)
+            return pause is not None and now < pause.until, load, random.random()
 
         return [helper.address for helper in sorted(helpers, key=cost)]
--- a/mulberrycleat/entry/paths.py
+++ b/mulberrycleat/entry/paths.py
@@ -265,14 +265,15 @@
             found = await open_tunnel(
                 helper, address, self._connect_host, self._settings, timeout_s
             )
-            now = trio.current_time()
+            if found is not TunnelReply.UNAVAILABLE:
+                self._paths.resume_helper(helper)
             match found:
                 case TunnelPipe():
                     self._in_use[helper] += 1
                     found.call_on_close(partial(self._in_use.subtract, (helper,)))
                     return found
                 case TunnelReply.UNAVAILABLE:
-                    self._paths.pause_helper(helper, now)
+                    self._paths.pause_helper(helper, trio.current_time())
                 case TunnelReply.OUT_OF_REACH:
                     out_of_reach += 1
                     if out_of_reach >= answers:
