--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -29,6 +29,8 @@
         Availability zone.
     events : int
         Number of events in each stream; 0 for a plain service.
+    event_data : str
+        Data of each event.
     work_s : float
         Delay before each answer and after each event of a stream, in seconds.
     status : int
@@ -99,6 +101,7 @@
     service: str
     zone: str = "z-a"
     events: int = 0
+    event_data: str = "x"
     work_s: float = 0.02
     status: int = 200
     declines: bool = False
@@ -364,7 +367,7 @@
             while server.trickle_after is not None and number - first >= server.trickle_after:
                 await send_events(b"x")
                 await trio.sleep(TRICKLE_INTERVAL_S)
-            await send_events(b"id: %d\ndata: x\n\n" % number)
+            await send_events(f"id: {number}\ndata: {server.event_data}\n\n".encode())
             await trio.sleep(server.work_s)
         if server.unframed:
             raise trio.BrokenResourceError
