Reset a connection to an endpoint that is given up

A host sent a request on an open connection into a partition at 34.8 s, gave it up 0.4 s later and had it served elsewhere. The close left the bytes with the kernel, which sent them again 6.2 s later, after the partition had healed; the endpoint had said 2.8 s before that it leaves.

Cause: a closed connection still delivers what was written to it. Class: a request is taken to be withdrawn that is only not waited for. A reset discards it. Connections that hosts accept from each other are closed as before, since their last bytes count.

--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
@@ -41,6 +42,8 @@
 # reused. The endpoint counts from the time it sent its response, so its close may already be on the
 # way when the connection seems to be within the limit.
 IDLE_LIMIT_FRACTION = 0.5
+# Value of SO_LINGER: closing discards what has not been sent, and resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 RawHeaders = list[tuple[bytes, bytes]]
 
 
@@ -131,10 +134,20 @@
 
 
 class SocketPipe:
-    """A :class:`Pipe` over a TCP socket."""
+    """A :class:`Pipe` over a TCP socket.
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        The connection.
+    resets : bool, optional
+        Whether closing resets the connection, so that bytes which have not arrived yet never do.
+        Otherwise they may arrive seconds later, when a partition heals.
+    """
+
+    def __init__(self, stream: trio.SocketStream, resets: bool = False) -> None:
         self._stream = stream
+        self._resets = resets
         self.send_all = stream.send_all
         self.receive_some = stream.receive_some
 
@@ -144,11 +157,16 @@
 
     def close(self) -> None:
         """Close at once."""
+        if self._resets and self._stream.socket.fileno() >= 0:
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._stream.socket.close()
 
 
 async def open_pipe(address: str, settings: ConnectionSettings) -> Pipe:
-    """Open a TCP connection to ``ip:port``; raises :class:`ConnectError`."""
+    """Open a TCP connection to ``ip:port``, which is reset when it is closed.
+
+    Raises :class:`ConnectError`.
+    """
     host, _, port = address.rpartition(":")
     sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -164,7 +182,7 @@
     except BaseException:
         sock.close()
         raise
-    return SocketPipe(trio.SocketStream(sock))
+    return SocketPipe(trio.SocketStream(sock), resets=True)
 
 
 class Connection:
