Apply statements of endpoints in one controller, and split long modules

StatementController takes over what the dispatch filter did with them and what was told to other hosts; the list of hosts is no longer made for each answer. The relay's server and the tests' links have modules of their own. No change of behaviour.

--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -37,14 +37,15 @@
 from mulberrycleat.entry.paths import Connect, EndpointPaths
 from mulberrycleat.entry.peers import PeerCalls
 from mulberrycleat.entry.protocol import HeaderCodec
-from mulberrycleat.entry.relay import RelayedStore, RelayServer
+from mulberrycleat.entry.relay import RelayedStore
+from mulberrycleat.entry.relay_server import RelayServer
 from mulberrycleat.entry.retries import FleetRetryBudget
 from mulberrycleat.entry.roster import HostRoster
 from mulberrycleat.entry.settings import EntrySettings, FleetRequirements
 from mulberrycleat.entry.shards import ShardedSlices
 from mulberrycleat.entry.shutdown import GracefulShutdown
 from mulberrycleat.entry.slices import HeartbeatCount, SliceController
-from mulberrycleat.entry.statement_exchange import StatementExchange
+from mulberrycleat.entry.statements import StatementController
 from mulberrycleat.entry.store import StateStore
 from mulberrycleat.entry.stream_origins import OriginController
 from mulberrycleat.entry.supervision import keep_running
@@ -172,8 +173,12 @@
             lambda: int(TUNNEL_DESCRIPTOR_SHARE * self._settings.max_descriptors / 2),
         )
         self._connections = ConnectionPool(_connection_settings(settings), self._paths.connect)
-        self._statement_exchange = StatementExchange(
-            self._registry.statements, PeerCalls(self._peer_http, decisions), decisions
+        self._statements = StatementController(
+            self._registry.statements,
+            self._brittle,
+            PeerCalls(self._peer_http, decisions),
+            self._paths.peer_of,
+            decisions,
         )
         self._store = RelayedStore(
             store,
@@ -264,10 +269,9 @@
                     self._retry_budget,
                     self._connections,
                     self._reports,
-                    self._brittle,
+                    self._statements,
                     self._origins,
                     self._paths,
-                    self._statement_exchange,
                     decisions,
                 ),
             )
@@ -289,9 +293,7 @@
     @property
     def peers_app(self) -> App:
         """The application that serves the other hosts."""
-        return App(
-            (*self._relay.routes(), *self._slices.routes(), *self._statement_exchange.routes())
-        )
+        return App((*self._relay.routes(), *self._slices.routes(), *self._statements.routes()))
 
     def describe_tokens(self, account: str) -> dict[str, int]:
         """Return this host's token counts of an account, by kind."""
@@ -360,7 +362,7 @@
                 "stream origins": self._origins.run_start,
                 "own stream origins": self._origins.run_appends,
                 "paths": self._paths.run,
-                "statements": self._statement_exchange.run,
+                "statements": self._statements.run,
                 "housekeeping": self._run_housekeeping,
                 "metrics": self._metrics.watch_loop,
             }
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -10,9 +10,7 @@
 from result import Err, Ok, Result
 
 from mulberrycleat.core import MayHaveRun, NotRun, Position, Refusal, Served, Step
-from mulberrycleat.endpoint.brittleness import BrittleEndpoints
 from mulberrycleat.endpoint.placer import Placement
-from mulberrycleat.endpoint.statements import Leaving, Pause
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.endpoint_reports import EndpointReports
@@ -32,7 +30,7 @@
 from mulberrycleat.entry.paths import EndpointPaths
 from mulberrycleat.entry.protocol import AnswerFacts, HeaderCodec
 from mulberrycleat.entry.retries import FleetRetryBudget
-from mulberrycleat.entry.statement_exchange import StatementExchange
+from mulberrycleat.entry.statements import StatementController
 from mulberrycleat.entry.stream_origins import OriginController
 from mulberrycleat.routes import RouteKind
 from mulberrycleat.web.upstream import ConnectionPool
@@ -147,14 +145,12 @@
         Connections to endpoints.
     reports : EndpointReports
         What the hosts report about endpoints; a request that may crash them is not retried.
-    brittle : BrittleEndpoints
-        Which endpoints are brittle.
+    statements : StatementController
+        Applies what endpoints state in their answers.
     origins : OriginController
         Records which version begins a stream.
     paths : EndpointPaths
         Finds out whether an endpoint or the path to it has failed.
-    statement_exchange : StatementExchange
-        Tells other hosts what endpoints state to them.
     decisions : DecisionLog
         Log of each attempt and its end.
     """
@@ -166,15 +162,13 @@
         retry_budget: FleetRetryBudget,
         connections: ConnectionPool,
         reports: EndpointReports,
-        brittle: BrittleEndpoints,
+        statements: StatementController,
         origins: OriginController,
         paths: EndpointPaths,
-        statement_exchange: StatementExchange,
         decisions: DecisionLog,
     ) -> None:
-        self._brittle = brittle
+        self._statements = statements
         self._paths = paths
-        self._statement_exchange = statement_exchange
         self._codec = codec
         self._origins = origins
         self._registry = registry
@@ -274,7 +268,7 @@
                 self._reports.record_limit(
                     entry, facts.limit_per_s, not facts.not_run, attempt.sent_at
                 )
-                self._record_statements(call, attempt, facts)
+                self._statements.record_answer(call, entry, attempt.sent_at, facts)
             if facts.load is not None:
                 load = facts.load
                 placer.apply_load_report(entry.id, load.running, load.waiting, trio.current_time())
@@ -299,34 +293,6 @@
             self._record_end(call, tries, attempt, outcome)
         return outcome
 
-    def _record_statements(self, call: EntryCall, attempt: _Attempt, facts: AnswerFacts) -> None:
-        """Apply what an endpoint states of itself in an answer, and log what changes."""
-        statements, now = self._registry.statements, trio.current_time()
-        if self._brittle.observe(call.pool.name, facts.rejections_per_s, now):
-            self._decisions.warning(
-                "brittleness changed",
-                pool=call.pool.name,
-                rejections_per_s=facts.rejections_per_s,
-                request=call.facts.request_id,
-            )
-        incarnation = attempt.placement.entry.incarnation
-        fields = {"endpoint": incarnation, "request": call.facts.request_id}
-        peer = self._paths.peer_of(call.progress.helper)
-        if facts.statements and peer:
-            self._statement_exchange.tell(peer, incarnation, facts)
-        if facts.fault:
-            self._decisions.warning("statement unreadable", why=facts.fault, **fields)
-        if facts.pause_s is None and statements.record_answer(incarnation, attempt.sent_at):
-            self._decisions.info("pause ended", **fields)
-        for statement in facts.statements:
-            if not statements.observe(incarnation, statement, now):
-                continue
-            match statement:
-                case Leaving():
-                    self._decisions.warning("endpoint leaves", **fields)
-                case Pause(seconds):
-                    self._decisions.info("endpoint pauses", pause_s=seconds, **fields)
-
     def _timeouts(self, call: EntryCall, placement: Placement, tries: _Attempts) -> _Timeouts:
         """Return the time limits after which another endpoint is tried.
 
--- a/mulberrycleat/entry/paths.py
+++ b/mulberrycleat/entry/paths.py
@@ -108,8 +108,7 @@
 
     def peer_of(self, helper: str) -> str:
         """Return where another host serves calls, given the address of its tunnels."""
-        found = (h.peer_address for h in self._helpers() if helper and h.address == helper)
-        return next(found, "")
+        return next((h.peer_address for h in self._helpers() if h.address == helper), "")
 
     async def connect(self, address: str, settings: ConnectionSettings) -> Pipe:
         """Open a connection to an endpoint; raises :class:`ConnectError`."""
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -27,10 +27,9 @@
 )
 from mulberrycleat.prepaid import HolderRecord
 from mulberrycleat.prepaid.sharding import SHARDS
-from mulberrycleat.web import Reply, Request, Responder, Route
 from mulberrycleat.web.client import BaseHttpClient
 
-__all__ = ["RelayServer", "RelayedStore"]
+__all__ = ["MESSAGE_TYPE", "RELAY_PATH", "CallArguments", "RelayedStore"]
 
 T = TypeVar("T")
 
@@ -50,7 +49,7 @@
 RELAY_PATH = "/store/{call}"
 
 
-class _CallArguments(msgspec.Struct):
+class CallArguments(msgspec.Struct):
     """Arguments of a relayed call; which of them are used depends on the call."""
 
     position: Position | None = None
@@ -122,7 +121,7 @@
         self, position: Position | None, wait_s: float
     ) -> Result[MapUpdate, PeerError]:
         """Return the newest route map since `position`."""
-        arguments = _CallArguments(position)
+        arguments = CallArguments(position)
         return await self._call(
             lambda: self._inner.read_map(position, wait_s), "read_map", arguments, MapUpdate
         )
@@ -134,7 +133,7 @@
         found: list[MapUpdate] = []
 
         async def ask(peer: str) -> None:
-            match await self._ask_peer(peer, "known_map", _CallArguments(), MapUpdate):
+            match await self._ask_peer(peer, "known_map", CallArguments(), MapUpdate):
                 case Ok(update):
                     found.append(update)
                 case Err(error):
@@ -147,7 +146,7 @@
 
     async def read_entries(self, position: Position | None) -> Result[DirectoryUpdate, PeerError]:
         """Return changes of the endpoints' entries since `position`."""
-        arguments = _CallArguments(position)
+        arguments = CallArguments(position)
         return await self._call(
             lambda: self._inner.read_entries(position), "read_entries", arguments, DirectoryUpdate
         )
@@ -156,7 +155,7 @@
         self, shard: int, position: Position | None
     ) -> Result[RecordUpdate, PeerError]:
         """Return records of the hosts' slices of a shard since `position`."""
-        arguments = _CallArguments(position, shard=shard)
+        arguments = CallArguments(position, shard=shard)
         return await self._call(
             lambda: self._inner.read_slices(shard, position), "read_slices", arguments, RecordUpdate
         )
@@ -165,7 +164,7 @@
         self, shard: int, record: HolderRecord, at: Position
     ) -> Result[AppendOutcome, PeerError]:
         """Append a record on condition that the log of the shard ends at position `at`."""
-        arguments = _CallArguments(at, record, shard=shard)
+        arguments = CallArguments(at, record, shard=shard)
         return await self._call(
             lambda: self._inner.append_slices(shard, record, at),
             "append_slices",
@@ -175,14 +174,14 @@
 
     async def read_hosts(self, position: Position | None) -> Result[HostUpdate, PeerError]:
         """Return the entries of entry hosts appended since `position`."""
-        arguments = _CallArguments(position)
+        arguments = CallArguments(position)
         return await self._call(
             lambda: self._inner.read_hosts(position), "read_hosts", arguments, HostUpdate
         )
 
     async def append_host(self, entry: HostEntry) -> Result[AppendOutcome, PeerError]:
         """Append the entry of an entry host."""
-        arguments = _CallArguments(entry=entry)
+        arguments = CallArguments(entry=entry)
         return await self._call(
             lambda: self._inner.append_host(entry), "append_host", arguments, AppendOutcome
         )
@@ -195,7 +194,7 @@
         Calls through other hosts don't wait for a report, nor do those that find out whether the
         store is in reach again.
         """
-        arguments = _CallArguments(position)
+        arguments = CallArguments(position)
         wait_s = 0.0 if self.lost else wait_s
         return await self._call(
             lambda: self._inner.read_reports(position, wait_s),
@@ -208,7 +207,7 @@
         self, host: str, records: tuple[EndpointReport, ...]
     ) -> Result[AppendOutcome, PeerError]:
         """Append reports of a host."""
-        arguments = _CallArguments(host=host, reports=records)
+        arguments = CallArguments(host=host, reports=records)
         return await self._call(
             lambda: self._inner.append_reports(host, records),
             "append_reports",
@@ -218,7 +217,7 @@
 
     async def read_origins(self, position: Position) -> Result[OriginUpdate, PeerError]:
         """Return origins of streams recorded since `position`."""
-        arguments = _CallArguments(position)
+        arguments = CallArguments(position)
         return await self._call(
             lambda: self._inner.read_origins(position), "read_origins", arguments, OriginUpdate
         )
@@ -227,7 +226,7 @@
         self, host: str, records: tuple[OriginRecord, ...]
     ) -> Result[AppendOutcome, PeerError]:
         """Append origins of streams that began at a host."""
-        arguments = _CallArguments(host=host, origins=records)
+        arguments = CallArguments(host=host, origins=records)
         return await self._call(
             lambda: self._inner.append_origins(host, records),
             "append_origins",
@@ -242,7 +241,7 @@
         found: list[StreamOrigin] = []
 
         async def ask(peer: str, nursery: trio.Nursery) -> None:
-            arguments = _CallArguments(request=request_id)
+            arguments = CallArguments(request=request_id)
             match await self._ask_peer(peer, "known_origin", arguments, StreamOrigin | None):
                 case Ok(origin) if origin is not None:
                     found.append(origin)
@@ -260,7 +259,7 @@
         self,
         direct: Callable[[], Awaitable[Result[T, PeerError]]],
         call: str,
-        arguments: _CallArguments,
+        arguments: CallArguments,
         kind: type[T],
     ) -> Result[T, PeerError]:
         now = trio.current_time()
@@ -277,7 +276,7 @@
     async def _relay(
         self,
         call: str,
-        arguments: _CallArguments,
+        arguments: CallArguments,
         kind: type[T],
         first: Result[T, PeerError] | None,
     ) -> Result[T, PeerError]:
@@ -305,7 +304,7 @@
         return Ok(max(remembered, key=_version_of)) if remembered else last
 
     async def _ask_peer(
-        self, peer: str, call: str, arguments: _CallArguments, kind: type[T]
+        self, peer: str, call: str, arguments: CallArguments, kind: type[T]
     ) -> Result[T, PeerError]:
         """Send a call to another host and decode the answer."""
         self._relayed += 1
@@ -345,112 +344,6 @@
                 self._on_lost()
 
 
-class RelayServer:
-    """Calls the store for other hosts that can't reach it.
-
-    Parameters
-    ----------
-    store : RelayedStore
-        This host's access to the store. Calls of other hosts use its direct access only, so that
-        they are not relayed any further.
-    known_map : callable
-        Returns this host's route map, or None before there is one. It is returned to other hosts
-        while this host can't reach the store, so that a host can start during an outage.
-    known_entries : callable
-        Returns the endpoints' entries for the same purpose, or None before the directory is read.
-    known_hosts : callable
-        Returns the roster of entry hosts for the same purpose, or None before it is read.
-    known_origin : callable
-        Returns the origin of a stream by its request id, or None if this host does not remember it.
-    """
-
-    def __init__(
-        self,
-        store: RelayedStore,
-        known_map: Callable[[], MapUpdate | None],
-        known_entries: Callable[[], DirectoryUpdate | None],
-        known_hosts: Callable[[], HostUpdate | None],
-        known_origin: Callable[[str], StreamOrigin | None],
-    ) -> None:
-        self._known_hosts = known_hosts
-        self._known_origin = known_origin
-        self._store = store
-        self._known_map = known_map
-        self._known_entries = known_entries
-
-    def routes(self) -> tuple[Route, ...]:
-        """Return the HTTP routes that serve other hosts."""
-        return (Route("POST", RELAY_PATH, self._serve),)
-
-    async def _serve(self, request: Request, responder: Responder) -> Reply:
-        try:
-            arguments = msgspec.msgpack.decode(request.body, type=_CallArguments)
-        except msgspec.DecodeError as error:
-            return Reply(400, str(error).encode())
-        outcome = await self._call_store(request.params["call"], arguments)
-        match outcome:
-            case None:
-                return Reply(404)
-            case Ok(update):
-                body = msgspec.msgpack.encode(update)
-                return Reply(200, body, (("content-type", MESSAGE_TYPE),))
-            case Err(error):
-                return Reply(502 if error.sent else 503, str(error).encode())
-
-    async def _call_store(
-        self, call: str, arguments: _CallArguments
-    ) -> Result[Any, PeerError] | None:
-        """Make a call of another host; return None if there is no such call."""
-        inner, lost = self._store.inner, self._store.lost
-        unreachable = Err(PeerError(Step.CALL, "store", "out of reach of this host too", False))
-        match call:
-            case "known_map":
-                return _ok_or(self._known_map(), unreachable)
-            case "read_map" if lost:
-                return _ok_or(self._known_map(), unreachable)
-            case "read_map":
-                return await inner.read_map(arguments.position, 0.0)
-            case "read_entries" if lost:
-                return _ok_or(self._known_entries(), unreachable)
-            case "read_entries":
-                return await inner.read_entries(arguments.position)
-            case "read_hosts" if lost:
-                return _ok_or(self._known_hosts(), unreachable)
-            case "read_hosts":
-                return await inner.read_hosts(arguments.position)
-            case "append_host" if not lost and arguments.entry is not None:
-                return await inner.append_host(arguments.entry)
-            case "read_slices" if not lost:
-                return await inner.read_slices(arguments.shard, arguments.position)
-            case "append_slices" if (
-                not lost and arguments.record is not None and arguments.position is not None
-            ):
-                return await inner.append_slices(
-                    arguments.shard, arguments.record, arguments.position
-                )
-            case "read_reports" if not lost and arguments.position is not None:
-                return await inner.read_reports(arguments.position, 0.0)
-            case "append_reports" if not lost and arguments.reports:
-                return await inner.append_reports(arguments.host, arguments.reports)
-            case "known_origin":
-                return Ok(self._known_origin(arguments.request))
-            case "read_origins" if not lost and arguments.position is not None:
-                return await inner.read_origins(arguments.position)
-            case "append_origins" if not lost and arguments.origins:
-                return await inner.append_origins(arguments.host, arguments.origins)
-            case (
-                "read_slices"
-                | "append_slices"
-                | "append_host"
-                | "read_reports"
-                | "append_reports"
-                | "read_origins"
-                | "append_origins"
-            ):
-                return unreachable
-        return None
-
-
 def _is_from_memory(update: Any) -> bool:
     """Whether another host answered from its memory, since it can't reach the store either."""
     is_read = isinstance(update, MapUpdate | DirectoryUpdate | HostUpdate)
@@ -462,7 +355,3 @@
     if isinstance(update, MapUpdate) and update.route_map is not None:
         return update.route_map.version
     return -1
-
-
-def _ok_or(update: Any, fallback: Result[Any, PeerError]) -> Result[Any, PeerError]:
-    return fallback if update is None else Ok(update)
--- a/mulberrycleat/platform/tests/test_lost_paths.py
+++ b/mulberrycleat/platform/tests/test_lost_paths.py
@@ -13,10 +13,9 @@
     CONFIG,
     Answer,
     HostHarness,
-    Links,
-    PathFault,
     entry_hosts,
 )
+from mulberrycleat.platform.tests.links import Links, PathFault
 
 HOSTS = 6
 # The platform's time within which a host has to find out, in seconds.
--- a/mulberrycleat/platform/tests/test_stream_version_histories.py
+++ b/mulberrycleat/platform/tests/test_stream_version_histories.py
@@ -12,10 +12,9 @@
 from mulberrycleat.platform.tests.fixtures import (
     CONFIG,
     HostHarness,
-    Links,
-    PathFault,
     entry_hosts,
 )
+from mulberrycleat.platform.tests.links import Links, PathFault
 from mulberrycleat.platform.tests.test_restored_store import restore
 
 SEEDS = range(3)
