Take other paths to be suspect, not lost, when some are lost

By the test, which failed: a host that had lost its paths to two endpoints, and opened no connection for 2 s, since it reused open ones, took those to all others to be lost too, closed its idle connections to them and went through other hosts until a trial. Now both ways are tried at once, and only a failed direct connection makes a path lost. Found by reading.

--- a/mulberrycleat/endpoint/reachability.py
+++ b/mulberrycleat/endpoint/reachability.py
@@ -14,8 +14,8 @@
 
 # A lost path is tried again after this time, in seconds.
 TRIAL_INTERVAL_S = 0.5
-# When this many paths are lost, and none was found open for this time, in seconds, the host takes
-# all its paths to be lost.
+# When this many paths are lost, and none was found open for this time, in seconds, the others are
+# likely to be lost, too.
 MIN_LOST, OPEN_TTL_S = 2, 2.0
 # A host that could not open a connection is asked last for this time, in seconds; the time doubles
 # with each such answer in a row.
@@ -55,13 +55,11 @@
     Examples
     --------
     >>> paths = Reachability()
-    >>> paths.is_lost("10.0.0.1:80", now=0.0)
-    False
     >>> paths.note_lost("10.0.0.1:80", now=0.0), paths.note_lost("10.0.0.1:80", now=0.1)
     (True, False)
-    >>> paths.is_lost("10.0.0.1:80", now=0.1), paths.is_lost("10.0.0.2:80", now=0.1)
-    (True, False)
-    >>> paths.note_lost("10.0.0.2:80", now=0.2), paths.is_lost("10.0.0.3:80", now=2.1)
+    >>> paths.is_lost("10.0.0.1:80"), paths.is_lost("10.0.0.2:80"), paths.is_suspect(now=2.1)
+    (True, False, False)
+    >>> paths.note_lost("10.0.0.2:80", now=0.2), paths.is_suspect(now=2.1)
     (True, True)
     """
 
@@ -76,10 +74,12 @@
         """Addresses to which this host has lost its path."""
         return tuple(self._trial_at)
 
-    def is_lost(self, address: str, now: float) -> bool:
+    def is_lost(self, address: str) -> bool:
         """Whether a connection to an endpoint has to be opened by another host."""
-        if address in self._trial_at:
-            return True
+        return address in self._trial_at
+
+    def is_suspect(self, now: float) -> bool:
+        """Whether the paths that are not known to be lost are likely to be."""
         return len(self._trial_at) >= MIN_LOST and now - self._opened_at >= OPEN_TTL_S
 
     def note_open(self, address: str, now: float) -> bool:
--- a/mulberrycleat/endpoint/tests/test_reachability.py
+++ b/mulberrycleat/endpoint/tests/test_reachability.py
@@ -23,14 +23,15 @@
     return found
 
 
-def test_all_paths_are_lost_only_while_none_was_found_open(paths):
+def test_other_paths_are_suspect_only_while_none_was_found_open(paths):
     paths.note_lost(FIRST, now=1.0)
     paths.note_lost(SECOND, now=1.0)
-    assert not paths.is_lost(THIRD, now=OPEN_TTL_S - 0.1)
-    assert paths.is_lost(THIRD, now=OPEN_TTL_S)
+    assert not paths.is_suspect(now=OPEN_TTL_S - 0.1)
+    assert paths.is_suspect(now=OPEN_TTL_S)
+    assert not paths.is_lost(THIRD)
     paths.note_open(THIRD, now=OPEN_TTL_S)
-    assert not paths.is_lost(THIRD, now=OPEN_TTL_S + 0.1)
-    assert paths.is_lost(FIRST, now=OPEN_TTL_S + 0.1)
+    assert not paths.is_suspect(now=OPEN_TTL_S + 0.1)
+    assert paths.is_lost(FIRST)
 
 
 def test_lost_paths_are_tried_again_and_at_once_when_another_is_back(paths):
@@ -45,7 +46,7 @@
 def test_an_endpoint_is_gone_for_a_while_and_its_path_not_lost(paths):
     paths.note_lost(FIRST, now=1.0)
     paths.note_gone(FIRST, now=2.0)
-    assert not paths.is_lost(FIRST, now=2.0)
+    assert not paths.is_lost(FIRST)
     assert paths.is_gone(FIRST, now=1.9 + GONE_S)
     assert not paths.is_gone(FIRST, now=2.0 + GONE_S)
 
--- a/mulberrycleat/entry/paths.py
+++ b/mulberrycleat/entry/paths.py
@@ -113,7 +113,7 @@
     async def connect(self, address: str, settings: ConnectionSettings) -> Pipe:
         """Open a connection to an endpoint; raises :class:`ConnectError`."""
         self._settings = settings
-        if not self._paths.is_lost(address, trio.current_time()):
+        if not self._paths.is_lost(address):
             return await self._open_either_way(address)
         tunnel = await self._open_through_others(address, MAX_HELPERS)
         if tunnel is not None:
@@ -139,7 +139,7 @@
         then : callable
             Called with the result.
         """
-        if self._paths.is_lost(address, trio.current_time()):
+        if self._paths.is_lost(address):
             then(True)
             return
         if address in self._asked:
@@ -211,9 +211,10 @@
         opened: list[Pipe] = []
         errors: list[ConnectError] = []
         failed = trio.Event()
+        suspect = self._paths.is_suspect(trio.current_time())
 
         async def open_late(nursery: trio.Nursery) -> None:
-            with trio.move_on_after(DIRECT_HEAD_START_S):
+            with trio.move_on_after(0.0 if suspect else DIRECT_HEAD_START_S):
                 await failed.wait()
             if self._paths.is_gone(address, trio.current_time()):
                 return
@@ -282,12 +283,13 @@
     async def _open_for_other(self, address: str) -> Pipe | TunnelReply:
         """Open a connection to an endpoint for another host, never through a third one."""
         full = self._serving > self._max_tunnels()
-        lost = self._paths.is_lost(address, trio.current_time())
-        if self._stopping or full or lost:
+        if self._stopping or full or self._paths.is_lost(address):
             return TunnelReply.UNAVAILABLE
         if not self._accepts(address):
             return TunnelReply.DECLINED
         try:
             return await self._open_directly(address)
         except ConnectError:
+            if self._paths.is_suspect(trio.current_time()):
+                return TunnelReply.UNAVAILABLE
             return TunnelReply.OUT_OF_REACH
--- a/mulberrycleat/platform/tests/links.py
+++ b/mulberrycleat/platform/tests/links.py
@@ -29,12 +29,15 @@
     ----------
     faults : dict of str to PathFault
         Faults of the paths from hosts to all endpoints, by the host's name.
+    unreachable_from : dict of str to set of str
+        Addresses of single endpoints to which new connections get no answer, by the host's name.
     tunnels_opened : int
         Connections between hosts opened so far.
     """
 
     def __init__(self) -> None:
         self.faults: dict[str, PathFault] = {}
+        self.unreachable_from: dict[str, set[str]] = {}
         self.tunnels_opened = 0
         self._handlers: dict[str, tuple[Callable[[Pipe], Awaitable[None]], trio.Nursery]] = {}
 
@@ -61,7 +64,10 @@
         """Return a function that opens connections from a host to endpoints."""
 
         async def connect_or_fail(address: str, settings: ConnectionSettings) -> Pipe:
-            match self.faults.get(host):
+            fault = self.faults.get(host)
+            if address in self.unreachable_from.get(host, ()):
+                fault = PathFault.SILENT
+            match fault:
                 case PathFault.SILENT:
                     await trio.sleep(settings.connect_timeout_s)
                     raise ConnectError(f"connect {address}: no answer", True)
--- a/mulberrycleat/platform/tests/test_lost_paths.py
+++ b/mulberrycleat/platform/tests/test_lost_paths.py
@@ -135,6 +135,19 @@
         assert not any(harness.host.lost_paths for harness in play.harnesses)
 
 
+async def test_paths_that_are_open_stay_in_use_while_some_others_are_lost(records):
+    async with fleet(hosts=3) as play:
+        play.links.unreachable_from["a1"] = {server.address for server in play.servers[4:6]}
+        play.harnesses[0].host._connections.close_unusable(())
+        await play.send_for(play.harnesses[:1], CONTACT_S)
+        assert play.harnesses[0].host.lost_paths
+        # No connection is opened for longer than the time after which other paths are suspect.
+        await trio.sleep(3.0)
+        assert served_share(await play.send_for(play.harnesses[:1], 2.0)) == 1.0
+        lost = {record.peer for record in records if record.msg == "path lost"}
+        assert lost <= play.links.unreachable_from["a1"]
+
+
 async def test_callers_do_not_wait_until_other_hosts_have_found_an_endpoint_dark():
     async with fleet() as play:
         for harness in play.harnesses:
