--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import time
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -34,8 +31,9 @@
 )
 from mulberrycleat.entry.frontend import HttpFrontend
 from mulberrycleat.entry.metrics import EntryMetrics
-from mulberrycleat.entry.paths import Connect, EndpointPaths
+from mulberrycleat.entry.paths import EndpointPaths
 from mulberrycleat.entry.peers import PeerCalls
+from mulberrycleat.entry.ports import EntryPorts
 from mulberrycleat.entry.protocol import HeaderCodec
 from mulberrycleat.entry.relay import RelayedStore
 from mulberrycleat.entry.relay_server import RelayServer
@@ -54,18 +52,14 @@
 from mulberrycleat.routes import ClientLimits, RouteTable
 from mulberrycleat.web import (
     App,
-    BaseHttpClient,
-    HttpClient,
     Reply,
     Request,
     Responder,
     Route,
-    serve_app,
 )
-from mulberrycleat.web.tunnel import serve_pipes
-from mulberrycleat.web.upstream import ConnectionPool, ConnectionSettings, Pipe, open_pipe
+from mulberrycleat.web.upstream import ConnectionPool, ConnectionSettings, Pipe
 
-__all__ = ["EntryHost", "EntryPorts"]
+__all__ = ["EntryHost"]
 
 # Interval between checks of idle connections and of the number of hosts, in seconds.
 HOUSEKEEPING_INTERVAL_S = 1.0
@@ -82,39 +76,6 @@
 IDLE_DESCRIPTOR_SHARE = 0.25
 # Fraction of the descriptors that connections for other hosts may use, which take two each.
 TUNNEL_DESCRIPTOR_SHARE = 0.25
-# Longest wait for a connection to another host, and for sent data to be acknowledged, in seconds.
-PEER_CONNECTION_TIMEOUT_S = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class EntryPorts:
-    """Connections of the process to the outside; tests replace them.
-
-    Attributes
-    ----------
-    peer_http : BaseHttpClient
-        HTTP client for calls to other hosts.
-    connect, connect_host : callable
-        Open a connection to an endpoint, and to the address of another host's tunnels.
-    serve_pipes : callable
-        Serves the connections of other hosts to this host's tunnels; takes the arguments of
-        :func:`~mulberrycleat.web.tunnel.serve_pipes`.
-    serve_http : callable
-        Serves an ASGI application; takes the arguments of :func:`~mulberrycleat.web.serve_app`.
-    wall : callable
-        Returns the time of day, in seconds.
-    """
-
-    peer_http: BaseHttpClient = field(
-        default_factory=lambda: HttpClient(
-            PEER_CONNECTION_TIMEOUT_S, unacknowledged_timeout_s=PEER_CONNECTION_TIMEOUT_S
-        )
-    )
-    connect: Connect = open_pipe
-    connect_host: Connect = open_pipe
-    serve_pipes: Callable[..., Awaitable[None]] = serve_pipes
-    serve_http: Callable[..., Awaitable[None]] = serve_app
-    wall: Callable[[], float] = time.time
 
 
 class EntryHost:
--- a/mulberrycleat/platform/tests/fixtures.py
+++ b/mulberrycleat/platform/tests/fixtures.py
@@ -11,9 +11,10 @@
 import httpcore
 import trio
 
-from mulberrycleat.entry.app import EntryHost, EntryPorts
+from mulberrycleat.entry.app import EntryHost
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.paths import Connect
+from mulberrycleat.entry.ports import EntryPorts
 from mulberrycleat.entry.settings import EntrySettings, FleetRequirements
 from mulberrycleat.entry.tests.test_decisions import records  # noqa: F401 (a fixture)
 from mulberrycleat.platform.headers import PlatformHeaderCodec
