End brittleness by endpoint, with a later answer that does not state it

A pool was taken to be brittle for 4 s after its last statement, so that hosts kept to their parts for 4 s too long, forgot the statement after 4 s without a request, and took all endpoints to be brittle if one was.

--- a/mulberrycleat/endpoint/brittleness.py
+++ b/mulberrycleat/endpoint/brittleness.py
@@ -11,15 +11,19 @@
 
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from mulberrycleat.endpoint.directory import Entry
 from mulberrycleat.endpoint.rate_limits import HostPlace
 
 __all__ = ["BrittleEndpoints"]
 
-# A pool is taken to be brittle for this time after one of its endpoints has last stated it, in
-# seconds.
-STATEMENT_TTL_S = 4.0
+# What an endpoint has stated holds for this time without another answer of it, in seconds, and for
+# the endpoints of its pool that have not answered since.
+STATEMENT_TTL_S = 20.0
+# After this time without a statement of any endpoint of a pool, in seconds, the next one begins
+# another period in which they are brittle.
+PERIOD_GAP_S = 2.0
 # Share of the rejections of one second that excess requests may cause at once, and by their mean
 # rate. The rest is for hosts that have not learned of it.
 EXCESS_SHARE = 0.4
@@ -33,11 +37,10 @@
     at: float
 
 
-@dataclass(slots=True)
-class _Statement:
-    """Rejections a second that endpoints of a pool can bear; as of `at`, in seconds."""
+class _Statement(NamedTuple):
+    """Rejections a second that an endpoint can bear, None if it is not brittle; as of `at`."""
 
-    rejections_per_s: float
+    rejections_per_s: float | None
     at: float
 
 
@@ -56,39 +59,53 @@
     --------
     >>> entry = Entry("e1", "huts", "10.0.0.1:80", "a", slots=6)
     >>> brittle = BrittleEndpoints(lambda endpoint, zone: HostPlace(rank=0, hosts=3))
-    >>> brittle.observe("huts", 3.0, now=0.0)
+    >>> brittle.observe(entry, 3.0, sent_at=0.0, now=0.1)
     True
-    >>> brittle.takes(entry, in_flight=1, now=0.0), brittle.takes(entry, in_flight=2, now=0.0)
+    >>> brittle.takes(entry, in_flight=1, now=0.1), brittle.takes(entry, in_flight=2, now=0.1)
     (True, False)
     """
 
     def __init__(self, place: Callable[[str, str], HostPlace]) -> None:
         self._place = place
-        self._pools: dict[str, _Statement] = {}
+        self._by_endpoint: dict[str, _Statement] = {}
+        self._by_pool: dict[str, _Statement] = {}
+        self._period_began: dict[str, float] = {}
         self._excess: dict[str, _Excess] = {}
 
     @property
     def pools(self) -> tuple[str, ...]:
-        """Pools whose endpoints have stated that they are brittle."""
-        return tuple(self._pools)
+        """Pools of which an endpoint has stated that it is brittle."""
+        return tuple(self._by_pool)
 
-    def observe(self, pool: str, rejections_per_s: float | None, now: float) -> bool:
+    def observe(
+        self, entry: Entry, rejections_per_s: float | None, sent_at: float, now: float
+    ) -> bool:
         """Apply what an answer of an endpoint states; return whether that is news.
 
         Parameters
         ----------
         rejections_per_s : float or None
-            Requests a second that the endpoint can turn away; None if it is not brittle.
+            Requests a second that the endpoint can turn away; None if it does not state that it is
+            brittle.
+        sent_at : float
+            When the request was sent, in seconds. An answer without the statement may be older than
+            the statement that is known, unless its request was sent later.
         """
-        known = self._pools.get(pool)
+        known = self._by_endpoint.get(entry.incarnation)
+        was_brittle = known is not None and known.rejections_per_s is not None
         if rejections_per_s is None:
-            if known is None or now - known.at < STATEMENT_TTL_S:
+            if entry.pool not in self._by_pool or (was_brittle and sent_at <= known.at):
                 return False
-            del self._pools[pool]
-            self._excess.clear()
-            return True
-        self._pools[pool] = _Statement(rejections_per_s, now)
-        return known is None
+            self._by_endpoint[entry.incarnation] = _Statement(None, now)
+            self._excess.pop(entry.incarnation, None)
+            self._drop_expired(now)
+            return was_brittle
+        of_pool = self._by_pool.get(entry.pool)
+        if of_pool is None or now - of_pool.at >= PERIOD_GAP_S:
+            self._period_began[entry.pool] = now
+        statement = _Statement(rejections_per_s, now)
+        self._by_endpoint[entry.incarnation] = self._by_pool[entry.pool] = statement
+        return not was_brittle
 
     def takes(self, entry: Entry, in_flight: int, now: float) -> bool:
         """Whether this host may send a request to an endpoint where `in_flight` of its own run."""
@@ -106,10 +123,26 @@
     def retain(self, endpoints: Collection[str]) -> None:
         """Forget the endpoints that are not in `endpoints`."""
         self._excess = {e: found for e, found in self._excess.items() if e in endpoints}
+        self._by_endpoint = {e: found for e, found in self._by_endpoint.items() if e in endpoints}
 
     def _statement(self, entry: Entry, now: float) -> _Statement | None:
-        statement = self._pools.get(entry.pool)
-        return statement if statement and now - statement.at < STATEMENT_TTL_S else None
+        """Return the statement that holds for an endpoint, None if it is not taken to be brittle.
+
+        The endpoints of a pool become brittle together, so that one that has not answered since is
+        taken to be brittle, too.
+        """
+        own, of_pool = self._by_endpoint.get(entry.incarnation), self._by_pool.get(entry.pool)
+        if of_pool is None or now - of_pool.at >= STATEMENT_TTL_S:
+            return None
+        if own is None or own.at < self._period_began[entry.pool]:
+            return of_pool
+        return None if own.rejections_per_s is None else own
+
+    def _drop_expired(self, now: float) -> None:
+        """Forget pools without a statement for a while."""
+        for pool, statement in list(self._by_pool.items()):
+            if now - statement.at >= STATEMENT_TTL_S:
+                del self._by_pool[pool]
 
     def _part(self, entry: Entry) -> int:
         """Return the number of an endpoint's places that are for this host alone."""
--- a/mulberrycleat/entry/statements.py
+++ b/mulberrycleat/entry/statements.py
@@ -89,8 +89,8 @@
         """
         now, endpoint = trio.current_time(), entry.incarnation
         fields = {"endpoint": endpoint, "request": call.facts.request_id}
-        if self._brittle.observe(entry.pool, facts.rejections_per_s, now):
-            self._decisions.warning(
+        if self._brittle.observe(entry, facts.rejections_per_s, sent_at, now):
+            self._decisions.info(
                 "brittleness changed",
                 pool=entry.pool,
                 rejections_per_s=facts.rejections_per_s,
