Record no stream whose id is longer than a record holds

By the test, which failed: a caller's overlong request id made the record of all streams that began beside it unreadable, so that none of them could be taken up after their host had been killed. Such a stream is now logged and counts as unknown. Found by reading.

--- a/mulberrycleat/endpoint/stream_origins.py
+++ b/mulberrycleat/endpoint/stream_origins.py
@@ -15,7 +15,7 @@
 
 from mulberrycleat.endpoint.directory import Entry
 
-__all__ = ["MAX_REQUESTS", "OriginRecord", "StreamOrigin", "StreamOrigins"]
+__all__ = ["MAX_NAME_LENGTH", "MAX_REQUESTS", "OriginRecord", "StreamOrigin", "StreamOrigins"]
 
 # An origin is remembered for this time after it was learned, and a version after it was last seen,
 # in seconds. Callers wait for no stream that long.
@@ -24,8 +24,10 @@
 MAX_ORIGINS = 65_536
 # Most requests in one record.
 MAX_REQUESTS = 1024
+# Longest id of a request, and longest name of a pool or a version, in a record, in characters.
+MAX_NAME_LENGTH = 256
 
-Name = Annotated[str, msgspec.Meta(max_length=256)]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
 
 class StreamOrigin(NamedTuple):
--- a/mulberrycleat/entry/stream_origins.py
+++ b/mulberrycleat/entry/stream_origins.py
@@ -12,6 +12,7 @@
 from mulberrycleat.core import START, Position
 from mulberrycleat.endpoint.directory import Directory, Entry
 from mulberrycleat.endpoint.stream_origins import (
+    MAX_NAME_LENGTH,
     MAX_REQUESTS,
     OriginRecord,
     StreamOrigin,
@@ -116,9 +117,14 @@
         now = trio.current_time()
         origin = StreamOrigin(entry.pool, entry.version)
         self._origins.add(request_id, origin, now, own=True)
-        if len(self._pending) >= MAX_PENDING:
+        fault = ""
+        if len(request_id) > MAX_NAME_LENGTH:
+            fault = f"the id is longer than {MAX_NAME_LENGTH} characters"
+        elif len(self._pending) >= MAX_PENDING:
+            fault = "too many pending"
+        if fault:
             self._decisions.warning(
-                "stream origin dropped", request=request_id, step="append", why="too many pending"
+                "stream origin dropped", request=request_id[:40], step="append", why=fault
             )
             return
         stream = _Pending(request_id, origin)
--- a/mulberrycleat/platform/tests/test_stream_versions.py
+++ b/mulberrycleat/platform/tests/test_stream_versions.py
@@ -210,3 +210,18 @@
             names["resumes"] = f"s{number}"
             await harnesses[0].send_request("/ask/x", f"u{number}", **names, **PROMPT)
         assert not versions_of({f"u{n}" for n in range(STREAMS)}, servers[:2])
+
+
+async def test_a_stream_with_an_overlong_id_does_not_hide_the_others():
+    servers = engines("v1", "v2", "v1", "v2")
+    store = StoreStandin()
+    async with entry_hosts(3, *servers, config=TAKEN_UP, store=store) as harnesses:
+        # All of these are recorded together, once the store answers again.
+        store.down = True
+        await harnesses[0].send_request("/ask/x", "y" * 5000, **PROMPT)
+        await begin(harnesses, servers)
+        store.down = False
+        await trio.sleep(2.0)
+        harnesses[:] = [h.restart(f"a{n}") for n, h in enumerate(harnesses, 1)]
+        await trio.sleep(1.0)
+        assert await take_up(harnesses, servers) == STREAMS
