Bound the reads for streams that nobody knows

By the test, which failed: each stream of unknown origin that a caller took up caused a read of the store, 50 within 0.3 s at one host. Reads are now 0.05 s apart, and one serves all that wait for it. Found by reading.

--- a/mulberrycleat/entry/stream_origins.py
+++ b/mulberrycleat/entry/stream_origins.py
@@ -35,6 +35,8 @@
 FLEET_APPENDS_PER_S, FLEET_IDLE_APPENDS_PER_S = 300.0, 100.0
 # Most streams that wait to be recorded; further ones are not recorded.
 MAX_PENDING = 16 * MAX_REQUESTS
+# Shortest time between two reads, in seconds: callers may take up many streams that nobody knows.
+MIN_READ_INTERVAL_S = 0.05
 # Interval between attempts to read what was recorded before this host started, in seconds.
 START_READ_INTERVAL_S = 0.3
 
@@ -223,6 +225,7 @@
         async with self._reading:
             # A read that began after this call has found all of it.
             while self._read_from < asked_at:
+                await trio.sleep_until(self._read_from + MIN_READ_INTERVAL_S)
                 began = trio.current_time()
                 if not await self._read_to_end():
                     return False
--- a/mulberrycleat/platform/tests/test_stream_versions.py
+++ b/mulberrycleat/platform/tests/test_stream_versions.py
@@ -225,3 +225,14 @@
         harnesses[:] = [h.restart(f"a{n}") for n, h in enumerate(harnesses, 1)]
         await trio.sleep(1.0)
         assert await take_up(harnesses, servers) == STREAMS
+
+
+async def test_unknown_streams_that_callers_take_up_cause_few_calls_to_the_store():
+    store = StoreStandin()
+    async with entry_host(*engines("v1", "v2"), config=TAKEN_UP, store=store) as harness:
+        before, began = store.calls, trio.current_time()
+        for number in range(50):
+            names = {"resumes": f"unknown{number}", "last_event_id": "2"}
+            await harness.send_request("/ask/x", f"t{number}", **names, **PROMPT)
+        # About 5 calls a second are made besides.
+        assert store.calls - before <= 30 * (trio.current_time() - began) + 10
