--- a/mulberrycleat/entry/paths.py
+++ b/mulberrycleat/entry/paths.py
@@ -216,6 +216,8 @@
         async def open_late(nursery: trio.Nursery) -> None:
             with trio.move_on_after(0.0 if suspect else DIRECT_HEAD_START_S):
                 await failed.wait()
+            # After a delay of the event loop, the direct connection may be open already.
+            await trio.lowlevel.checkpoint()
             if self._paths.is_gone(address, trio.current_time()):
                 return
             tunnel = await self._open_through_others(address, 1)
