--- a/mulberrycleat/entry/paths.py
+++ b/mulberrycleat/entry/paths.py
@@ -86,6 +86,7 @@
         self._trying: set[str] = set()
         self._probes_in, self._probes = trio.open_memory_channel[str](MAX_PROBES)
         self._asked: dict[str, list[Callable[[bool], None]]] = {}
+        # Settings of the latest connection, which trials and connections for others use, too.
         self._settings = ConnectionSettings()
 
     @property
--- a/mulberrycleat/web/tunnel.py
+++ b/mulberrycleat/web/tunnel.py
@@ -39,7 +39,8 @@
 # Time limit for the line with the address, in seconds.
 REQUEST_TIMEOUT_S = 1.0
 
-Errors = (trio.BrokenResourceError, trio.ClosedResourceError)
+# Failures of a pipe.
+PIPE_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
 class TunnelReply(Enum):
@@ -162,7 +163,7 @@
             await pipe.send_all(address.encode() + b"\n")
             line, rest = await _read_line(pipe)
         reply = TunnelReply(line.decode("ascii", "replace"))
-    except (ConnectError, ValueError, trio.TooSlowError, *Errors):
+    except (ConnectError, ValueError, trio.TooSlowError, *PIPE_ERRORS):
         reply = TunnelReply.UNAVAILABLE
     except BaseException:
         if pipe is not None:
@@ -203,7 +204,7 @@
             nursery.start_soon(_copy_requests, caller, endpoint, nursery)
             await _copy_answers(endpoint, caller)
             nursery.cancel_scope.cancel()
-    except (trio.TooSlowError, ValueError, *Errors):
+    except (trio.TooSlowError, ValueError, *PIPE_ERRORS):
         # The other host finds the tunnel closed, and decides what follows.
         return
     finally:
@@ -240,11 +241,11 @@
 
 async def _copy_requests(caller: Pipe, endpoint: Pipe, nursery: trio.Nursery) -> None:
     """Copy bytes to the endpoint until the other host ends the tunnel."""
-    with suppress(*Errors):
+    with suppress(*PIPE_ERRORS):
         while data := await caller.receive_some(CHUNK_BYTES):
             try:
                 await endpoint.send_all(data)
-            except Errors:
+            except PIPE_ERRORS:
                 # The endpoint may have answered before it has read the request.
                 await trio.sleep_forever()
     nursery.cancel_scope.cancel()
@@ -258,5 +259,5 @@
         last = END
     except trio.BrokenResourceError:
         last = RESET
-    with suppress(*Errors):
+    with suppress(*PIPE_ERRORS):
         await caller.send_all(struct.pack(">I", last))
