--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -29,6 +29,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # A script runs for 120 seconds at most.
 WATCHDOG_S = 110.0
+# Last number of the first host's address, and the port at which hosts serve their metrics.
+FIRST_HOST, METRICS_PORT = 11, 9464
 STARTED = time.monotonic()
 
 
@@ -516,11 +518,11 @@
         self.random = random.Random(seed)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         # A block of loopback addresses of its own for each run.
-        self.net = f"127.{random.SystemRandom().randint(16, 250)}"
+        self.net = _free_net()
         self.ports = dict(
             zip(("front", "readiness", "control", "tunnel"), _free_ports(4), strict=True)
         )
-        self.store = Store(f"{self.net}.200.1", self.record)
+        self.store = Store(f"{self.net}.201", self.record)
         self.hosts: list[Host] = []
         self.servers: list[Server] = []
         self.runs: list[Run] = []
@@ -537,7 +539,7 @@
     def add_host(self, number: int, memory_mb: int = 235) -> Host:
         """Add a host; zones take turns."""
         zone = "abc"[number % 3]
-        ip = f"{self.net}.{number % 3 + 1}.{number // 3 + 11}"
+        ip = f"{self.net}.{number + FIRST_HOST}"
         host = Host(self, f"edge-zone-{zone}-{number}", f"zone-{zone}", ip, memory_mb)
         self.hosts.append(host)
         return host
@@ -657,6 +659,12 @@
             task.cancel()
         await asyncio.gather(*others, return_exceptions=True)
 
+    def record_logs(self) -> None:
+        """Copy the ends of the processes' logs to the record."""
+        for path in sorted(self.folder.glob("*.log")):
+            for line in path.read_text(errors="replace").splitlines()[-20:]:
+                self.record.line(path.name, line)
+
     def end(self) -> None:
         """End all processes that the script started, and remove the temporary folder."""
         for host in self.hosts:
@@ -746,6 +754,16 @@
             self.close()
 
 
+def _free_net() -> str:
+    """Return the first three numbers of loopback addresses that no other run uses."""
+    draw = random.SystemRandom()
+    while True:
+        net = f"127.{draw.randint(16, 250)}.{draw.randint(1, 250)}"
+        with socket.socket() as found, suppress(OSError):
+            found.bind((f"{net}.{FIRST_HOST}", METRICS_PORT))
+            return net
+
+
 def _free_ports(count: int) -> list[int]:
     """Return ports that are free now."""
     sockets = [socket.socket() for _ in range(count)]
@@ -775,6 +793,7 @@
         code = asyncio.run(run())
     except (CannotRunError, TimeoutError, OSError) as error:
         lab.record.show("could not run:", repr(error))
+        lab.record_logs()
     finally:
         lab.end()
     lab.record.show("result", {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[code])
