Log the address, connection and exchange of each ended attempt

Two lines 'turned away' of one request could be an endpoint that refused it twice or a copy of one refusal on the connection that had carried it. Their address, connection and place on it tell these apart, and show a refusal that is the first answer of its connection.

--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -26,6 +26,7 @@
 )
 
 __all__ = [
+    "Carrier",
     "ConnectionFailed",
     "Declined",
     "Exchange",
@@ -99,6 +100,14 @@
 Outcome = ConnectionFailed | Declined | FullResponse | ForwardedResponse | ExchangeFailed
 
 
+class Carrier(NamedTuple):
+    """Connection of an exchange, and the number of the exchange on it, for log lines."""
+
+    address: str
+    connection: int
+    exchange: int
+
+
 class ExchangeHooks(NamedTuple):
     """What an exchange calls as it proceeds.
 
@@ -159,10 +168,16 @@
         self._connections = connections
         self._hooks = hooks
         self._connection: Connection | None = None
+        self._carrier: Carrier | None = None
         self._silence: Silence[Outcome] | None = None
         self._has_run_before = False
         self._has_forwarded = False
 
+    @property
+    def carrier(self) -> Carrier | None:
+        """The connection on which the request was sent; None if it was not sent."""
+        return self._carrier
+
     @property
     def failure(self) -> ExchangeError | None:
         """How the endpoint has failed while another one was tried; None if it was only silent."""
@@ -246,6 +261,7 @@
         if call.body or call.method not in ("GET", "HEAD"):
             headers.append((b"content-length", b"%d" % len(call.body)))
         send = partial(connection.send, call.method.encode(), call.target, headers, call.body)
+        self._carrier = Carrier(connection.address, connection.number, connection.exchanges + 1)
         self._hooks.on_sending()
         if len(call.body) <= MAX_JOINED_BYTES:
             await send()
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -444,6 +444,8 @@
             "events": call.progress.delivered_events,
             "through": helper,
         }
+        if attempt.exchange.carrier is not None:
+            fields |= attempt.exchange.carrier._asdict()
         if attempt.limit_per_s is not None:
             fields["limit_per_s"] = attempt.limit_per_s
         match outcome:
--- a/mulberrycleat/platform/tests/test_whole_path.py
+++ b/mulberrycleat/platform/tests/test_whole_path.py
@@ -289,6 +289,14 @@
             assert answer.status == 502, (path, omits_request_id)
 
 
+async def test_the_line_of_an_ended_attempt_names_the_connection_and_the_exchange_on_it(records):
+    async with entry_host(booking_server("h1", work_s=0.0)) as harness:
+        for number in (1, 2):
+            await harness.send_request("/book/x", f"r{number}")
+    lines = [(r.address, r.connection, r.exchange) for r in records if r.msg == "answered"]
+    assert lines == [("10.2.0.1:80", 1, 1), ("10.2.0.1:80", 1, 2)]
+
+
 async def test_a_status_that_promises_not_run_is_not_forwarded_without_the_statement():
     for status in (408, 429, 503):
         async with entry_host(booking_server("h1", status=status)) as harness:
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -221,11 +221,22 @@
 
 
 class Connection:
-    """One HTTP/1.1 connection to one endpoint."""
+    """One HTTP/1.1 connection to one endpoint.
 
-    def __init__(self, pipe: Pipe, address: str) -> None:
+    Parameters
+    ----------
+    pipe : Pipe
+        The bytes.
+    address : str
+        ``ip:port`` of the endpoint.
+    number : int, optional
+        Number of the connection among all that were opened, for log lines.
+    """
+
+    def __init__(self, pipe: Pipe, address: str, number: int = 0) -> None:
         self._pipe = pipe
         self._address = address
+        self._number = number
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._idle_since = 0.0
         self._idle_limit_s = float("inf")
@@ -242,6 +253,16 @@
         """The endpoint's ``ip:port``."""
         return self._address
 
+    @property
+    def number(self) -> int:
+        """Number of the connection among all that were opened."""
+        return self._number
+
+    @property
+    def exchanges(self) -> int:
+        """Number of exchanges that have begun on this connection."""
+        return self._exchanges
+
     @property
     def helper(self) -> str:
         """Address of the other host that opened the connection; empty if this host did."""
@@ -454,7 +475,7 @@
             connection.close()
         pipe = await self._connect(address, self._settings)
         self._opened += 1
-        return Connection(pipe, address)
+        return Connection(pipe, address, self._opened)
 
     def put_back(self, connection: Connection) -> None:
         """Put a connection back after its exchange; close it if it can't be reused."""
