--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -96,6 +96,9 @@
         Bytes sent after each complete answer.
     repeats_answers : bool
         Whether it sends the previous answer of a connection once more, in place of the next one.
+    copies_refusals : bool
+        Whether it sends the refusal of a request once more when the request comes again on the
+        connection that carried the refusal, and then handles the request.
     omits_event_ids : bool
         Whether the events of its streams have no ids.
     body_bytes : int
@@ -168,6 +171,7 @@
     trickle_after: int | None = None
     trailing_bytes: bytes = b""
     repeats_answers: bool = False
+    copies_refusals: bool = False
     omits_event_ids: bool = False
     body_bytes: int = 0
     break_body_at: int | None = None
@@ -322,6 +326,7 @@
         self._stream = stream
         self._previous: list[bytes] = []
         self._current: list[bytes] = []
+        self._refusals: dict[str, bytes] = {}
         self.receive_some = stream.receive_some
 
     async def send_all(self, data: bytes) -> None:
@@ -331,6 +336,16 @@
         self._current.append(data)
         await self._stream.send_all(data)
 
+    def note_refusal(self, request_id: str) -> None:
+        """Note that the present answer has refused a request."""
+        self._refusals[request_id] = b"".join(self._current)
+
+    async def send_refusal_again(self, request_id: str) -> None:
+        """Send a copy of the refusal of a request, if this connection has carried it."""
+        copy = self._refusals.pop(request_id, b"")
+        if copy:
+            await self._stream.send_all(copy)
+
     def end_answer(self) -> None:
         """Note that an answer was sent completely."""
         self._previous, self._current = self._current, []
@@ -388,6 +403,8 @@
         else:
             await send(h11.Data(data=data))
 
+    if server.copies_refusals:
+        await stream.send_refusal_again(headers["attempt-id"])
     slowness = "" if server.slowness is None else f",{server.slowness}"
     common_headers = [("Server-Load", f"{server.running},0,8{slowness}")]
     if server.limit_per_s is not None:
@@ -403,6 +420,7 @@
             h11.Response(status_code=421, headers=[*common_headers, ("Content-Length", "0")])
         )
         await send(h11.EndOfMessage())
+        stream.note_refusal(headers["attempt-id"])
         return
     full = server.queue is not None and server.running >= server.slots + server.queue
     if server.declines or full:
@@ -415,6 +433,7 @@
             declined_headers.append(("Retry-After", server.retry_after))
         await send(h11.Response(status_code=503, headers=declined_headers))
         await send(h11.EndOfMessage())
+        stream.note_refusal(headers["attempt-id"])
         return
     server.seen.append(headers)
     server.running += 1
