Send a request on no connection that has carried its refusal

Callers got 503, which promises that a request has not run, for requests that ran, or their requests ran twice.

Cause: a refusal is matched to a request by its id. Where a request was sent again on the connection that had carried its refusal, a copy of the refusal was taken for the answer: the request counted as not run while it ran. It came there again by three ways: an address with two ids in the directory, after 421; the wait for room; and a caller that used its id again. A stream came there when full endpoints were asked once more.

The connection remembers what was refused on it, and the pool passes it over for these requests. It is not reused after 16 refusals, which bounds what is remembered.

--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -289,6 +289,7 @@
         if facts.not_run:
             if not self._has_run_before:
                 call.progress.run_at.remove(placement.entry.id)
+            connection.note_refused(call.facts.request_id)
             await _discard_body(connection)
             return Declined(head.status, facts.retry_after_s, facts.misdirected)
         if head.status in PROMISES_NOT_RUN:
--- a/mulberrycleat/entry/identities.py
+++ b/mulberrycleat/entry/identities.py
@@ -117,15 +117,18 @@
         has ended, its version is taken back.
         """
         self._unasked.add(attempt)
-        return await self._connections.acquire(address, max_idle_s)
+        request_id = attempt.call.facts.request_id
+        return await self._connections.acquire(address, max_idle_s, request_id)
 
-    async def acquire(self, entry: Entry, max_idle_s: float) -> tuple[Connection, float | None]:
+    async def acquire(
+        self, entry: Entry, max_idle_s: float, request_id: str
+    ) -> tuple[Connection, float | None]:
         """Return a connection to an endpoint, and the start that it states there, None if none.
 
         Raises :class:`ConnectError`.
         """
         for _ in range(ASK_ATTEMPTS):
-            connection = await self._connections.acquire(entry.address, max_idle_s)
+            connection = await self._connections.acquire(entry.address, max_idle_s, request_id)
             if connection in self._stated:
                 return connection, self._stated[connection]
             usable = False
@@ -217,12 +220,13 @@
         It fails if the request needs a certain version, which the endpoint may not have any more.
         """
         goes_on = self.call.required_version is not None
+        request_id = self.call.facts.request_id
         is_current = self._identities.directory_is_current()
         if not self.call.route.resumable:
-            return await self._identities.connections.acquire(address, max_idle_s)
+            return await self._identities.connections.acquire(address, max_idle_s, request_id)
         if not goes_on and is_current:
             return await self._identities.acquire_unasked(self, address, max_idle_s)
-        connection, born = await self._identities.acquire(self._entry, max_idle_s)
+        connection, born = await self._identities.acquire(self._entry, max_idle_s, request_id)
         is_stated = born is not None and self._entry.born > 0
         if born == self._entry.born if is_stated else is_current:
             return connection
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -50,6 +50,8 @@
 # reused. The endpoint counts from the time it sent its response, so its close may already be on the
 # way when the connection seems to be within the limit.
 IDLE_LIMIT_FRACTION = 0.5
+# A connection that has carried this many refusals is not reused, which bounds what is remembered.
+MAX_REFUSALS = 16
 # A larger body is sent by itself rather than copied into one piece with its headers.
 MAX_JOINED_BYTES = 16_384
 # Value of SO_LINGER: closing discards what has not been sent, and resets the connection.
@@ -241,6 +243,8 @@
         self._idle_since = 0.0
         self._idle_limit_s = float("inf")
         self._exchanges = 0
+        # Hashes of the ids of requests that were refused here: an id may be as long as a header.
+        self._refused: set[int] = set()
         # Of the present response: bytes received, bytes of its body that were returned, whether the
         # parser stopped before the end of what was received, and what follows those bytes.
         self._received_bytes = 0
@@ -280,6 +284,14 @@
             return False
         return not self._pipe.is_readable()
 
+    def note_refused(self, request_id: str) -> None:
+        """Note that the endpoint has stated here that it did not run a request."""
+        self._refused.add(hash(request_id))
+
+    def has_refused(self, request_id: str) -> bool:
+        """Whether a copy of the request's refusal may arrive here in place of its answer."""
+        return hash(request_id) in self._refused
+
     def has_data(self) -> bool:
         """Whether a part of the answer, its end or a reset can be read at once."""
         return self._is_unparsed or self._next is not None or self._pipe.is_readable()
@@ -376,7 +388,9 @@
 
         A connection through another host is used once, as that host is to decide on each request.
         """
-        if self.helper or self._idle_limit_s <= 0 or not self.start_next():
+        if self.helper or self._idle_limit_s <= 0 or len(self._refused) >= MAX_REFUSALS:
+            return False
+        if not self.start_next():
             return False
         self._idle_since = now
         return True
@@ -456,7 +470,9 @@
         """Number of idle connections."""
         return sum(len(found) for found in self._idle.values())
 
-    async def acquire(self, address: str, max_idle_s: float = float("inf")) -> Connection:
+    async def acquire(
+        self, address: str, max_idle_s: float = float("inf"), request_id: str = ""
+    ) -> Connection:
         """Return an idle or a new connection; raises :class:`ConnectError` if none can be opened.
 
         Parameters
@@ -465,18 +481,35 @@
             ``ip:port`` of the endpoint.
         max_idle_s : float
             An idle connection is reused only if it was idle for at most this long, in seconds.
+        request_id : str
+            Id of the request that is to be sent. A connection that has carried its refusal is not
+            reused for it: an endpoint may send the refusal once more, and the id does not tell
+            the copy from the answer.
         """
-        now = trio.current_time()
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable(now, min(self._settings.max_idle_s, max_idle_s)):
-                return connection
-            connection.close()
+        connection = self._take_idle(address, max_idle_s, request_id)
+        if connection is not None:
+            return connection
         pipe = await self._connect(address, self._settings)
         self._opened += 1
         return Connection(pipe, address, self._opened)
 
+    def _take_idle(self, address: str, max_idle_s: float, request_id: str) -> Connection | None:
+        now = trio.current_time()
+        max_idle_s = min(self._settings.max_idle_s, max_idle_s)
+        idle = self._idle.get(address, deque())
+        passed_over: list[Connection] = []
+        found = None
+        while idle and found is None:
+            connection = idle.pop()
+            if not connection.is_usable(now, max_idle_s):
+                connection.close()
+            elif connection.has_refused(request_id):
+                passed_over.append(connection)
+            else:
+                found = connection
+        idle.extend(reversed(passed_over))
+        return found
+
     def put_back(self, connection: Connection) -> None:
         """Put a connection back after its exchange; close it if it can't be reused."""
         if not connection.recycle(trio.current_time()):
