Believe no earlier answer in place of what an endpoint says of itself

Callers got a cut stream, or 502 for one that had not begun, while the endpoint ran it to its end.

Cause: before a stream goes on at an endpoint, and before it begins while the directory is out of date, the endpoint is asked for its start. The question has no id, and whatever came next on the connection was taken for its answer. On a used connection, a late copy of an earlier answer or refusal counted as an endpoint that does not state its start; the request was then sent there, and the true statement stood where its answer was due.

On a used connection, only an answer that names no request and states a start is believed: a copy names its request or states none, and a connection is asked once, so there is no earlier statement to copy. Otherwise the endpoint is asked on a new connection, where nothing can come once more; before, the second one could be a used one too. An endpoint that states no start costs a new connection and a second question for each used one.

Evidence: two tests failed before, each time, with "the answer belongs to another request" on the third exchange of the connection, and pass now. The stand-ins of the servers can send an answer once more before the next one.

--- a/mulberrycleat/entry/identities.py
+++ b/mulberrycleat/entry/identities.py
@@ -29,7 +29,7 @@
 # Most bytes of it that are read.
 MAX_IDENTITY_BYTES = 262_144
 # Connections on which an endpoint is asked for one request: it may close the first one after its
-# answer.
+# answer, or send an earlier answer once more there. The second one is new.
 ASK_ATTEMPTS = 2
 # The directory is taken to be current for this many of its read intervals after a read.
 CURRENT_READS = 2.0
@@ -127,8 +127,11 @@
 
         Raises :class:`ConnectError`.
         """
-        for _ in range(ASK_ATTEMPTS):
-            connection = await self._connections.acquire(entry.address, max_idle_s, request_id)
+        for attempt in range(ASK_ATTEMPTS):
+            if attempt:
+                connection = await self._connections.open(entry.address)
+            else:
+                connection = await self._connections.acquire(entry.address, max_idle_s, request_id)
             if connection in self._stated:
                 return connection, self._stated[connection]
             usable = False
@@ -143,20 +146,29 @@
                 self._stated[connection] = born
                 self._note(entry, born)
                 return connection, born
-        raise ConnectError(f"connect {entry.address}: closed after the identity was stated")
+        raise ConnectError(f"connect {entry.address}: no use after the identity was asked for")
 
     async def _ask(self, connection: Connection) -> tuple[float | None, bool]:
-        """Return the start that the endpoint states, and whether the connection stays usable."""
+        """Return the start that the endpoint states, and whether the connection stays usable.
+
+        The question has no id. On a connection that was used before, an earlier answer may come
+        once more, so an answer has to tell by itself that it belongs to the question: it names no
+        request, and states a start.
+        """
         with trio.move_on_after(ASK_TIMEOUT_S):
             method, target, headers = self._codec.identity_request(connection.address)
             await connection.send(method, target, headers, b"")
             head = await connection.read_head()
+            if connection.reused and self._codec.read_answer(head).request_id:
+                return None, False
             body = b""
             while chunk := await connection.read_chunk():
                 body += chunk
                 if len(body) > MAX_IDENTITY_BYTES:
                     raise ExchangeError(f"receive {connection.address}: identity too large")
-            return self._codec.read_identity(head, body), connection.start_next()
+            born = self._codec.read_identity(head, body)
+            is_told = born is not None or not connection.reused
+            return born, is_told and connection.start_next()
         raise ConnectError(f"connect {connection.address}: identity not stated in time")
 
     def _note(self, entry: Entry, born: float | None) -> None:
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -96,6 +96,8 @@
         Bytes sent after each complete answer.
     repeats_answers : bool
         Whether it sends the previous answer of a connection once more, in place of the next one.
+    copies_answers : int
+        Number of answers that it still sends once more, each before the next one of its connection.
     copies_refusals : bool
         Whether it sends the refusal of a request once more when the request comes again on the
         connection that carried the refusal, and then handles the request.
@@ -171,6 +173,7 @@
     trickle_after: int | None = None
     trailing_bytes: bytes = b""
     repeats_answers: bool = False
+    copies_answers: int = 0
     copies_refusals: bool = False
     omits_event_ids: bool = False
     body_bytes: int = 0
@@ -336,6 +339,12 @@
         self._current.append(data)
         await self._stream.send_all(data)
 
+    async def send_previous_again(self) -> None:
+        """Send a copy of the previous answer, if there is one and the server still copies some."""
+        if self._server.copies_answers and self._previous:
+            self._server.copies_answers -= 1
+            await self._stream.send_all(b"".join(self._previous))
+
     def note_refusal(self, request_id: str) -> None:
         """Note that the present answer has refused a request."""
         self._refusals[request_id] = b"".join(self._current)
@@ -370,6 +379,7 @@
     headers = {name.decode(): value.decode() for name, value in request.headers}
     headers |= {":target": request.target.decode(), ":body": body.decode("latin-1")}
     headers[":at"] = str(trio.current_time())
+    await stream.send_previous_again()
     if headers[":target"] == "/report":
         await _report(server, stream, connection)
     else:
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -487,8 +487,10 @@
             the copy from the answer.
         """
         connection = self._take_idle(address, max_idle_s, request_id)
-        if connection is not None:
-            return connection
+        return connection if connection is not None else await self.open(address)
+
+    async def open(self, address: str) -> Connection:
+        """Return a new connection; raises :class:`ConnectError` if none can be opened."""
         pipe = await self._connect(address, self._settings)
         self._opened += 1
         return Connection(pipe, address, self._opened)
