Take no load report from an endpoint that the request was not meant for

A pool counted as overloaded because requests waited at an endpoint of another service.

Cause: after an endpoint has ended, its address may belong to another one, also of another service, which answers 421. Its limit and its statements were ignored, but its load counted as that of the ended endpoint, and its waiting requests as a sign that the ended endpoint's pool is overloaded.

A 421 is an answer about another endpoint, so nothing that it states is applied. The log line of the attempt still has its limit.

Evidence: the new test failed before, each time, with "overload began" for the pool right after the 421, and passes now. That a caller was refused because of it was not seen. The stand-ins of the servers can state waiting requests.

--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -340,11 +340,10 @@
 
         def record_facts(facts: AnswerFacts) -> None:
             attempt.limit_per_s = facts.limit_per_s
-            if not facts.misdirected:
-                self._reports.record_limit(
-                    entry, facts.limit_per_s, not facts.not_run, attempt.sent_at
-                )
-                self._statements.record_answer(call, entry, attempt.sent_at, facts)
+            if facts.misdirected:  # By another endpoint, perhaps of another pool.
+                return
+            self._reports.record_limit(entry, facts.limit_per_s, not facts.not_run, attempt.sent_at)
+            self._statements.record_answer(call, entry, attempt.sent_at, facts)
             if facts.load is not None:
                 load = facts.load
                 now = trio.current_time()
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -130,6 +130,8 @@
         ``:body``, and the time of arrival on trio's clock as ``:at``.
     running : int
         Number of requests that it is running, which its load reports state.
+    waiting : int
+        Number of requests that its load reports state as waiting for a slot.
     cold_ms : float
         Time for which its directory entry states that it is still cold, in milliseconds.
     version : str
@@ -188,6 +190,7 @@
     declined_at: list[float] = field(default_factory=list)
     seen: list[dict[str, str]] = field(default_factory=list)
     running: int = 0
+    waiting: int = 0
     version: str = "v1"
     slots: int = 8
     queue: int | None = None
@@ -416,7 +419,7 @@
     if server.copies_refusals:
         await stream.send_refusal_again(headers["attempt-id"])
     slowness = "" if server.slowness is None else f",{server.slowness}"
-    common_headers = [("Server-Load", f"{server.running},0,8{slowness}")]
+    common_headers = [("Server-Load", f"{server.running},{server.waiting},8{slowness}")]
     if server.limit_per_s is not None:
         common_headers.append(("Server-Limit", f"{server.limit_per_s:g}"))
     if server.brittle is not None:
--- a/mulberrycleat/platform/tests/test_overload.py
+++ b/mulberrycleat/platform/tests/test_overload.py
@@ -63,3 +63,15 @@
             assert harness.host.ready
         assert float(answer.headers["retry-after"]) == BEHIND_RETRY_AFTER_S
         assert len(server.seen) == 1
+
+
+async def test_the_load_of_another_service_at_an_address_overloads_no_pool(records):
+    other = ServerStandin("e1", "10.1.0.1:80", "engines", waiting=3)
+    ended = ServerStandin("h0", other.address, "bookings")
+    server = ServerStandin("h1", "10.2.0.1:80", "bookings", "z-b")
+    async with entry_host(ended, server) as harness:
+        harness.servers.add(other)
+        manage_overload(harness)
+        assert (await harness.send_request("/find/x", "r1", "GET")).status == 200
+    assert [r.endpoint for r in records if r.msg == "turned away"] == ["h0"]
+    assert [r.pool for r in records if r.msg == "overload began"] == []
