Send no request where bytes follow what an endpoint says of itself

Callers got a cut stream, and its endpoint ran the rest in vain.

Cause: the request was sent on the connection on which the endpoint had stated its start, though bytes that belong to no request had come there after the statement. They stood where its answer was due. An idle connection is checked for such bytes before it is used again; this one was not.

The same check now holds there, and the endpoint is asked on a new connection. Bytes that come later than the check still end the attempt.

Evidence: the new test failed before, each time, on the exchange after the statement ("illegal status line", or "the answer belongs to another request" for an answer without an id), and passes now.

--- a/mulberrycleat/entry/identities.py
+++ b/mulberrycleat/entry/identities.py
@@ -168,7 +168,7 @@
                     raise ExchangeError(f"receive {connection.address}: identity too large")
             born = self._codec.read_identity(head, body)
             is_told = born is not None or not connection.reused
-            return born, is_told and connection.start_next()
+            return born, is_told and connection.start_next() and not connection.has_data()
         raise ConnectError(f"connect {connection.address}: identity not stated in time")
 
     def _note(self, entry: Entry, born: float | None) -> None:
