Ask an endpoint on a new connection after bytes that are no answer

Callers got a cut stream, and the endpoint at which it was to go on counted as unreachable, though it was sound and had not been sent the request.

Cause: bytes that belong to no request came on a used connection after the endpoint had been asked for its start there. As they are no answer, the attempt ended as one without a connection.

What comes on a used connection says nothing of the endpoint. The question changes nothing there, so it is now asked again on a new connection, as after a copied answer.

Evidence: the new test failed before, each time ("identity not known: illegal status line"), and passes now.

--- a/mulberrycleat/entry/identities.py
+++ b/mulberrycleat/entry/identities.py
@@ -138,6 +138,9 @@
             try:
                 born, usable = await self._ask(connection)
             except ExchangeError as error:
+                # On a used connection, bytes that belong to no request may have come instead.
+                if connection.reused:
+                    continue
                 raise ConnectError(f"identity not known: {error}") from error
             finally:
                 if not usable:
--- a/mulberrycleat/platform/tests/test_copied_answers.py
+++ b/mulberrycleat/platform/tests/test_copied_answers.py
@@ -128,3 +128,8 @@
 async def test_stray_bytes_after_a_statement_end_no_stream_that_goes_on():
     for stray in STRAYS:
         await play_stray_bytes(stray, comes_first=False)
+
+
+async def test_stray_bytes_before_a_statement_end_no_stream_that_goes_on():
+    for stray in STRAYS:
+        await play_stray_bytes(stray, comes_first=True)
