--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -96,6 +96,8 @@
         Bytes sent after each complete answer.
     repeats_answers : bool
         Whether it sends the previous answer of a connection once more, in place of the next one.
+    copies_answers : int
+        Number of answers that it still sends once more, each before the next one of its connection.
     copies_refusals : bool
         Whether it sends the refusal of a request once more when the request comes again on the
         connection that carried the refusal, and then handles the request.
@@ -128,6 +130,8 @@
         ``:body``, and the time of arrival on trio's clock as ``:at``.
     running : int
         Number of requests that it is running, which its load reports state.
+    waiting : int
+        Number of requests that its load reports state as waiting for a slot.
     cold_ms : float
         Time for which its directory entry states that it is still cold, in milliseconds.
     version : str
@@ -171,6 +175,7 @@
     trickle_after: int | None = None
     trailing_bytes: bytes = b""
     repeats_answers: bool = False
+    copies_answers: int = 0
     copies_refusals: bool = False
     omits_event_ids: bool = False
     body_bytes: int = 0
@@ -185,6 +190,7 @@
     declined_at: list[float] = field(default_factory=list)
     seen: list[dict[str, str]] = field(default_factory=list)
     running: int = 0
+    waiting: int = 0
     version: str = "v1"
     slots: int = 8
     queue: int | None = None
@@ -336,6 +342,12 @@
         self._current.append(data)
         await self._stream.send_all(data)
 
+    async def send_previous_again(self) -> None:
+        """Send a copy of the previous answer, if there is one and the server still copies some."""
+        if self._server.copies_answers and self._previous:
+            self._server.copies_answers -= 1
+            await self._stream.send_all(b"".join(self._previous))
+
     def note_refusal(self, request_id: str) -> None:
         """Note that the present answer has refused a request."""
         self._refusals[request_id] = b"".join(self._current)
@@ -370,6 +382,7 @@
     headers = {name.decode(): value.decode() for name, value in request.headers}
     headers |= {":target": request.target.decode(), ":body": body.decode("latin-1")}
     headers[":at"] = str(trio.current_time())
+    await stream.send_previous_again()
     if headers[":target"] == "/report":
         await _report(server, stream, connection)
     else:
@@ -406,7 +419,7 @@
     if server.copies_refusals:
         await stream.send_refusal_again(headers["attempt-id"])
     slowness = "" if server.slowness is None else f",{server.slowness}"
-    common_headers = [("Server-Load", f"{server.running},0,8{slowness}")]
+    common_headers = [("Server-Load", f"{server.running},{server.waiting},8{slowness}")]
     if server.limit_per_s is not None:
         common_headers.append(("Server-Limit", f"{server.limit_per_s:g}"))
     if server.brittle is not None:
