Don't take a delayed datagram of an earlier process for one of a later one

What went wrong: a host that had just started could stay deaf to the datagrams of another host, until that one had started five more times.

Cause: the incarnations that datagrams name have no order. One that was not heard before counted as the later one, and the present one as ended. That holds at a host that has heard the earlier process itself; a host that has started since has not, and a datagram of that process may still be on its way. From then on, all datagrams of the living process were refused.

Evidence: a test with the exchange of four hosts, of which a reporting host and the collector start again. One datagram from before, delivered 2 s later, and for 20 s the collector's digests lack the host (and the other way round, the host refuses the collector's digests and turns to another).

Why it works: a datagram echoes the newest one that its sender has received from the receiver. A process that has just started echoes none, or one that was sent shortly before; a delayed one echoes a datagram of the receiver's own earlier process, which is unknown, or an old one. Only the former make an incarnation the present one. A refused datagram changes nothing, and the next one of a living process has a recent echo as soon as it has received one from this host: a test lets a host's first datagrams be lost for up to 6 s. A delayed datagram that echoes none, the first of a process, still counts as one of a later process. Nothing changes on the wire.

--- a/mulberrycleat/entry/tests/test_zone_exchange.py
+++ b/mulberrycleat/entry/tests/test_zone_exchange.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 
 from mulberrycleat.entry.coordinators import CoordinatorMap, HostEntry
+from mulberrycleat.entry.datagram_links import DatagramLink, Echo
 from mulberrycleat.entry.datagrams import Datagram, bind_datagrams
 from mulberrycleat.entry.zone_exchange import (
     DIGEST_TTL_S,
@@ -248,6 +249,55 @@
     assert f"{host}=y" in fleet.last(collector)
 
 
+def test_a_delayed_datagram_of_an_earlier_process_does_not_make_a_started_host_deaf():
+    """It has not heard that process, and took the present one for ended until its next restart."""
+    for hears_digests in (False, True):
+        fleet = Fleet(zone(4))
+        fleet.say("x")
+        fleet.run(2.0)
+        collector = fleet.states["a0"].collector
+        reporter = next(host for host in fleet.sections if host != collector)
+        source, target = (collector, reporter) if hears_digests else (reporter, collector)
+        sent = fleet.states[source].tick(fleet.now)
+        delayed = next(d.data for d in sent if d.address == f"{target}:3")
+        for host in (source, target):
+            fleet.start(host, f"{host}-2", "a")
+        fleet.run(2.0)
+        fleet.states[target].receive(Datagram(delayed, f"{source}:3"), fleet.now)
+        fleet.say("y")
+        fleet.run(20.0)
+        assert fleet.last(collector) == fleet.last(reporter) == "a0=y,a1=y,a2=y,a3=y"
+
+
+def test_a_datagram_that_was_delayed_over_a_restart_is_not_of_the_newest_process():
+    """A host that never heard the earlier process took its datagram for that of a later one."""
+    link = DatagramLink()
+    link.record_sent(7, now=0.0)
+    assert link.accept(6, 1, "loads", now=5.0, echo=Echo(0, 0))
+    assert not link.accept(5, 40, "loads", now=6.0, echo=Echo(7, 100))
+    assert not link.accept(5, 41, "loads", now=6.0, echo=Echo(3, 0))
+    assert link.accept(6, 2, "loads", now=7.0, echo=Echo(0, 0))
+
+
+def test_a_restarted_host_is_heard_though_its_first_datagrams_are_lost():
+    """Later ones name a datagram of this host, which may have been sent long before."""
+    fleet = Fleet(zone(4))
+    fleet.say("x")
+    fleet.run(2.0)
+    collector = fleet.states["a0"].collector
+    host = next(host for host in fleet.sections if host != collector)
+    for lost_s in (0.6, 1.6, 6.0):
+        fleet.start(host, f"{host}-{lost_s}", "a")
+        fleet.fate = lambda source, target, lost=(host, collector): (
+            [] if (source, target) == lost else [0.001]
+        )
+        fleet.say(f"{lost_s}", host)
+        fleet.run(lost_s)
+        fleet.fate = lambda source, target: [0.001]
+        fleet.run(15.0)
+        assert f"{host}={lost_s}" in fleet.last(collector)
+
+
 def test_datagrams_are_small_and_a_collector_of_a_large_zone_keeps_to_its_bytes():
     """A digest for each of 28 hosts twice a second would take 60 KB/s of a small machine's link."""
     fleet = Fleet({**zone(28, "a"), **zone(28, "b")}, padding=600)
--- a/mulberrycleat/entry/zone_exchange.py
+++ b/mulberrycleat/entry/zone_exchange.py
@@ -289,9 +289,10 @@
         self._refill(now)
         self._budget = max(-MAX_DEBT_BYTES, self._budget - size)
         link = self._link(message.host)
-        age_s = link.age_s(Echo(message.echo, message.held_ms), now)
+        echo = Echo(message.echo, message.held_ms)
+        age_s = link.age_s(echo, now)
         slots = [(message.kind, name) for name in message.sections if name in self._sections]
-        is_newer = [link.accept(message.incarnation, message.number, s, now) for s in slots]
+        is_newer = [link.accept(message.incarnation, message.number, s, now, echo) for s in slots]
         if not all(is_newer):
             self._refused["older"] += 1
             return
