Record the origin of a stream again if it was corrected during its append

What went wrong: a host that finds out that the version of a begun stream is not known corrects the origin that it records. If the first origin was on its way to the store, the correction was never recorded: other hosts would let a caller take the stream up at the version that was recorded, though another one may have begun it.

Cause: the acknowledgement of an append was taken for one of whatever the pending streams said when it arrived, not of what had been sent.

Evidence: a test in which an append takes 0.2 s and the correction comes after 0.1 s.

Why it works: the origins that were sent are kept beside the streams. A stream with another one now stays pending, at its place in front, and its first event waits on until the correction is recorded, within the same time limit as before.

--- a/mulberrycleat/entry/stream_origins.py
+++ b/mulberrycleat/entry/stream_origins.py
@@ -264,19 +264,22 @@
     async def _append_pending(self) -> None:
         """Record pending streams; those whose append fails stay pending.
 
-        A stream may be recorded twice if an answer of the store is lost, which changes nothing.
+        A stream may be recorded twice if an answer of the store is lost, which changes nothing. One
+        that is corrected during its append stays pending, as the store has its first origin.
         """
-        batch = self._pending[:MAX_REQUESTS]
+        batch = [(stream, stream.origin) for stream in self._pending[:MAX_REQUESTS]]
         requests: dict[StreamOrigin, list[str]] = defaultdict(list)
-        for stream in batch:
-            requests[stream.origin].append(stream.request_id)
+        for stream, origin in batch:
+            requests[origin].append(stream.request_id)
         records = tuple(OriginRecord(*origin, tuple(ids)) for origin, ids in requests.items())
         match await self._store.append_origins(self._host, records):
             case Ok(_):
-                del self._pending[: len(batch)]
+                corrected = [stream for stream, origin in batch if stream.origin != origin]
+                self._pending[: len(batch)] = corrected
                 self._failing = False
-                for stream in batch:
-                    stream.recorded.set()
+                for stream, origin in batch:
+                    if stream.origin == origin:
+                        stream.recorded.set()
             case Err(error):
                 self._log_failure("append", str(error))
                 await self._pause(self._times.outage_retry_interval_s)
