Keep the corrected origin of a stream if the store does an earlier append late

What went wrong: an append of stream origins that gets no answer is sent again. The store may still do the first one seconds later. If the version of the stream was found not to be known in between, the late record took the correction back at all hosts, the stream's own one included, and a caller could take the stream up at a version that may not have begun it.

Cause: of two records of a stream, the one that was read last counted, though the log doesn't have them in the order in which they were made.

Why it works: an origin changes in one way only, from a version to an unknown one, since an answer goes on at the version that began it and each attempt of a caller has its own id. So an unknown version stays, whatever the order of the records. At worst, a stream that could go on does not.

--- a/mulberrycleat/endpoint/stream_origins.py
+++ b/mulberrycleat/endpoint/stream_origins.py
@@ -22,6 +22,7 @@
     "OriginRecord",
     "StreamOrigin",
     "StreamOrigins",
+    "unknown_version",
 ]
 
 # An origin is remembered for this time after it was learned, and a version after it was last seen,
@@ -34,15 +35,28 @@
 # Longest id of a request, and longest name of a pool or a version, in a record, in characters.
 MAX_NAME_LENGTH = 256
 
+# Begin of the names that stand for versions that are not known.
+UNKNOWN_PREFIX = "unknown/"
+
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
 
+def unknown_version(endpoint: str, born: float | None) -> str:
+    """Return a name that no version has, for a start of an endpoint."""
+    return f"{UNKNOWN_PREFIX}{born}/{endpoint}"[:MAX_NAME_LENGTH]
+
+
 class StreamOrigin(NamedTuple):
     """Pool and software version of the endpoint that began a stream."""
 
     pool: str
     version: str
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the version is known."""
+        return not self.version.startswith(UNKNOWN_PREFIX)
+
 
 class OriginRecord(msgspec.Struct, frozen=True):
     """Streams that began at one version of a pool, by the ids of the callers' attempts."""
@@ -101,8 +115,14 @@
         self._seen_at: dict[StreamOrigin, float] = {}
 
     def add(self, request_id: str, origin: StreamOrigin, now: float, own: bool = False) -> None:
-        """Remember the origin of a stream; `own` says whether this host has begun it."""
+        """Remember the origin of a stream; `own` says whether this host has begun it.
+
+        A stream whose version was found not to be known keeps that origin: the store may do an
+        append that got no answer seconds later, after the records that correct it.
+        """
         known = self._known.pop(request_id, None)
+        if known is not None and not known.origin.is_known:
+            origin = known.origin
         own = own or (known is not None and known.own)
         self._known[request_id] = _Known(origin, now, own)
         self._seen_at[origin] = now
--- a/mulberrycleat/entry/identities.py
+++ b/mulberrycleat/entry/identities.py
@@ -14,7 +14,7 @@
 import trio
 
 from mulberrycleat.endpoint.directory import Entry
-from mulberrycleat.endpoint.stream_origins import MAX_NAME_LENGTH, StreamOrigin
+from mulberrycleat.endpoint.stream_origins import StreamOrigin, unknown_version
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.endpoints import EndpointRegistry
@@ -96,7 +96,7 @@
         """Let a stream go on nowhere, as the endpoint started before or after the stream began."""
         request_id, progress = attempt.call.facts.request_id, attempt.call.progress
         began = progress.version is not None
-        attempt.version = _unknown_version(entry, entry.born)
+        attempt.version = unknown_version(entry.id, entry.born)
         self._decisions.info(
             "stream of unknown version", request=request_id, endpoint=entry.id, began=began
         )
@@ -168,7 +168,7 @@
             )
             # Otherwise, its next entry is about to be read, and tells its version.
             if not self.directory_is_current():
-                self.observe([replace(entry, born=born, version=_unknown_version(entry, born))])
+                self.observe([replace(entry, born=born, version=unknown_version(entry.id, born))])
 
 
 class AttemptConnections:
@@ -233,10 +233,5 @@
         if goes_on:
             connection.close()
             raise ConnectError(f"connect {address}: the endpoint may have started again")
-        self.version = _unknown_version(self._entry, born)
+        self.version = unknown_version(self._entry.id, born)
         return connection
-
-
-def _unknown_version(entry: Entry, born: float | None) -> str:
-    """Return a name that no version has, for a start of an endpoint."""
-    return f"unknown/{born}/{entry.id}"[:MAX_NAME_LENGTH]
--- a/mulberrycleat/entry/stream_origins.py
+++ b/mulberrycleat/entry/stream_origins.py
@@ -264,8 +264,9 @@
     async def _append_pending(self) -> None:
         """Record pending streams; those whose append fails stay pending.
 
-        A stream may be recorded twice if an answer of the store is lost, which changes nothing. One
-        that is corrected during its append stays pending, as the store has its first origin.
+        A stream may be recorded twice if an answer of the store is lost, which changes nothing,
+        even if it is corrected in between. One that is corrected during its append stays pending,
+        as the store has its first origin.
         """
         batch = [(stream, stream.origin) for stream in self._pending[:MAX_REQUESTS]]
         requests: dict[StreamOrigin, list[str]] = defaultdict(list)
