Renew no refusal of a part that was freed before the renewal came

What went wrong: hosts renew the refusal of a part that crashes endpoints in the log of reports. A renewal that got no answer is sent again, and the store may still do the first one seconds later. If the part was freed in between by an answer, the renewal had all hosts refuse it anew, sound requests included, for at least 20 s, and for 640 s after five failed trials.

Cause: a renewal of a part that is not refused states a refusal, for hosts that start. Nothing in it told that it was made before the part was freed.

Why it works: a renewal states the position to which its host had read the log, as crash reports do. Hosts remember the position of the latest answer report for a part, and ignore renewals from before it. All of them conclude the same, as both positions are in the log. Renewals of hosts of the former version state no position and count as before; those hosts ignore the new fields.

--- a/mulberrycleat/endpoint/crashing_parts.py
+++ b/mulberrycleat/endpoint/crashing_parts.py
@@ -171,6 +171,8 @@
     def __init__(self, rank: Callable[[str], int]) -> None:
         self._rank = rank
         self._tracked: dict[str, _TrackedPart] = {}
+        # Position of the latest answer report on each part.
+        self._answered_at: dict[str, Position] = {}
 
     @property
     def refused(self) -> tuple[str, ...]:
@@ -184,7 +186,7 @@
             case CrashReport():
                 changes = [self._apply_crash(part, record, position, now) for part in record.parts]
             case AnswerReport():
-                changes = [self._free(part) for part in record.parts]
+                changes = [self._free(part, position) for part in record.parts]
             case RefusalRenewal():
                 changes = [self._apply_renewal(record, position, now)]
         return tuple(change for change in changes if change is not None)
@@ -276,6 +278,8 @@
     def _apply_renewal(
         self, renewal: RefusalRenewal, position: Position, now: float
     ) -> PartChange | None:
+        if self._is_outdated(renewal):
+            return None
         tracked = self._tracked.setdefault(renewal.part, _TrackedPart(now))
         tracked.renewed_at = now
         tracked.failed_trials = max(tracked.failed_trials, renewal.failed_trials)
@@ -283,6 +287,16 @@
             return None
         return self._refuse(renewal.part, tracked, position, now)
 
+    def _is_outdated(self, renewal: RefusalRenewal) -> bool:
+        """Whether a renewal was made before its host had read that the part is answered.
+
+        The store may do an append that got no answer seconds later, and hosts send it again.
+        """
+        answered_at = self._answered_at.get(renewal.part)
+        if answered_at is None or renewal.read_position is None:
+            return False
+        return renewal.read_position <= answered_at
+
     def _refuse(
         self, part: str, tracked: _TrackedPart, position: Position, now: float
     ) -> PartChange:
@@ -291,7 +305,11 @@
         tracked.chain_position, tracked.answered = position, False
         return self._change(part, tracked)
 
-    def _free(self, part: str) -> PartChange | None:
+    def _free(self, part: str, position: Position) -> PartChange | None:
+        self._answered_at.pop(part, None)
+        self._answered_at[part] = position
+        if len(self._answered_at) > MAX_TRACKED_PARTS:
+            del self._answered_at[next(iter(self._answered_at))]
         tracked = self._tracked.pop(part, None)
         if tracked is None or tracked.refused_at is None:
             return None
--- a/mulberrycleat/endpoint/reports.py
+++ b/mulberrycleat/endpoint/reports.py
@@ -59,10 +59,30 @@
 
 
 class RefusalRenewal(msgspec.Struct, frozen=True, tag="refusal"):
-    """A part is still refused; `failed_trials` counts the trials that crashed an endpoint."""
+    """A part is still refused.
+
+    Attributes
+    ----------
+    part : str
+        The part.
+    failed_trials : int
+        Number of trials that crashed an endpoint.
+    read_to : int or None
+        Offset to which the host had read the log when it made the renewal; None in the records of
+        hosts that don't state it.
+    era : int
+        Era of the log in which that offset is valid.
+    """
 
     part: PartId
     failed_trials: Annotated[int, msgspec.Meta(ge=0, le=32)]
+    read_to: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    era: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+    @property
+    def read_position(self) -> Position | None:
+        """Position to which the host had read the log, None if it is not stated."""
+        return None if self.read_to is None else Position(self.era, self.read_to)
 
 
 class LimitReport(msgspec.Struct, frozen=True, tag="limit"):
--- a/mulberrycleat/entry/endpoint_reports.py
+++ b/mulberrycleat/entry/endpoint_reports.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 import trio
+from msgspec.structs import replace
 from result import Err, Ok
 
 from mulberrycleat.core import START, Position
@@ -18,6 +19,7 @@
     CrashReport,
     EndpointReport,
     LimitReport,
+    RefusalRenewal,
 )
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.settings import EntryTimes, FleetRequirements
@@ -174,12 +176,19 @@
             with trio.move_on_after(RENEWAL_CHECK_INTERVAL_S):
                 await self._wake.wait()
             self._wake = trio.Event()
-            for renewal in self._parts.renewals(trio.current_time()):
-                if renewal not in self._pending:
-                    self._report(renewal)
+            self._renew()
             while self._pending:
                 await self._append_pending()
 
+    def _renew(self) -> None:
+        """Report the renewals that are due, unless they are pending."""
+        renewals = [record for record in self._pending if isinstance(record, RefusalRenewal)]
+        pending = {(renewal.part, renewal.failed_trials) for renewal in renewals}
+        for renewal in self._parts.renewals(trio.current_time()):
+            if (renewal.part, renewal.failed_trials) not in pending:
+                era, offset = self._position
+                self._report(replace(renewal, read_to=offset, era=era))
+
     async def _append_pending(self) -> None:
         """Append all pending reports; those that fail stay pending.
 
