End a takeover in time although the second endpoint has not read the request

What callers' requests met: a stream that went on at a second endpoint kept the first one at work beside it for 2.1 s, where 0.4 s are allowed (TWICE). No copy of an answer is needed for it.

Cause: the time limit of a takeover began once the request was sent. An endpoint may begin to run a request, and to answer it, before it has read a long body; the send then lasts as long as it doesn't read, and nothing ended the takeover meanwhile.

The limit now begins with the send. At its end, a stream that the first endpoint keeps loses the second one, which may be asked again later, and otherwise the first one is given up, as for a request that was sent at once. A long body that an endpoint reads for more than 0.2 s no longer takes a stream over from one that was silent for less than 2 s.

Evidence: the new test failed before, each time, with overlaps of 2.08 s (no event yet) and 2.14 s (in the middle of the stream), on a body of 50 kB that is not read for 3 s. It passes with the tests of takeovers, their histories and mulberrycleat.entry. The hook `on_sent` has no use any more; test_exchange passes one hook less, and checks what it did.

--- a/mulberrycleat/entry/attempts.py
+++ b/mulberrycleat/entry/attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -21,9 +20,9 @@
 
 __all__ = ["TAKEOVER_S", "Attempt", "Attempts", "Takeover"]
 
-# One of two endpoints is given up this time after the second one was sent the request and has
-# neither answered nor declined it, in seconds. The platform allows that two endpoints run the same
-# request for 0.4 s; the other half is for delays of the event loop.
+# One of two endpoints is given up this time after the request began to be sent to the second one,
+# which has neither answered nor declined it, in seconds. The platform allows that two endpoints run
+# the same request for 0.4 s; the other half is for delays of the event loop.
 TAKEOVER_S = 0.2
 # An endpoint that has begun a stream keeps it through a silence of this time, in seconds, unless
 # another one can be seen to go on with it: sound endpoints may be silent for a second or so, and
@@ -156,7 +155,6 @@
         self._silent = silent
         self._give_up = give_up
         self._nursery = nursery
-        self._until = math.inf
         self._is_over = False
 
     @property
@@ -165,12 +163,12 @@
         return not self._silent.replaced and self._silent.keeps_stream()
 
     def note_sending(self) -> None:
-        """Begin the time limit."""
-        self._until = trio.current_time() + TAKEOVER_S
+        """Begin the time limit, at the end of which one of the two is given up.
 
-    def note_sent(self) -> None:
-        """End the takeover after the time limit."""
-        self._nursery.start_soon(self._end_later)
+        It does not wait until the request is sent: an endpoint may begin to run a request before it
+        has read the body.
+        """
+        self._nursery.start_soon(self._end_at, trio.current_time() + TAKEOVER_S)
 
     def accept(self, reason: str) -> None:
         """Give the silent endpoint up, unless it has gone on already or is kept."""
@@ -180,8 +178,8 @@
             self._silent.replaced = True
             self._give_up(reason)
 
-    async def _end_later(self) -> None:
-        await trio.sleep_until(self._until)
+    async def _end_at(self, until: float) -> None:
+        await trio.sleep_until(until)
         await trio.sleep(LATE_READ_S)
         if self.keeps_first:
             self._is_over = True
--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -113,8 +113,8 @@
 
     Attributes
     ----------
-    on_sending, on_sent : callable
-        Called when the request begins to be sent, and when it has been sent.
+    on_sending : callable
+        Called when the request begins to be sent.
     on_data : callable
         Called when data of the answer arrives.
     on_facts : callable
@@ -135,7 +135,6 @@
     """
 
     on_sending: Callable[[], None]
-    on_sent: Callable[[], None]
     on_data: Callable[[], None]
     on_facts: Callable[[AnswerFacts], None]
     on_accepted: Callable[[], None]
@@ -267,7 +266,6 @@
             await send()
         else:
             await _send_within(silence, connection, send)
-        self._hooks.on_sent()
 
     async def _read(
         self,
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -324,10 +324,6 @@
             if takeover is not None:
                 takeover.note_sending()
 
-        def note_sent() -> None:
-            if takeover is not None:
-                takeover.note_sent()
-
         def note_accepted(reason: str = "answer") -> None:
             if takeover is not None:
                 takeover.accept(reason)
@@ -363,7 +359,6 @@
 
         hooks = ExchangeHooks(
             note_sending,
-            note_sent,
             heard,
             record_facts,
             note_accepted,
--- a/mulberrycleat/entry/tests/test_exchange.py
+++ b/mulberrycleat/entry/tests/test_exchange.py
@@ -61,7 +61,6 @@
     call = SimpleNamespace(responder=responder, progress=progress)
     codec = SimpleNamespace(answer_headers=lambda head: [])
     hooks = ExchangeHooks(
-        lambda: None,
         lambda: None,
         lambda: None,
         lambda facts: None,
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -99,6 +99,8 @@
     copies_refusals : bool
         Whether it sends the refusal of a request once more when the request comes again on the
         connection that carried the refusal, and then handles the request.
+    answers_early : bool
+        Whether it answers a request before it has read the body, which it reads afterwards.
     omits_event_ids : bool
         Whether the events of its streams have no ids.
     body_bytes : int
@@ -172,6 +174,7 @@
     trailing_bytes: bytes = b""
     repeats_answers: bool = False
     copies_refusals: bool = False
+    answers_early: bool = False
     omits_event_ids: bool = False
     body_bytes: int = 0
     break_body_at: int | None = None
@@ -361,6 +364,8 @@
             connection.receive_data(await stream.receive_some(65_536))
         elif isinstance(event, h11.Request):
             request = event
+            if server.answers_early:
+                break
         elif isinstance(event, h11.Data):
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
@@ -375,6 +380,9 @@
     else:
         await _answer(server, stream, connection, headers)
     stream.end_answer()
+    while connection.their_state is h11.SEND_BODY:
+        if connection.next_event() is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(65_536))
     return True
 
 
--- a/mulberrycleat/platform/tests/test_takeovers.py
+++ b/mulberrycleat/platform/tests/test_takeovers.py
@@ -14,6 +14,7 @@
     TOKEN_HEADERS,
     is_whole,
 )
+from mulberrycleat.web.upstream import MAX_JOINED_BYTES
 
 
 def config_with(max_attempts: int) -> dict:
@@ -252,6 +253,64 @@
     assert (answer.status, answer.complete) == (200, True)
 
 
+class StuckBodies:
+    """Connects to servers; the body of a large request to one of them is not read for a time.
+
+    `uses` has the address of each connection, and when its use began and ended.
+    """
+
+    def __init__(self, address: str, stuck_s: float) -> None:
+        self.servers = None
+        self.address, self.stuck_s = address, stuck_s
+        self.uses: list[dict] = []
+
+    async def __call__(self, address, settings):
+        pipe = await self.servers.connect(address, settings)
+        send_all, close = pipe.send_all, pipe.close
+        use = {"address": address, "began": float("inf"), "ended": float("inf")}
+        self.uses.append(use)
+
+        async def send(data):
+            use["began"] = min(use["began"], trio.current_time())
+            if address == self.address and len(data) > MAX_JOINED_BYTES:
+                await trio.sleep(self.stuck_s)
+            await send_all(data)
+
+        def note_close() -> None:
+            use["ended"] = min(use["ended"], trio.current_time())
+            close()
+
+        pipe.send_all, pipe.close = send, note_close
+        return pipe
+
+    def overlaps(self) -> list[float]:
+        """Return for how long each connection to the address was used beside another one."""
+        stuck = [use for use in self.uses if use["address"] == self.address]
+        others = [use for use in self.uses if use["address"] != self.address]
+        return [
+            min(one["ended"], other["ended"]) - one["began"]
+            for one in stuck
+            for other in others
+            if other["began"] < one["began"] < other["ended"]
+        ]
+
+
+async def test_an_endpoint_that_answers_before_it_reads_does_not_prolong_the_overlap():
+    # The first endpoint stays silent before its first event, and in the middle of its stream.
+    for event in (1, 3):
+        a = ServerStandin("e1", "10.1.0.1:80", "engines", events=EVENTS, slots=64)
+        b = ServerStandin("e2", "10.1.0.2:80", "engines", "z-b", events=EVENTS, answers_early=True)
+        a.pauses[event] = b.pauses[3] = 60.0
+        config = config_with(2)
+        config["routes"][0]["target_latency_ms"] = 1500
+        stuck = StuckBodies(b.address, stuck_s=3.0)
+        async with entry_host(a, b, config=config, connect=stuck) as harness:
+            stuck.servers = harness.servers
+            await harness.send_request("/ask/x", body=b"x" * 50_000, **TOKEN_HEADERS)
+        assert stuck.overlaps(), event
+        assert max(stuck.overlaps()) <= MAX_OVERLAP_S, (event, stuck.overlaps())
+
+
 async def test_the_first_endpoint_stops_when_the_last_of_a_nested_takeover_has_answered():
     a = ServerStandin("e1", "10.1.0.1:80", "engines", events=EVENTS, slots=64)
     b = ServerStandin("e2", "10.1.0.2:80", "engines", "z-b", events=EVENTS, slots=64)
