Close the connection to an endpoint that reads nothing when its tunnel ends

What callers' requests met: a request that reaches an endpoint through another host stayed at work there after the first host had given it up, for as long as the endpoint sent nothing.

Cause: the other host copies the request in one task, which learned of the end of the tunnel only with its next read. An endpoint may begin to run a request, and answer, before it has read a long body; the task waits for it in the send meanwhile, and reads nothing.

While a send waits, the host looks every 50 ms whether the other host has ended or reset the tunnel. The state of the connection (TCP_INFO) tells this also while bytes of the request are unread before the end.

Evidence: the new test, over sockets on loopback, failed in three runs of three: the connection to the endpoint was open 0.4 s after the end of the tunnel. It passes in three of three, with mulberrycleat.web, test_lost_paths and the tests of tunnels.

--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -79,7 +79,8 @@
     Route,
 )
 from mulberrycleat.web.connections import ServerConfig
-from mulberrycleat.web.upstream import ConnectionPool, ConnectionSettings, Pipe
+from mulberrycleat.web.tunnel import CallerPipe
+from mulberrycleat.web.upstream import ConnectionPool, ConnectionSettings
 
 __all__ = ["EntryHost"]
 
@@ -503,7 +504,7 @@
     async def _serve_tunnels(self) -> None:
         await self._ports.serve_pipes(self._serve_tunnel, self._tunnel_address)
 
-    async def _serve_tunnel(self, pipe: Pipe) -> None:
+    async def _serve_tunnel(self, pipe: CallerPipe) -> None:
         """Serve a connection of another host; it counts as a request, which a stop waits for.
 
         Connections that ask for nothing are open for a second; beyond the descriptors that tunnels
--- a/mulberrycleat/entry/paths.py
+++ b/mulberrycleat/entry/paths.py
@@ -12,7 +12,13 @@
 from mulberrycleat.core.logs import exception_origin
 from mulberrycleat.endpoint.reachability import Helper, Reachability
 from mulberrycleat.entry.decisions import DecisionLog
-from mulberrycleat.web.tunnel import TunnelPipe, TunnelReply, open_tunnel, serve_tunnel
+from mulberrycleat.web.tunnel import (
+    CallerPipe,
+    TunnelPipe,
+    TunnelReply,
+    open_tunnel,
+    serve_tunnel,
+)
 from mulberrycleat.web.upstream import ConnectError, ConnectionSettings, Pipe
 
 __all__ = ["Connect", "EndpointPaths"]
@@ -122,7 +128,7 @@
             return tunnel
         return await self._open_directly(address)
 
-    async def serve(self, pipe: Pipe) -> None:
+    async def serve(self, pipe: CallerPipe) -> None:
         """Serve one connection of another host: open a connection for it, and copy bytes."""
         self._serving += 1
         try:
--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -295,6 +295,9 @@
         incoming = self._stream.receive_stream._incoming
         return bool(incoming._data) or incoming._closed
 
+    def has_ended(self) -> bool:
+        return self._stream.receive_stream._incoming._closed
+
     def close(self) -> None:
         self._stream.send_stream.close()
         self._stream.receive_stream.close()
--- a/mulberrycleat/web/tests/test_tunnel.py
+++ b/mulberrycleat/web/tests/test_tunnel.py
@@ -26,6 +26,8 @@
 )
 
 SETTINGS = ConnectionSettings()
+# State of a connection that neither side has ended, as in Linux' TCP_INFO.
+TCP_ESTABLISHED = 1
 Behaviour = Callable[[trio.SocketStream], Awaitable[None]]
 
 
@@ -147,6 +149,29 @@
     trio.run(main)
 
 
+def test_the_endpoints_connection_ends_with_the_tunnel_while_it_does_not_read():
+    ended = trio.Event()
+
+    async def read_nothing(stream: trio.SocketStream) -> None:
+        state = TCP_ESTABLISHED
+        while state == TCP_ESTABLISHED:
+            await trio.sleep(0.01)
+            state = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        ended.set()
+
+    async def main() -> None:
+        async with tunnel_to(read_nothing) as (pipe, _):
+            # More than the buffers of both connections take.
+            with trio.move_on_after(0.2) as sending:
+                await pipe.send_all(bytes(50_000_000))
+            assert sending.cancelled_caught
+            pipe.close()
+            with trio.fail_after(0.4):
+                await ended.wait()
+
+    trio.run(main)
+
+
 def test_an_unreachable_endpoint_and_a_missing_host_are_told_apart():
     async def main() -> None:
         helper, nobody = free_address(), free_address()
--- a/mulberrycleat/web/tunnel.py
+++ b/mulberrycleat/web/tunnel.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from enum import Enum
+from typing import Protocol
 
 import trio
 
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "CallerPipe",
     "TunnelPipe",
     "TunnelReply",
     "open_tunnel",
@@ -40,11 +42,23 @@
 MAX_LINE_BYTES = 64
 # Time limit for the line with the address, in seconds.
 REQUEST_TIMEOUT_S = 1.0
+# Interval between checks whether the other host has ended the tunnel while its bytes can't be sent
+# on, in seconds: an eighth of the time for which an endpoint may go on with a request that another
+# one has taken over (see TAKEOVER_S of the entry hosts).
+END_CHECK_INTERVAL_S = 0.05
 
 # Failures of a pipe.
 PIPE_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
+class CallerPipe(Pipe, Protocol):
+    """Connection of another host that asks for a tunnel."""
+
+    def has_ended(self) -> bool:
+        """Whether the other host has ended or reset the connection, even with bytes unread."""
+        ...
+
+
 class TunnelReply(Enum):
     """What the other host says about the connection that it was asked to open."""
 
@@ -179,13 +193,13 @@
 
 
 async def serve_tunnel(
-    caller: Pipe, connect: Callable[[str], Awaitable[Pipe | TunnelReply]]
+    caller: CallerPipe, connect: Callable[[str], Awaitable[Pipe | TunnelReply]]
 ) -> None:
     """Open the connection that another host asks for, and copy bytes until one side ends it.
 
     Parameters
     ----------
-    caller : Pipe
+    caller : CallerPipe
         Connection of the other host; it is closed at the end.
     connect : callable
         Opens a connection to an address, or returns why there is none.
@@ -215,7 +229,7 @@
             endpoint.close()
 
 
-async def serve_pipes(handler: Callable[[Pipe], Awaitable[None]], address: str) -> None:
+async def serve_pipes(handler: Callable[[CallerPipe], Awaitable[None]], address: str) -> None:
     """Accept connections at ``ip:port`` and run `handler` for each, until cancelled."""
 
     async def handle(stream: DirectStream) -> None:
@@ -238,15 +252,37 @@
     return line, rest
 
 
-async def _copy_requests(caller: Pipe, endpoint: Pipe, nursery: trio.Nursery) -> None:
+async def _copy_requests(caller: CallerPipe, endpoint: Pipe, nursery: trio.Nursery) -> None:
     """Copy bytes to the endpoint until the other host ends the tunnel."""
     with suppress(*PIPE_ERRORS):
         while data := await caller.receive_some(CHUNK_BYTES):
-            try:
-                await endpoint.send_all(data)
-            except PIPE_ERRORS:
-                # The endpoint may have answered before it has read the request.
-                await trio.sleep_forever()
+            if not await _send_on(caller, endpoint, data):
+                break
+    nursery.cancel_scope.cancel()
+
+
+async def _send_on(caller: CallerPipe, endpoint: Pipe, data: bytes) -> bool:
+    """Send bytes to the endpoint; return False if the other host has ended the tunnel meanwhile.
+
+    An endpoint may work on a request without reading its body. It holds up the send then, and with
+    it the read that would find the tunnel ended.
+    """
+    sent = False
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_at_end, caller, nursery)
+        try:
+            await endpoint.send_all(data)
+            sent = True
+        except PIPE_ERRORS:
+            # The endpoint may have answered before it has read the request.
+            await trio.sleep_forever()
+        nursery.cancel_scope.cancel()
+    return sent
+
+
+async def _cancel_at_end(caller: CallerPipe, nursery: trio.Nursery) -> None:
+    while not caller.has_ended():
+        await trio.sleep(END_CHECK_INTERVAL_S)
     nursery.cancel_scope.cancel()
 
 
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -54,6 +54,8 @@
 MAX_REFUSALS = 16
 # A larger body is sent by itself rather than copied into one piece with its headers.
 MAX_JOINED_BYTES = 16_384
+# States of a connection that its peer has reset or ended, as in Linux' TCP_INFO.
+TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
 # Value of SO_LINGER: closing discards what has not been sent, and resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 RawHeaders = list[tuple[bytes, bytes]]
@@ -190,6 +192,11 @@
         """Whether bytes, the end of the stream or a reset can be received at once."""
         return self._stream.socket.is_readable()
 
+    def has_ended(self) -> bool:
+        """Whether the peer has ended or reset the connection, even with bytes unread."""
+        info = self._stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return info[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
+
     def close(self) -> None:
         """Close at once."""
         if self._resets and self._stream.socket.fileno() >= 0:
