Take no refusal of another request for that of a request to an engine

What callers of the router saw: "not run", with nothing billed, for a request that an engine may have run.

Cause: an engine's answer was tested for the id of the request only after every status but 200 had been taken for a statement on it. A 429, 503 or 4xx that belongs to an earlier request, late on a kept connection, proved that the present one had not run.

It does not concern the entry hosts, which test the id first.

--- a/mulberrycleat/router/exchanges/model.py
+++ b/mulberrycleat/router/exchanges/model.py
@@ -51,10 +51,10 @@
         async with client.stream(
             "POST", url, _body(call), _headers(call), FIRST_EVENT_TIMEOUT_S
         ) as answer:
-            if answer.status != 200:
-                return Err(refused(call, endpoint.name, answer.status))
             if owner := wrong_owner(call, answer.headers):
                 raise InvalidAnswerError(f"the answer belongs to request {owner!r}")
+            if answer.status != 200:
+                return Err(refused(call, endpoint.name, answer.status))
             if answer.media_type != EVENTS_TYPE:
                 raise InvalidAnswerError(f"an answer of type {answer.media_type!r}, not of events")
             await _forward(call, answer.chunks)
--- a/mulberrycleat/router/tests/test_resumed_answers.py
+++ b/mulberrycleat/router/tests/test_resumed_answers.py
@@ -101,6 +101,13 @@
     assert isinstance(outcome.err_value, MayHaveRun)
 
 
+async def test_refusal_that_belongs_to_another_request_does_not_prove_that_this_one_did_not_run():
+    for status in (429, 503, 409):
+        engine = FakeEngine(status=status, owner="another")
+        outcome = await dispatch(make_call(MODEL_POOL, 1), engine)
+        assert isinstance(outcome.err_value, MayHaveRun), status
+
+
 async def test_disconnect_of_the_caller_cancels_the_work_and_bills_the_engines_count():
     call = make_call(MODEL_POOL, 1)
     engine = FakeEngine()
