Take an engine that knows nothing of a request for no proof that it did not run

What callers of the router saw: at the deadline of a stream, the error "not run" after a part of its text, with nothing billed.

Cause: when a request ends at its deadline, it is cancelled at its engine. An engine that says that it does not know the request cleared the mark that the request was sent. One that has started again knows nothing of it either, and a cut that hides the end of the connection lets the router wait for it until the deadline. docs/design/outcomes.md uses this reply for the bill only.

The mark stays now; what the engine says has a mark of its own, which the bill uses as before. If the stream had told its tokens, these are billed.

Evidence: the new test failed before, each time (outcome not run after three tokens). It passes with mulberrycleat.router (67 passed) and mulberrycleat.scenario (17 passed).

--- a/mulberrycleat/router/call.py
+++ b/mulberrycleat/router/call.py
@@ -66,6 +66,9 @@
     ----------
     dispatched : bool
         Whether any part of the request may have been sent to an endpoint.
+    is_unknown : bool
+        Whether the only engine that it was sent to says that it does not know the request. Nothing
+        is billed then, but it proves nothing: an engine that has started again knows no request.
     count : TokenCount
         Text and token counts over all attempts.
     first_at : float or None
@@ -74,6 +77,7 @@
 
     def __init__(self) -> None:
         self.dispatched = False
+        self.is_unknown = False
         self.count = TokenCount()
         self.first_at: float | None = None
 
--- a/mulberrycleat/router/exchanges/model.py
+++ b/mulberrycleat/router/exchanges/model.py
@@ -65,7 +65,7 @@
         return Err(failure(call, PeerError(Step.STREAM, endpoint.name, str(error))))
     except trio.Cancelled:
         if not await _cancel(client, call, endpoint):
-            call.meter.dispatched = dispatched_before
+            call.meter.is_unknown = not dispatched_before
         raise
     return Ok(_served(call, endpoint))
 
--- a/mulberrycleat/router/filters/budget.py
+++ b/mulberrycleat/router/filters/budget.py
@@ -63,7 +63,7 @@
             return 0
         case Err(MayHaveRun(cost_tokens=known)) if known is not None:
             return known
-        case _ if not call.meter.dispatched:
+        case _ if not call.meter.dispatched or call.meter.is_unknown:
             return 0
         case _:
             return _cost_so_far(call)
--- a/mulberrycleat/router/tests/fakes.py
+++ b/mulberrycleat/router/tests/fakes.py
@@ -55,6 +55,8 @@
         Body of the answer as it arrives, in place of the stream; None for the stream.
     is_forgetful : bool
         Whether it begins anew where it is asked to go on with the text of another engine.
+    has_restarted : bool
+        Whether it has forgotten each request by the time at which it is cancelled.
     bodies : list of dict
         Bodies of the requests received.
     cancelled : list of str
@@ -75,6 +77,7 @@
     media_type: str = "text/event-stream"
     pieces: tuple[bytes, ...] | None = None
     is_forgetful: bool = False
+    has_restarted: bool = False
     bodies: list[dict[str, Any]] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     generated: int = 0
@@ -179,6 +182,8 @@
         self, method: str, url: str, value: Any, timeout_s: float, step: Step
     ) -> Any:
         engine = self._endpoints[url.split("/")[2]]
+        if engine.has_restarted:
+            return Ok({"known": False})
         if engine.freeze_after is not None:
             return Err(PeerError(step, url, "no answer"))
         engine.cancelled.append(value["request_id"])
--- a/mulberrycleat/router/tests/test_resumed_answers.py
+++ b/mulberrycleat/router/tests/test_resumed_answers.py
@@ -124,6 +124,14 @@
     assert not call.meter.dispatched
 
 
+async def test_an_engine_that_has_started_again_does_not_prove_that_a_request_did_not_run():
+    """It knows nothing of the request, of which the caller has a part."""
+    call = make_call(MODEL_POOL, 1, deadline=trio.current_time() + 0.095)
+    outcome = await dispatch(call, FakeEngine(freeze_after=3, has_restarted=True))
+    assert len(await received(call.sink)) > 1
+    assert isinstance(outcome.err_value, MayHaveRun)
+
+
 async def test_deadline_is_may_have_run_during_a_stream_and_not_run_before_dispatch():
     call = make_call(MODEL_POOL, 1, deadline=trio.current_time() + 0.035)
     outcome = await dispatch(call, FakeEngine())
