--- a/mulberrycleat/platform/standin.py
+++ b/mulberrycleat/platform/standin.py
@@ -101,6 +101,8 @@
     copies_refusals : bool
         Whether it sends the refusal of a request once more when the request comes again on the
         connection that carried the refusal, and then handles the request.
+    answers_early : bool
+        Whether it answers a request before it has read the body, which it reads afterwards.
     omits_event_ids : bool
         Whether the events of its streams have no ids.
     body_bytes : int
@@ -177,6 +179,7 @@
     repeats_answers: bool = False
     copies_answers: int = 0
     copies_refusals: bool = False
+    answers_early: bool = False
     omits_event_ids: bool = False
     body_bytes: int = 0
     break_body_at: int | None = None
@@ -298,6 +301,9 @@
         incoming = self._stream.receive_stream._incoming
         return bool(incoming._data) or incoming._closed
 
+    def has_ended(self) -> bool:
+        return self._stream.receive_stream._incoming._closed
+
     def close(self) -> None:
         self._stream.send_stream.close()
         self._stream.receive_stream.close()
@@ -373,6 +379,8 @@
             connection.receive_data(await stream.receive_some(65_536))
         elif isinstance(event, h11.Request):
             request = event
+            if server.answers_early:
+                break
         elif isinstance(event, h11.Data):
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
@@ -388,6 +396,9 @@
     else:
         await _answer(server, stream, connection, headers)
     stream.end_answer()
+    while connection.their_state is h11.SEND_BODY:
+        if connection.next_event() is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(65_536))
     return True
 
 
--- a/mulberrycleat/router/exchanges/model.py
+++ b/mulberrycleat/router/exchanges/model.py
@@ -51,10 +51,10 @@
         async with client.stream(
             "POST", url, _body(call), _headers(call), FIRST_EVENT_TIMEOUT_S
         ) as answer:
-            if answer.status != 200:
-                return Err(refused(call, endpoint.name, answer.status))
             if owner := wrong_owner(call, answer.headers):
                 raise InvalidAnswerError(f"the answer belongs to request {owner!r}")
+            if answer.status != 200:
+                return Err(refused(call, endpoint.name, answer.status))
             if answer.media_type != EVENTS_TYPE:
                 raise InvalidAnswerError(f"an answer of type {answer.media_type!r}, not of events")
             await _forward(call, answer.chunks)
@@ -65,7 +65,7 @@
         return Err(failure(call, PeerError(Step.STREAM, endpoint.name, str(error))))
     except trio.Cancelled:
         if not await _cancel(client, call, endpoint):
-            call.meter.dispatched = dispatched_before
+            call.meter.is_unknown = not dispatched_before
         raise
     return Ok(_served(call, endpoint))
 
