--- a/mulberrycleat/platform/tests/test_copied_refusals.py
+++ b/mulberrycleat/platform/tests/test_copied_refusals.py
@@ -8,10 +8,11 @@
 import trio
 
 from mulberrycleat.entry.settings import Activation
-from mulberrycleat.platform.standin import ServerStandin
+from mulberrycleat.platform.standin import MemoryPipe, ServerStandin
 from mulberrycleat.platform.store_standin import StoreStandin
 from mulberrycleat.platform.tests.fixtures import CONFIG, HostHarness, entry_host
 from mulberrycleat.platform.tests.test_whole_path import PROMPT_HEADERS
+from mulberrycleat.web.upstream import ConnectionSettings
 
 ASK, BOOK, FIND = CONFIG["routes"]
 BOOK_ROUTES = {**CONFIG, "routes": [{**BOOK, "timeout_ms": 1500, "target_latency_ms": 400}]}
@@ -132,3 +133,63 @@
 async def test_random_histories_with_copied_refusals_run_each_request_once_or_refuse_it():
     faults = [fault for seed in range(SEEDS) for fault in await play_bookings(seed)]
     assert not faults, faults[:10]
+
+
+class CopyBeforeReport:
+    """Connects to servers that send a refusal once more before the next report there."""
+
+    def __init__(self, copies: bool) -> None:
+        self.servers = None
+        self.copies = copies
+        self.sent = 0
+
+    async def __call__(self, address: str, settings: ConnectionSettings) -> MemoryPipe:
+        pipe = await self.servers.connect(address, settings)
+        send_all, receive_some = pipe.send_all, pipe.receive_some
+        refusals: list[bytes] = []
+        due: list[bytes] = []
+
+        async def send(data: bytes) -> None:
+            if self.copies and data.startswith(b"GET /report "):
+                due.extend(refusals)
+                refusals.clear()
+            await send_all(data)
+
+        async def receive(max_bytes: int) -> bytes:
+            if due:
+                self.sent += 1
+                return due.pop()
+            data = await receive_some(max_bytes)
+            if data.startswith(b"HTTP/1.1 503 "):
+                refusals.append(data)
+            return data
+
+        pipe.send_all, pipe.receive_some = send, receive
+        return pipe
+
+
+async def test_a_copied_refusal_in_place_of_a_report_ends_no_stream_that_goes_on():
+    for copies in (False, True):
+        for omits_request_id in (False, True):
+            servers = [
+                ServerStandin(
+                    f"e{number}",
+                    f"10.1.0.{number}:80",
+                    "engines",
+                    events=4,
+                    declines=True,
+                    omits_request_id=omits_request_id,
+                )
+                for number in (1, 2)
+            ]
+            pipes = CopyBeforeReport(copies)
+            async with entry_host(*servers, connect=pipes) as harness:
+                pipes.servers = harness.servers
+                assert (await harness.send_request("/ask/x", "r1", **PROMPT_HEADERS)).status == 503
+                await trio.sleep(0.15)
+                for server in servers:
+                    server.declines, server.omits_request_id = False, False
+                    server.break_after = 2
+                answer = await harness.send_request("/ask/x", "r2", **PROMPT_HEADERS)
+            assert pipes.sent == copies
+            assert answer.complete, (copies, omits_request_id)
