--- a/mulberrycleat/platform/tests/test_copied_refusals.py
+++ b/mulberrycleat/platform/tests/test_copied_refusals.py
@@ -193,3 +193,13 @@
                 answer = await harness.send_request("/ask/x", "r2", **PROMPT_HEADERS)
             assert pipes.sent == copies
             assert answer.complete, (copies, omits_request_id)
+
+
+async def test_a_copied_421_of_an_ended_endpoint_refuses_no_stream_at_its_successor():
+    engine = ServerStandin("e1", "10.1.0.1:80", "engines", events=4, copies_refusals=True)
+    async with entry_host(engine, store=store_with_predecessors(engine)) as harness:
+        for number in range(20):
+            answer = await harness.send_request("/ask/x", f"r{number}", **PROMPT_HEADERS)
+            assert (answer.status, answer.complete) == (200, True), number
+            await trio.sleep(0.05)
+    assert engine.ran == [f"r{number}" for number in range(20)]
