--- a/mulberrycleat/platform/tests/crowds.py
+++ b/mulberrycleat/platform/tests/crowds.py
@@ -10,8 +10,9 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import IO, Any, NamedTuple
 
+import httpcore
 import trio
 
 from mulberrycleat.platform.settings import BOOT_VARIABLE
@@ -24,10 +25,22 @@
 from mulberrycleat.web.server import listen
 from mulberrycleat.web.upstream import ConnectionSettings, SocketPipe
 
-__all__ = ["Crowd", "Host", "Measured", "run_beside"]
+__all__ = [
+    "STORE_CALLER",
+    "Addresses",
+    "Crowd",
+    "Host",
+    "Measured",
+    "run_beside",
+    "settings_text",
+    "start_process",
+    "store_app",
+]
 
 MB = 1_000_000
 MAX_BODY_BYTES = 4_194_304
+# The host as which all processes call the store stand-in.
+STORE_CALLER = "a1"
 ROUTE_TIMEOUT_MS = 10_000
 STARTED_WITHIN_S = 20.0
 # Longest wait for the host to have worked through what a crowd has sent, in seconds; it has when it
@@ -46,6 +59,15 @@
 Crowd = Callable[["Host", trio.Nursery], Awaitable[None]]
 
 
+class Addresses(NamedTuple):
+    """Where a host listens."""
+
+    ip: str
+    front: str
+    readiness: str
+    control: str
+
+
 class Measured(NamedTuple):
     """What a host has shown beside a crowd."""
 
@@ -122,7 +144,7 @@
     store.put("keyed.servers", endpoint.id, endpoint.entry())
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_serve_endpoint, endpoint)
-        await nursery.start(serve_app, _store_app(store), store_address, trio.Event())
+        await nursery.start(serve_app, store_app(store), store_address, trio.Event())
         async with _host(store_address, memory_mb, max_fds) as host:
             nursery.start_soon(host.watch_descriptors)
             with trio.fail_after(STARTED_WITHIN_S):
@@ -170,42 +192,64 @@
     return int(data.split()[1]) if data else 0
 
 
-@asynccontextmanager
-async def _host(store_address: str, memory_mb: int, max_fds: int) -> AsyncIterator[Host]:
-    front, readiness, control = free_addresses(3)
-    text = f"""
-node_name = "a1"
-ip = "127.0.0.1"
+def settings_text(
+    name: str,
+    addresses: Addresses,
+    store_address: str,
+    memory_mb: int,
+    max_fds: int,
+    more: str = "",
+) -> str:
+    """Return the settings file of a host; `more` has further lines of its first table."""
+    return f"""
+node_name = "{name}"
+ip = "{addresses.ip}"
 zone = "z-a"
+{more}
 [listen]
-front = "{front}"
-readiness = "{readiness}"
-control = "{control}"
+front = "{addresses.front}"
+readiness = "{addresses.readiness}"
+control = "{addresses.control}"
 [limits]
 memory_mb = {memory_mb}
 max_fds = {max_fds}
 [platform]
 address = "{store_address}"
 """
+
+
+def start_process(settings: Path, output: IO[bytes], tree: Path | None = None) -> subprocess.Popen:
+    """Start a host's own process; `tree` is another check-out whose code it runs."""
+    env = {**os.environ, BOOT_VARIABLE: str(settings)}
+    if tree is not None:
+        env["PYTHONPATH"] = str(tree)
+    return subprocess.Popen(
+        [sys.executable, "-m", "mulberrycleat.platform.main"],
+        env=env,
+        cwd=tree,
+        stdout=output,
+        stderr=subprocess.STDOUT,
+    )
+
+
+@asynccontextmanager
+async def _host(store_address: str, memory_mb: int, max_fds: int) -> AsyncIterator[Host]:
+    addresses = Addresses("127.0.0.1", *free_addresses(3))
+    text = settings_text("a1", addresses, store_address, memory_mb, max_fds)
     with tempfile.TemporaryDirectory() as directory:
         path = Path(directory, "node.toml")
         path.write_text(text, encoding="utf-8")
         with Path(directory, "log").open("wb") as output:
-            process = subprocess.Popen(
-                [sys.executable, "-m", "mulberrycleat.platform.main"],
-                env={**os.environ, BOOT_VARIABLE: str(path)},
-                stdout=output,
-                stderr=subprocess.STDOUT,
-            )
+            process = start_process(path, output)
             try:
-                yield Host(process, front, readiness)
+                yield Host(process, addresses.front, addresses.readiness)
             finally:
                 process.kill()
                 process.wait(STOPPED_WITHIN_S)
 
 
-def _store_app(store: StoreStandin) -> Any:
-    client = StoreClient(store, "a1")
+def store_app(store: StoreStandin) -> Any:
+    client = StoreClient(store, STORE_CALLER)
 
     async def app(scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
@@ -215,8 +259,11 @@
         if body is None:
             return
         url = f"http://store{scope['raw_path'].decode()}?{scope['query_string'].decode()}"
-        async with client.stream(scope["method"], url, body) as answer:
-            data = b"".join([chunk async for chunk in answer.chunks])
+        try:
+            async with client.stream(scope["method"], url, body) as answer:
+                data = b"".join([chunk async for chunk in answer.chunks])
+        except httpcore.ReadTimeout:
+            return
         responder = Responder(send)
         headers = (*answer.headers.items(), ("content-length", str(len(data))))
         await responder.start(answer.status, headers)
--- a/mulberrycleat/platform/tests/test_stop_sockets.py
+++ b/mulberrycleat/platform/tests/test_stop_sockets.py
@@ -40,11 +40,11 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
-def free_addresses(count: int) -> list[str]:
+def free_addresses(count: int, ip: str = "127.0.0.1") -> list[str]:
     probes = [socket.socket() for _ in range(count)]
     for probe in probes:
-        probe.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+        probe.bind((ip, 0))
+    addresses = [f"{ip}:{probe.getsockname()[1]}" for probe in probes]
     for probe in probes:
         probe.close()
     return addresses
