--- a/mulberrycleat/platform/tests/soak.py
+++ b/mulberrycleat/platform/tests/soak.py
@@ -23,7 +23,7 @@
 from mulberrycleat.platform.tests.fixtures import CONFIG
 from mulberrycleat.platform.tests.soak_callers import Caller
 from mulberrycleat.platform.tests.soak_checks import Journal, broken_promises
-from mulberrycleat.platform.tests.soak_endpoints import BEAT_S, MOOD, Endpoint
+from mulberrycleat.platform.tests.soak_endpoints import BEAT_S, FAULT_SHARES, Endpoint
 from mulberrycleat.platform.tests.test_stop_sockets import free_addresses
 from mulberrycleat.web import serve_app
 
@@ -194,16 +194,16 @@
 
     async def _fault_mood(self) -> None:
         """Let an endpoint, or all, do one thing often for some time."""
-        name = self._rng.choice(list(MOOD))
+        name = self._rng.choice(list(FAULT_SHARES))
         share = self._rng.choice((0.2, 0.5, 0.9))
         found = list(self._endpoints.values())
         chosen = found if self._rng.random() < 0.3 else [self._rng.choice(found)]
         self._note(name, share, *(endpoint.id for endpoint in chosen))
         for endpoint in chosen:
-            endpoint.mood[name] = share
+            endpoint.fault_shares[name] = share
         await trio.sleep(self._rng.uniform(0, SERIES_S))
         for endpoint in chosen:
-            endpoint.mood[name] = MOOD[name]
+            endpoint.fault_shares[name] = FAULT_SHARES[name]
 
     async def _fault_crash(self) -> None:
         """Crash an endpoint; it is back under a new id while the old entry is still listed."""
--- a/mulberrycleat/platform/tests/soak_endpoints.py
+++ b/mulberrycleat/platform/tests/soak_endpoints.py
@@ -35,8 +35,8 @@
     "zone": "z-a", "version": "v1", "slots": SLOTS, "cold_remaining_ms": 0, "stage": "combined",
     "models": [{"name": "m", "version": 1, "adapters": []}],
 }  # fmt: skip
-# How often, 0 to 1, an endpoint does what the system must cope with, outside a series.
-MOOD = {
+# Share of requests, 0 to 1, at which an endpoint has a fault outside a series of it.
+FAULT_SHARES = {
     "refuses": 0.1,  # Refuses a request.
     "copies": 0.6,  # Writes a refusal again when its request comes again on the connection.
     "strays": 0.01,  # Writes an earlier answer again, where the next one is due.
@@ -79,7 +79,7 @@
         self, place: tuple[str, str, str], store: StoreStandin, journal: Journal, rng: Random
     ) -> None:
         self.id, self.service, self.address = place
-        self.mood, self.is_leaving = dict(MOOD), False
+        self.fault_shares, self.is_leaving = dict(FAULT_SHARES), False
         self._store, self._journal, self._rng = store, journal, rng
         self._drops_work = rng.random() < 0.8
         self._slowness = rng.choice(("", ",100"))
@@ -124,7 +124,7 @@
             await trio.sleep(BEAT_S)
 
     def _draw(self, name: str) -> bool:
-        return self._rng.random() < self.mood[name]
+        return self._rng.random() < self.fault_shares[name]
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         caller = _Caller(stream)
