Log where the directory was read from, and which entries are kept without the store

The logs could not tell whether a host had read that it left, took it from another host's memory, or never read anything of it. Each change of an endpoint's state names its source; entries that the store lacks are named while they are kept and when they are listed again; a send names the number and the age of the endpoint's entry. No logic is changed.

--- a/mulberrycleat/endpoint/directory.py
+++ b/mulberrycleat/endpoint/directory.py
@@ -103,6 +103,15 @@
         """All known entries by id, including missing entries that are still kept."""
         return self._entries
 
+    @property
+    def missing(self) -> frozenset[str]:
+        """Ids of entries that are kept although the store does not have them."""
+        return frozenset(self._missing_until)
+
+    def entry_age_s(self, entry_id: str, now: float) -> float:
+        """Return the time since an entry was last put, in seconds; infinite if it is not known."""
+        return now - self._put_at.get(entry_id, float("-inf"))
+
     def put(self, entry: Entry, now: float) -> None:
         """Add or replace an entry after a heartbeat of its endpoint, unless it is an older one."""
         if self._is_late(entry, now):
--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -343,6 +343,7 @@
             self._decisions.warning("entry unreadable", why=fault)
         self._on_entries([entry for _, entry in update.changes if entry is not None])
         before = {i: e.state for i, e in self._directory.entries.items()}
+        missing = self._directory.missing
         if update.is_snapshot:
             entries = [entry for _, entry in update.changes if entry is not None]
             self._directory.replace(entries, now, may_be_older=self._may_be_older(update))
@@ -360,7 +361,11 @@
             if self._position is not None and update.next.era > self._position.era:
                 self._beats_lost += self._position.offset - update.next.offset
             self._position = update.next
-        self._report_changes(before)
+        source = "store" if from_store else "another host's memory"
+        if update.is_snapshot:
+            self._decisions.info("directory replaced", source=source, entries=len(update.changes))
+        self._report_missing(missing, source)
+        self._report_changes(before, source)
 
     def _may_be_older(self, update: DirectoryUpdate) -> bool:
         """Whether entries of a snapshot may be older than those known here.
@@ -372,10 +377,21 @@
             return self._read
         return self._position is not None and update.next.era > self._position.era
 
-    def _report_changes(self, before: dict) -> None:
+    def _report_missing(self, before: frozenset[str], source: str) -> None:
+        """Log which entries are kept although the store lacks them, and which no longer are.
+
+        `before` has those that were kept before the read, `source` is where it was read from.
+        """
+        missing = self._directory.missing
+        for entry_id in sorted(missing - before):
+            self._decisions.info("missing endpoint kept", endpoint=entry_id, source=source)
+        for entry_id in sorted((before - missing) & self._directory.entries.keys()):
+            self._decisions.info("missing endpoint listed", endpoint=entry_id, source=source)
+
+    def _report_changes(self, before: dict, source: str) -> None:
         """Log each change of an endpoint's state, and call `on_change` if there are any.
 
-        `before` has the states before the read, by endpoint id.
+        `before` has the states before the read, by endpoint id; `source` is where it was read from.
         """
         after = {i: e.state for i, e in self._directory.entries.items()}
         if before == after:
@@ -388,5 +404,6 @@
                     endpoint=entry_id,
                     before=old.value if old else "unknown",
                     after=new.value if new else "gone",
+                    source=source,
                 )
         self._on_change()
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -293,7 +293,7 @@
     ) -> Outcome:
         """Make one attempt; its start and end are logged and applied to the placement."""
         entry, request_id = placement.entry, call.facts.request_id
-        placer = self._registry.placer(call.pool.name)
+        placer, directory = self._registry.placer(call.pool.name), self._registry.directory
         tries.endpoint_ids.add(entry.id)
         tries.count += 1
         tries.let_go.discard(entry.id)
@@ -307,6 +307,9 @@
             request=request_id,
             endpoint=entry.id,
             version=entry.version,
+            entry_sequence=entry.sequence,
+            entry_age_s=round(directory.entry_age_s(entry.id, attempt.sent_at), 3),
+            entry_missing=entry.id in directory.missing,
             offer=tries.count,
             why=tries.last,
             expected_s=round(placement.expected_s, 4),
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -442,11 +442,16 @@
                 break
         if self._outage.record_round(asked, stated, len(peers), trio.current_time()):
             self._decisions.info("store lost by all", peer="store", asked=asked, stated=stated)
-        return Ok(_newest(remembered)) if remembered else last
+        if remembered:
+            self._decisions.info("answered from memory", step=call, stated=stated, asked=asked)
+            return Ok(_newest(remembered))
+        return last
 
     def _record_reached(self, peer: str) -> None:
         """Note that another host has reached the store for this one."""
         was_general = self.lost_everywhere
+        if peer != self._outage.helper:
+            self._decisions.info("store reached through another host", peer=peer)
         self._outage.record_answer(peer, True)
         if was_general:
             self._announce_return()
