--- /dev/null
+++ b/mulberrycleat/platform/tests/test_remembered_entries.py
@@ -0,0 +1,97 @@
+"""Endpoints' entries that hosts take from each other's memory while the store is out of reach."""
+
+from __future__ import annotations
+
+import trio
+
+from mulberrycleat.platform.standin import ServerStandin
+from mulberrycleat.platform.tests.fixtures import HostHarness, entry_hosts
+from mulberrycleat.testing import fixture
+
+# Time in which a host that reaches the store again has read it, in seconds.
+RETURN_S = 1.2
+# Time after which a host that is in touch with the store sends nothing to an endpoint that has
+# left, in seconds; the deployment sheets allow 3 s for the contact and 2 s for the end of requests.
+IN_TOUCH_S = 3.0
+
+
+@fixture
+def left_server():
+    """Return a server whose entry is removed, and which goes on serving."""
+    return ServerStandin("h1", "10.2.0.1:80", "bookings")
+
+
+@fixture
+def sound_server():
+    return ServerStandin("h2", "10.2.0.2:80", "bookings")
+
+
+async def send_requests(harness: HostHarness, count: int = 16) -> list[int]:
+    """Send requests at the same time, and return the answers' statuses."""
+    statuses: list[int] = []
+
+    async def send(number: int) -> None:
+        statuses.append((await harness.send_request("/book/x", f"r{number}")).status)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(send, number)
+    return statuses
+
+
+async def test_an_endpoint_that_left_is_not_used_again_because_a_host_cut_off_remembers_it(
+    left_server, sound_server
+):
+    async with entry_hosts(2, left_server, sound_server) as (first, second):
+        store = first.store
+        store.turned_away |= {"a1", "a2"}
+        await trio.sleep(1.0)
+        store.put_endpoint("h1", None)
+        first.apps.cut_off.add("a2")
+        await trio.sleep(3.0)
+        store.turned_away.discard("a1")
+        await trio.sleep(RETURN_S)
+        store.turned_away.add("a1")
+        first.apps.cut_off.clear()
+        await trio.sleep(3.0)
+        store.turned_away.discard("a1")
+        await trio.sleep(IN_TOUCH_S)
+        assert await send_requests(first) == [200] * 16
+    assert not left_server.seen
+
+
+async def test_an_endpoint_is_not_dropped_because_a_host_cut_off_earlier_does_not_know_it(
+    left_server, sound_server
+):
+    async with entry_hosts(2, left_server) as (first, second):
+        store = first.store
+        store.turned_away.add("a2")
+        first.apps.cut_off.add("a2")
+        first.servers.add(sound_server)
+        store.put_endpoint("h2", sound_server.entry())
+        await trio.sleep(1.0)
+        store.put_endpoint("h1", None)
+        await trio.sleep(1.0)
+        store.turned_away.add("a1")
+        first.apps.cut_off.clear()
+        await trio.sleep(3.0)
+        assert await send_requests(first) == [200] * 16
+    assert not left_server.seen
+
+
+async def test_a_host_cut_off_for_longer_takes_what_another_one_has_read_since(
+    left_server, sound_server
+):
+    async with entry_hosts(2, left_server, sound_server) as (first, second):
+        store = first.store
+        store.turned_away.add("a1")
+        first.apps.cut_off.add("a1")
+        await trio.sleep(1.0)
+        store.put_endpoint("h1", left_server.entry(state="draining"))
+        await trio.sleep(1.0)
+        store.turned_away.add("a2")
+        await trio.sleep(1.0)
+        first.apps.cut_off.clear()
+        await trio.sleep(6.0)
+        assert await send_requests(first) == [200] * 16
+    assert not left_server.seen
