Take another host's entries of endpoints only if it has read more of the store's log

Cause: what another host remembers of the endpoints came without its age, and was applied like a read of the store. A host that reads a removal just after an outage keeps the entry for two seconds. If it took another host's memory in that time, from one that had lost the store before the removal, the entry counted as confirmed and was never removed: later reads bring changes only, and nothing about that endpoint changes any more. In the other direction, a host dropped sound endpoints that the other one had never heard of. Such a memory also counted as a read of the store for the age of the directory.

Fix: entries are remembered with the position up to which they were read. A host takes them only if that is further than its own, and then with the position, so that its state is always that of one prefix of the log. It isn't sent what can't tell it more, which also keeps hosts of an earlier build from taking it.

--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -296,12 +296,19 @@
         """
         return self._beats_lost + (self._position or START).offset
 
-    def snapshot(self) -> DirectoryUpdate | None:
-        """Return all entries as a snapshot for another host, None before the first read."""
+    def snapshot(self, beyond: Position | None) -> DirectoryUpdate | None:
+        """Return the entries that the store listed as a snapshot for another host.
+
+        None before the first read, and for a host that has read the store's log up to `beyond` if
+        it knows as much, or if this host still waits for entries that the store lacks.
+        """
+        missing = self._directory.missing
         if not self._read:
             return None
-        changes = tuple(self._directory.entries.items())
-        return DirectoryUpdate(None, True, changes)
+        if beyond is not None and (missing or not _is_further(self._position, beyond)):
+            return None
+        listed = tuple(item for item in self._directory.entries.items() if item[0] not in missing)
+        return DirectoryUpdate(None, True, listed, as_of=self._position)
 
     async def run(self) -> None:
         """Read changes of the endpoints' entries until cancelled."""
@@ -334,10 +341,18 @@
                 return False
 
     def _apply(self, update: DirectoryUpdate) -> None:
-        """Apply changes, or replace all entries by a snapshot."""
-        now = self._read_at = trio.current_time()
+        """Apply changes, or replace all entries by a snapshot.
+
+        What another host remembers is applied only if it has read more of the store's log.
+        """
+        now = trio.current_time()
         from_store = update.next is not None
-        if update.lost or (self._failing and from_store):
+        position = update.next if from_store else update.as_of
+        if not from_store:
+            self._failing = True
+            if self._read and not _is_further(position, self._position):
+                return
+        elif update.lost or self._failing:
             self._directory.store_reconnected(now)
         for fault in update.faults:
             self._decisions.warning("entry unreadable", why=fault)
@@ -346,7 +361,7 @@
         missing = self._directory.missing
         if update.is_snapshot:
             entries = [entry for _, entry in update.changes if entry is not None]
-            self._directory.replace(entries, now, may_be_older=self._may_be_older(update))
+            self._directory.replace(entries, now, may_be_older=self._is_restored(position))
         else:
             for entry_id, entry in update.changes:
                 if entry is None:
@@ -354,28 +369,28 @@
                 else:
                     self._directory.put(entry, now)
         self._directory.settle(now)
-        self._directory.record_read(now)
-        self._failing, self._read = self._failing and not from_store, True
+        self._read = True
+        if from_store:
+            self._directory.record_read(now)
+            self._read_at, self._failing = now, False
         # After an unexpected error above, the update is read once more.
-        if update.next is not None:
-            if self._position is not None and update.next.era > self._position.era:
-                self._beats_lost += self._position.offset - update.next.offset
-            self._position = update.next
+        if position is not None:
+            if self._position is not None and self._is_restored(position):
+                self._beats_lost += self._position.offset - position.offset
+            self._position = position
         source = "store" if from_store else "another host's memory"
         if update.is_snapshot:
             self._decisions.info("directory replaced", source=source, entries=len(update.changes))
         self._report_missing(missing, source)
         self._report_changes(before, source)
 
-    def _may_be_older(self, update: DirectoryUpdate) -> bool:
-        """Whether entries of a snapshot may be older than those known here.
+    def _is_restored(self, position: Position | None) -> bool:
+        """Whether the store was restored from an older copy between this host's position and one.
 
-        They may be if they come from another host's memory, or from a store that was restored from
-        an older copy.
+        Entries as of that position may then be older than those known here.
         """
-        if update.next is None:
-            return self._read
-        return self._position is not None and update.next.era > self._position.era
+        known = self._position
+        return known is not None and position is not None and position.era > known.era
 
     def _report_missing(self, before: frozenset[str], source: str) -> None:
         """Log which entries are kept although the store lacks them, and which no longer are.
@@ -407,3 +422,8 @@
                     source=source,
                 )
         self._on_change()
+
+
+def _is_further(position: Position | None, known: Position | None) -> bool:
+    """Whether state as of `position` has changes that state as of `known` lacks."""
+    return position is not None and (known is None or position > known)
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -28,6 +28,7 @@
 from mulberrycleat.entry.store_outage import ATTEMPTS, StoreOutage
 from mulberrycleat.prepaid import HolderRecord
 from mulberrycleat.prepaid.sharding import SHARDS
+from mulberrycleat.routes import RouteMap
 from mulberrycleat.web.client import BaseHttpClient
 
 __all__ = ["MESSAGE_TYPE", "RELAY_PATH", "CallArguments", "RelayedStore"]
@@ -55,7 +56,14 @@
 
 
 class CallArguments(msgspec.Struct):
-    """Arguments of a relayed call; which of them are used depends on the call."""
+    """Arguments of a relayed call; which of them are used depends on the call.
+
+    Attributes
+    ----------
+    takes_as_of : bool
+        Whether a host that asks for entries of endpoints can decode the field `as_of` of the
+        answer. Builds before that field can't.
+    """
 
     position: Position | None = None
     record: HolderRecord | None = None
@@ -65,6 +73,7 @@
     reports: tuple[EndpointReport, ...] = ()
     origins: tuple[OriginRecord, ...] = ()
     request: str = ""
+    takes_as_of: bool = False
 
 
 class _CutOffError(PeerError):
@@ -200,7 +209,7 @@
 
     async def read_entries(self, position: Position | None) -> Result[DirectoryUpdate, PeerError]:
         """Return changes of the endpoints' entries since `position`."""
-        arguments = CallArguments(position)
+        arguments = CallArguments(position, takes_as_of=True)
         return await self._call(
             lambda: self._inner.read_entries(position), "read_entries", arguments, DirectoryUpdate
         )
@@ -534,15 +543,18 @@
 
     A route map comes with the evacuations that any of them knows.
     """
-    newest = max(remembered, key=_version_of)
+    newest = max(remembered, key=_order_of)
     if not isinstance(newest, MapUpdate):
         return newest
     known = dict.fromkeys(state for update in remembered for state in update.evacuations)
     return newest._replace(evacuations=tuple(known))
 
 
-def _version_of(update: Any) -> int:
-    """Return the version of a remembered route map; the other states have none."""
-    if isinstance(update, MapUpdate) and update.route_map is not None:
-        return update.route_map.version
-    return -1
+def _order_of(update: Any) -> tuple[int, ...]:
+    """Return what orders remembered states of one kind by their age, as far as it is known."""
+    match update:
+        case MapUpdate(route_map=RouteMap(version=version)):
+            return (version,)
+        case DirectoryUpdate(as_of=Position() as position):
+            return tuple(position)
+    return (-1,)
--- a/mulberrycleat/entry/relay_server.py
+++ b/mulberrycleat/entry/relay_server.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from mulberrycleat.core import PeerError, Step
+from mulberrycleat.core import PeerError, Position, Step
 from mulberrycleat.endpoint.stream_origins import HostVersions, StreamOrigin
 from mulberrycleat.entry.relay import MESSAGE_TYPE, RELAY_PATH, CallArguments, RelayedStore
 from mulberrycleat.entry.store import DirectoryUpdate, HostUpdate, MapUpdate
@@ -29,7 +29,8 @@
         Returns this host's route map, or None before there is one. It is returned to other hosts
         while this host can't reach the store, so that a host can start during an outage.
     known_entries : callable
-        Returns the endpoints' entries for the same purpose, or None before the directory is read.
+        Returns the endpoints' entries for the same purpose, or None if this host can't tell more
+        than one that has read the store's log up to a position.
     known_hosts : callable
         Returns the roster of entry hosts for the same purpose, or None before it is read.
     known_origin : callable
@@ -43,7 +44,7 @@
         self,
         store: RelayedStore,
         known_map: Callable[[], MapUpdate | None],
-        known_entries: Callable[[], DirectoryUpdate | None],
+        known_entries: Callable[[Position | None], DirectoryUpdate | None],
         known_hosts: Callable[[], HostUpdate | None],
         known_origin: Callable[[str], StreamOrigin | None],
         known_versions: Callable[[], HostVersions | None],
@@ -69,6 +70,8 @@
             case None:
                 return Reply(404)
             case Ok(update):
+                if isinstance(update, DirectoryUpdate) and not arguments.takes_as_of:
+                    update = update[:-1]
                 body = msgspec.msgpack.encode(update)
                 return Reply(200, body, (("content-type", MESSAGE_TYPE),))
             case Err(error):
@@ -88,7 +91,7 @@
             case "read_map":
                 return await inner.read_map(arguments.position, 0.0)
             case "read_entries" if lost:
-                return _ok_or(self._known_entries(), unreachable)
+                return _ok_or(self._known_entries(arguments.position), unreachable)
             case "read_entries":
                 return await inner.read_entries(arguments.position)
             case "read_hosts" if lost:
--- a/mulberrycleat/entry/store.py
+++ b/mulberrycleat/entry/store.py
@@ -68,6 +68,8 @@
         Whether the store no longer has all changes since the requested offset.
     faults : tuple of str
         Descriptions of what could not be decoded.
+    as_of : Position or None
+        Position up to which another host's memory has all changes, None if that is not known.
     """
 
     next: Position | None
@@ -75,6 +77,7 @@
     changes: tuple[tuple[str, Entry | None], ...]
     lost: bool = False
     faults: tuple[str, ...] = ()
+    as_of: Position | None = None
 
 
 class RecordUpdate(NamedTuple):
--- a/mulberrycleat/platform/tests/test_remembered_entries.py
+++ b/mulberrycleat/platform/tests/test_remembered_entries.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import msgspec
 import trio
 
+from mulberrycleat.core import Position
+from mulberrycleat.entry.store import DirectoryUpdate
 from mulberrycleat.platform.standin import ServerStandin
-from mulberrycleat.platform.tests.fixtures import HostHarness, entry_hosts
+from mulberrycleat.platform.tests.fixtures import HostHarness, PeerClient, entry_hosts
 from mulberrycleat.testing import fixture
+from mulberrycleat.web.client import HttpAnswer
 
 # Time in which a host that reaches the store again has read it, in seconds.
 RETURN_S = 1.2
@@ -95,3 +101,37 @@
         await trio.sleep(6.0)
         assert await send_requests(first) == [200] * 16
     assert not left_server.seen
+
+
+@fixture
+def cut_off_answer(left_server):
+    """Return a function that asks a host that has lost the store for entries."""
+
+    async def ask(**arguments: Any) -> HttpAnswer:
+        async with entry_hosts(1, left_server) as (host,):
+            host.store.turned_away.add("a1")
+            await trio.sleep(2.0)
+            body = msgspec.msgpack.encode(arguments)
+            url = "http://a1:3/store/read_entries"
+            return (await PeerClient(host.apps).request("POST", url, body)).unwrap()
+
+    return ask
+
+
+async def test_a_build_that_can_not_decode_the_position_of_entries_gets_them_without_it(
+    cut_off_answer,
+):
+    answer = await cut_off_answer(position=None)
+    assert len(msgspec.msgpack.decode(answer.body)) == 5
+
+
+async def test_entries_are_remembered_with_the_position_up_to_which_they_were_read(cut_off_answer):
+    answer = await cut_off_answer(position=None, takes_as_of=True)
+    update = msgspec.msgpack.decode(answer.body, type=DirectoryUpdate)
+    assert update.as_of == Position(1, 1)
+    assert [name for name, _ in update.changes] == ["h1"]
+
+
+async def test_a_host_that_has_read_as_much_gets_no_entries(cut_off_answer):
+    answer = await cut_off_answer(position=Position(1, 1))
+    assert answer.status == 503
