Don't let a host cut off bring back an earlier start of another host in the roster

A roster from the memory of a host that was cut off before a third one started again put the third one's former incarnation in place of the present one.

Of what is remembered, an entry of a known host counts only if it is a later one of the incarnation that is known, and an incarnation that was read and has ended is not taken. Two tests of the coordinators fail on the former code (the argument left out) and pass now.

--- a/mulberrycleat/entry/coordinators.py
+++ b/mulberrycleat/entry/coordinators.py
@@ -139,7 +139,9 @@
         """Return the number of hosts that are active at `now`, in seconds on trio's clock."""
         return sum(1 for change in self._last_changes.values() if now - change.at < HOST_ACTIVE_S)
 
-    def update(self, entries: Mapping[str, HostEntry], now: float) -> bool:
+    def update(
+        self, entries: Mapping[str, HostEntry], now: float, may_be_older: bool = False
+    ) -> bool:
         """Apply newly read entries; return whether the set of active hosts has changed.
 
         Coordinators change only by this method, so they stay the same while the store can't be
@@ -151,8 +153,13 @@
             Entries by the host's name; hosts that are not in it keep their newest entry.
         now : float
             Time of the read, in seconds on trio's clock.
+        may_be_older : bool
+            Whether the entries may be older than those known. Another incarnation of a known host
+            may then be an earlier one, and is ignored.
         """
         for name, entry in entries.items():
+            if may_be_older and self._is_of_another_start(name, entry):
+                continue
             self._hosts[entry.incarnation] = name
             if len(self._hosts) > MAX_INCARNATIONS:
                 del self._hosts[next(iter(self._hosts))]
@@ -175,6 +182,13 @@
         self._collectors.clear()
         return True
 
+    def _is_of_another_start(self, name: str, entry: HostEntry) -> bool:
+        """Whether an entry is of another incarnation than the host's known or last known one."""
+        known = self._last_changes.get(name)
+        if known is None:
+            return entry.incarnation in self._hosts
+        return known.entry.incarnation != entry.incarnation
+
     def coordinators(self, shard: int) -> tuple[str, ...]:
         """Return the names of a shard's coordinator and its zone coordinator in this zone.
 
--- a/mulberrycleat/entry/roster.py
+++ b/mulberrycleat/entry/roster.py
@@ -147,13 +147,13 @@
         for fault in update.faults:
             self._decisions.warning("host entry unreadable", why=fault)
         entries = {entry.host: entry for entry in update.entries}
-        changed = self._map.update(entries, trio.current_time())
+        from_store = update.next is not None
+        changed = self._map.update(entries, trio.current_time(), may_be_older=not from_store)
         if changed:
             self._on_change()
             hosts, candidates = len(self._map.entries), len(self._map.candidates)
             self._decisions.info("hosts changed", hosts=hosts, candidates=candidates)
         # A roster from another host's memory may be outdated, and is read again soon.
-        from_store = update.next is not None
         if from_store:
             if self._position is not None and update.next.era > self._position.era:
                 # The store may have lost the announcement.
--- a/mulberrycleat/entry/tests/test_coordinators.py
+++ b/mulberrycleat/entry/tests/test_coordinators.py
@@ -119,3 +119,27 @@
     counts = Counter(shard_of(f"account-{number}") for number in range(800))
     assert set(counts) == set(range(SHARDS))
     assert max(counts.values()) < 2 * 800 / SHARDS
+
+
+def test_a_host_that_was_cut_off_does_not_bring_back_an_earlier_start_of_another_one():
+    first = HostEntry("z1-1", "1", 9, "z1", "z1-1:3")
+    second = HostEntry("z1-1", "2", 1, "z1", "z1-1:3")
+    found = CoordinatorMap("z1-0", "z1")
+    for number, entry in enumerate((first, second)):
+        found.update({"z1-1": entry}, float(number))
+    found.update({"z1-1": first}, 10.0, may_be_older=True)
+    assert found.entries == (second,)
+    assert not found.has_ended("2")
+    assert found.host_count(1.0 + HOST_ACTIVE_S) == 0
+
+
+def test_a_host_whose_last_start_has_ended_is_not_active_again_from_what_others_remember():
+    first = HostEntry("z1-1", "1", 9, "z1", "z1-1:3")
+    second = HostEntry("z1-1", "2", 1, "z1", "z1-1:3")
+    found = CoordinatorMap("z1-0", "z1")
+    for number, entry in enumerate(
+        (first, second, HostEntry("z1-1", "2", 2, "z1", "", ended=True))
+    ):
+        found.update({"z1-1": entry}, float(number))
+    found.update({"z1-1": first}, 3.0, may_be_older=True)
+    assert not found.entries
