Bound the use of a leaving endpoint by the begin of the read before, not by its end

A stream that only an endpoint of its version can go on with may be sent to one that leaves, for the time allowed after the last read that listed it as ready. That read counted from its end, so that a store that answers after seconds (its link, or its load) let such streams be sent seconds too long. Nobody has reported it.

The read now counts from its begin. The new test of the feed, with answers that take 1.5 s, fails on the former code.

--- a/mulberrycleat/endpoint/directory.py
+++ b/mulberrycleat/endpoint/directory.py
@@ -151,9 +151,9 @@
         for entry_id in [known for known in self._entries if known not in found]:
             self.drop(entry_id, now)
 
-    def record_read(self, now: float) -> None:
-        """Note that all changes up to `now` have been applied."""
-        self._read_at = now
+    def record_read(self, began_at: float) -> None:
+        """Note that all changes up to the begin of a read have been applied."""
+        self._read_at = began_at
 
     def store_reconnected(self, now: float) -> None:
         """Start the grace period: the store is reachable again, or has lost its history."""
--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -329,7 +329,7 @@
         began_at = trio.current_time()
         match await self._store.read_entries(self._position):
             case Ok(update):
-                self._apply(update)
+                self._apply(update, began_at)
                 if update.next is None:
                     return False
                 self._store_read_at = began_at
@@ -340,8 +340,8 @@
                 self._failing = True
                 return False
 
-    def _apply(self, update: DirectoryUpdate) -> None:
-        """Apply changes, or replace all entries by a snapshot.
+    def _apply(self, update: DirectoryUpdate, began_at: float) -> None:
+        """Apply changes of a read that began at a time, or replace all entries by a snapshot.
 
         What another host remembers is applied only if it has read more of the store's log.
         """
@@ -371,7 +371,7 @@
         self._directory.settle(now)
         self._read = True
         if from_store:
-            self._directory.record_read(now)
+            self._directory.record_read(began_at)
             self._read_at, self._failing = now, False
         # After an unexpected error above, the update is read once more.
         if position is not None:
--- a/mulberrycleat/entry/tests/test_feeds.py
+++ b/mulberrycleat/entry/tests/test_feeds.py
@@ -1,4 +1,4 @@
-"""How often feeds read while reads do not wait at the store."""
+"""Feeds: how often they read, and as of when what they have read holds."""
 
 from __future__ import annotations
 
@@ -6,10 +6,11 @@
 from result import Ok
 
 from mulberrycleat.core import Position
+from mulberrycleat.endpoint.directory import Directory, Entry, EntryState
 from mulberrycleat.entry.decisions import DecisionLog
-from mulberrycleat.entry.feeds import MapFeed
+from mulberrycleat.entry.feeds import DirectoryFeed, MapFeed
 from mulberrycleat.entry.settings import EntryTimes, FleetRequirements
-from mulberrycleat.entry.store import MapUpdate
+from mulberrycleat.entry.store import DirectoryUpdate, MapUpdate
 from mulberrycleat.routes import RouteMap
 from mulberrycleat.testing import fixture
 
@@ -55,3 +56,30 @@
         await trio.sleep(0.5)
         assert feed.table.version == 8
         nursery.cancel_scope.cancel()
+
+
+class SlowStore:
+    """Answers reads of entries as of their begin, after a time; the endpoint leaves meanwhile."""
+
+    def __init__(self, answer_s: float) -> None:
+        self.reads = 0
+        self._answer_s = answer_s
+
+    async def read_entries(self, position):
+        """Return the endpoint as ready first, and as leaving then."""
+        self.reads += 1
+        state = EntryState.READY if self.reads == 1 else EntryState.LEAVING
+        entry = Entry("e1", "huts", "10.0.0.1:80", "a", state)
+        await trio.sleep(self._answer_s)
+        return Ok(DirectoryUpdate(Position(0, self.reads), False, (("e1", entry),)))
+
+
+async def test_an_endpoint_that_leaves_is_not_used_for_longer_because_the_store_answers_slowly():
+    store, directory = SlowStore(answer_s=1.5), Directory()
+    decisions = DecisionLog(trio.current_time)
+    feed = DirectoryFeed(store, directory, TIMES, FleetRequirements, decisions, lambda: None)
+    began_at = trio.current_time()
+    assert await feed.refresh() and await feed.refresh()
+    assert store.reads == 2
+    assert not directory.leaving("huts", began_at + 2.0, limit_s=2.0)
+    assert directory.leaving("huts", began_at + 1.9, limit_s=2.0)
