Test that entries which the store lacks are not passed on while they are kept

A host that has read a part of the log gets none from a host that still waits for entries, and one without any gets the others.

--- a/mulberrycleat/platform/tests/test_remembered_entries.py
+++ b/mulberrycleat/platform/tests/test_remembered_entries.py
@@ -135,3 +135,21 @@
 async def test_a_host_that_has_read_as_much_gets_no_entries(cut_off_answer):
     answer = await cut_off_answer(position=Position(1, 1))
     assert answer.status == 503
+
+
+async def test_entries_that_the_store_lacks_are_not_passed_on_while_they_are_kept(
+    left_server, sound_server
+):
+    async with entry_hosts(1, left_server, sound_server) as (host,):
+        host.store.turned_away.add("a1")
+        await trio.sleep(1.0)
+        host.store.put_endpoint("h1", None)
+        host.store.turned_away.clear()
+        await trio.sleep(RETURN_S)
+        host.store.turned_away.add("a1")
+        await trio.sleep(0.5)
+        client, url = PeerClient(host.apps), "http://a1:3/store/read_entries"
+        running = msgspec.msgpack.encode({"position": Position(1, 1)})
+        assert (await client.request("POST", url, running)).unwrap().status == 503
+        answer = (await client.request("POST", url, msgspec.msgpack.encode({}))).unwrap()
+        assert [name for name, _ in msgspec.msgpack.decode(answer.body)[2]] == ["h2"]
