Don't believe a single older entry of an endpoint ten seconds after a newer one

An entry of lower number than the known one is ignored for ten seconds, as the store may execute a write late, and was taken after that, as the newest known one may be another writer's with a high number.

After ten seconds, older entries are taken only from an endpoint that goes on writing them: the second one that follows another of the same start. The existing test of another writer's high number holds. The new one, a single older entry after 10.1 s and once more later, of a leaving endpoint and of one that is gone, fails on the former code.

--- a/mulberrycleat/endpoint/directory.py
+++ b/mulberrycleat/endpoint/directory.py
@@ -19,7 +19,8 @@
 # are old, which may still list it.
 DEPARTED_TTL_S = 60.0
 # The store may execute a write seconds after the endpoint's later ones. For this time after an
-# entry, in seconds, older ones are ignored; after it, the newest one known may be another writer's.
+# entry, in seconds, older ones are ignored; after it, the newest one known may be another writer's,
+# if the endpoint itself goes on writing older ones.
 MAX_WRITE_DELAY_S = 10.0
 
 
@@ -94,6 +95,8 @@
         self._missing_until: dict[str, float] = {}
         self._departed: dict[str, _Departure] = {}
         self._put_at: dict[str, float] = {}
+        # Older entries that were ignored after the time in which any are, by incarnation.
+        self._ignored: dict[str, Entry] = {}
         self._grace_until = 0.0
         self._read_at = float("-inf")
         self._ready_until: dict[str, float] = {}
@@ -128,6 +131,7 @@
         self._put_at[entry.id] = now
         self._missing_until.pop(entry.id, None)
         self._departed.pop(entry.incarnation, None)
+        self._ignored.pop(entry.incarnation, None)
 
     def drop(self, entry_id: str, now: float) -> None:
         """Remove an entry that is no longer in the store; keep it in the grace period."""
@@ -192,12 +196,20 @@
     def _is_late(self, entry: Entry, now: float) -> bool:
         """Whether an entry was written before one that is known, of its endpoint or its start."""
         known = self._entries.get(entry.id)
-        if known is not None and now < self._put_at[entry.id] + MAX_WRITE_DELAY_S:
-            return (entry.born, entry.sequence) < (known.born, known.sequence)
         departed = self._departed.get(entry.incarnation)
-        if departed is not None and now < departed.at + MAX_WRITE_DELAY_S:
-            return entry.sequence < departed.sequence
-        return False
+        if known is not None and (entry.born, entry.sequence) < (known.born, known.sequence):
+            newer_at = self._put_at[entry.id]
+        elif known is None and departed is not None and entry.sequence < departed.sequence:
+            newer_at = departed.at
+        else:
+            return False
+        return now < newer_at + MAX_WRITE_DELAY_S or not self._goes_on(entry)
+
+    def _goes_on(self, entry: Entry) -> bool:
+        """Whether an older entry follows another one, so that its endpoint goes on writing them."""
+        before = self._ignored.get(entry.incarnation)
+        self._ignored[entry.incarnation] = entry
+        return before is not None and before.sequence < entry.sequence
 
     def _is_outdated(self, entry: Entry, now: float) -> bool:
         """Whether an endpoint is known to be leaving or to have left, unlike its entry states."""
@@ -219,3 +231,5 @@
                 if now < departed.at + DEPARTED_TTL_S
             }
             self._departed[entry.incarnation] = _Departure(now, entry.sequence)
+            remembered = self._departed.keys() | {e.incarnation for e in self._entries.values()}
+            self._ignored = {n: e for n, e in self._ignored.items() if n in remembered}
--- a/mulberrycleat/endpoint/tests/test_directory.py
+++ b/mulberrycleat/endpoint/tests/test_directory.py
@@ -113,3 +113,15 @@
     for second in range(20):
         directory.put(replace(entry("e1"), born=5, sequence=second), float(second))
     assert ready(directory, 20.0) == ["e1"]
+
+
+def test_a_single_older_entry_does_not_bring_back_an_endpoint_that_left_long_ago():
+    ready = [replace(entry(name), born=5, sequence=5) for name in ("e1", "e2")]
+    directory = Directory()
+    for found in ready:
+        directory.put(replace(found, state=EntryState.LEAVING, sequence=6), 0.0)
+    directory.drop("e2", 0.5)
+    for second in (9.9, 10.1, 10.6, 30.0):
+        for found in ready:
+            directory.put(found, second)
+    assert not directory.ready("bookings", 30.0)
