--- a/mulberrycleat/platform/tests/test_directory_histories.py
+++ b/mulberrycleat/platform/tests/test_directory_histories.py
@@ -14,7 +14,8 @@
 from mulberrycleat.platform.store_standin import StoreStandin
 from mulberrycleat.platform.tests.fixtures import HostHarness, PeerApps, PeerClient, entry_hosts
 
-SEEDS = range(20)
+# Seeds of histories without and with hosts that are killed and start again.
+SEEDS, RESTART_SEEDS = range(20), range(20, 30)
 HOSTS = ("a1", "a2", "a3", "a4")
 ENTRIES = "keyed.servers"
 QUERY = msgspec.json.encode(PlacementQuery("a.example", "/find/x"))
@@ -56,6 +57,7 @@
     store: StoreStandin
     apps: PeerApps
     servers: dict[str, ServerStandin]
+    restarts: bool
     left_at: dict[str, float] = field(default_factory=dict)
     listed_at: dict[str, float] = field(default_factory=dict)
     silent: set[str] = field(default_factory=set)
@@ -101,14 +103,21 @@
         self.silent.add(endpoint)
         self.store.put_endpoint(endpoint, None)
 
-    async def cut_hosts(self) -> None:
-        """Put hosts out of reach of the store, and of other hosts, by turns; drop records."""
+    async def cut_hosts(self, harnesses: list[HostHarness]) -> None:
+        """Put hosts out of reach of the store, and of other hosts, by turns.
+
+        At times, the store drops records, or a host is killed and starts again, if any do.
+        """
         while True:
             self.store.turned_away = {h for h in HOSTS if self.random.random() < 0.5}
             self.apps.cut_off.clear()
             self.apps.cut_off.update(h for h in HOSTS if self.random.random() < 0.2)
             if self.random.random() < 0.15:
                 self._drop_records()
+            if self.restarts and self.random.random() < 0.15:
+                number = self.random.randrange(len(HOSTS))
+                harnesses[number] = harnesses[number].restart(HOSTS[number])
+                self.troubled_at[HOSTS[number]] = trio.current_time()
             cut = self._cut
             await trio.sleep(self.random.uniform(0.3, CHANGE_S))
             self.troubled_at |= dict.fromkeys(cut, trio.current_time())
@@ -157,14 +166,15 @@
     async with entry_hosts(len(HOSTS), *servers) as harnesses:
         first = harnesses[0]
         by_id = {server.id: server for server in servers}
-        history = History(Random(seed), first.store, first.apps, by_id)
+        restarts = seed in RESTART_SEEDS
+        history = History(Random(seed), first.store, first.apps, by_id, restarts)
         async with trio.open_nursery() as nursery:
             for server in servers:
                 nursery.start_soon(history.send_heartbeats, server)
             nursery.start_soon(history.check_hosts)
             with trio.move_on_after(TROUBLE_S):
                 async with trio.open_nursery() as trouble:
-                    trouble.start_soon(history.cut_hosts)
+                    trouble.start_soon(history.cut_hosts, harnesses)
                     trouble.start_soon(history.replace_endpoints, nursery, first)
             history.end_trouble()
             await trio.sleep(CALM_S)
@@ -175,3 +185,8 @@
 async def test_hosts_in_touch_use_the_endpoints_that_the_store_lists_after_any_cuts():
     faults = {seed: found for seed in SEEDS if (found := await play(seed))}
     assert not faults, {seed: found[:3] for seed, found in faults.items()}
+
+
+async def test_hosts_that_start_in_a_cut_use_the_endpoints_that_the_store_lists_after_it():
+    faults = {seed: found for seed in RESTART_SEEDS if (found := await play(seed))}
+    assert not faults, {seed: found[:3] for seed, found in faults.items()}
