--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -302,9 +302,10 @@
         None before the first read, and for a host that has read the store's log up to `beyond` if
         it knows as much, or if this host still waits for entries that the store lacks.
         """
-        missing = self._directory.missing
         if not self._read:
             return None
+        self._directory.settle(trio.current_time())
+        missing = self._directory.missing
         if beyond is not None and (missing or not _is_further(self._position, beyond)):
             return None
         listed = tuple(item for item in self._directory.entries.items() if item[0] not in missing)
--- a/mulberrycleat/platform/tests/test_remembered_entries.py
+++ b/mulberrycleat/platform/tests/test_remembered_entries.py
@@ -153,3 +153,21 @@
         assert (await client.request("POST", url, running)).unwrap().status == 503
         answer = (await client.request("POST", url, msgspec.msgpack.encode({}))).unwrap()
         assert [name for name, _ in msgspec.msgpack.decode(answer.body)[2]] == ["h2"]
+
+
+async def test_a_host_without_requests_passes_entries_on_once_it_has_given_up_those_it_waited_for(
+    left_server, sound_server
+):
+    async with entry_hosts(1, left_server, sound_server) as (host,):
+        host.store.turned_away.add("a1")
+        await trio.sleep(1.0)
+        host.store.put_endpoint("h1", None)
+        host.store.turned_away.clear()
+        await trio.sleep(RETURN_S)
+        host.store.turned_away.add("a1")
+        await trio.sleep(4.0)
+        body = msgspec.msgpack.encode({"position": Position(1, 1)})
+        url = "http://a1:3/store/read_entries"
+        answer = (await PeerClient(host.apps).request("POST", url, body)).unwrap()
+        assert answer.status == 200
+        assert [name for name, _ in msgspec.msgpack.decode(answer.body)[2]] == ["h2"]
