Log how old the route map may be that a request is handled by, and how long reads of it take

The logs named a request's version of the route map, not for how long the store may have had a newer one, and nothing of a read but its failure. Ends of requests have map_age_s now; 'route map taken' has the read's time, the former map's age and the source; 'route map not read' has the time. The filters get the feed itself in place of three callables.

--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -314,8 +314,8 @@
         self._load = LoopLoad()
         self._chain = FilterChain(
             (
-                RouteFilter(lambda: self._maps.table, random, lambda: self._maps.is_current),
-                AccountFilter(lambda: self._maps.is_current),
+                RouteFilter(self._maps, random),
+                AccountFilter(self._maps),
                 DeadlineFilter(),
                 ShutdownFilter(self._shutdown),
                 CrashingPartFilter(self._reports),
--- a/mulberrycleat/entry/call.py
+++ b/mulberrycleat/entry/call.py
@@ -44,9 +44,10 @@
         Value of :attr:`EntryCall.suspects` once it was used.
     tokens_used : int
         Tokens charged to the prepaid total for the request.
-    route, account, map_version, deadline
+    route, account, map_version, map_age_s, deadline
         Values set by the filters, for the log line at the end of the request; the deadline is in
-        seconds on trio's clock.
+        seconds on trio's clock, `map_age_s` the longest time, in seconds, for which operators had
+        a newer map when the route was looked up.
     """
 
     sends: int = 0
@@ -63,6 +64,7 @@
     route: str = ""
     account: str = ""
     map_version: int = -1
+    map_age_s: float = math.inf
     deadline: float = math.inf
 
     @property
--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable, Sequence
 
 import trio
@@ -93,6 +94,11 @@
         """Time of the last successful read, in seconds on trio's clock; -inf before the first."""
         return self._read_at
 
+    @property
+    def age_s(self) -> float:
+        """Longest time for which the store may have had a newer map, in seconds; inf before one."""
+        return trio.current_time() - self._confirmed_at
+
     @property
     def is_current(self) -> bool:
         """Whether a map that this host lacks could only be newer than the time it may take.
@@ -100,7 +106,7 @@
         A host that is cut off from the store, or short of processor time, knows later than the
         bound what has been added.
         """
-        return trio.current_time() - self._confirmed_at <= self._bounds().config_apply_s
+        return self.age_s <= self._bounds().config_apply_s
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -136,7 +142,7 @@
                 wait_s = 0.0
             match await self._store.read_map(self._position, wait_s):
                 case Ok(update):
-                    self._apply(update)
+                    self._apply(update, began)
                     if update.next is not None:
                         self._note_confirmed(began, wait_s, update.route_map is not None)
                     await self._recall_map()
@@ -150,8 +156,11 @@
                     elif update.next is None:
                         await self._pause(self._times.outage_retry_interval_s)
                 case Err(error):
-                    age_s = round(trio.current_time() - self._read_at, 3)
-                    self._decisions.info("route map not read", why=str(error), age_s=age_s)
+                    age_s = round(self.age_s, 3) if math.isfinite(self.age_s) else None
+                    took_s = round(trio.current_time() - began, 3)
+                    self._decisions.info(
+                        "route map not read", why=str(error), age_s=age_s, took_s=took_s
+                    )
                     await self._pause(self._times.outage_retry_interval_s)
 
     def _note_confirmed(self, began: float, wait_s: float, found: bool) -> None:
@@ -167,17 +176,22 @@
             confirmed_at = began + wait_s if now >= began + wait_s else began
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
-    def _apply(self, update: MapUpdate) -> None:
-        """Make a newer route map the active one."""
+    def _apply(self, update: MapUpdate, began: float) -> None:
+        """Make a newer route map the active one; the read of the update began at `began`."""
         self._read_at = trio.current_time()
         for fault in update.faults:
             self._decisions.warning("route map unreadable", why=fault, kept=self._version)
         if update.route_map is not None and update.route_map.version > self._version:
-            table = RouteTable(update.route_map)
+            table, age_s = RouteTable(update.route_map), self.age_s
             self._on_change(table)
             self._table = table
             self._decisions.warning(
-                "route map taken", version=table.version, routes=len(update.route_map.routes)
+                "route map taken",
+                version=table.version,
+                routes=len(update.route_map.routes),
+                source="store" if update.next is not None else "other hosts",
+                took_s=round(self._read_at - began, 3),
+                former_age_s=round(age_s, 3) if math.isfinite(age_s) else None,
             )
         self._apply_evacuations(update)
         # After an unexpected error above, the update is read once more.
@@ -193,9 +207,10 @@
         if not self._recalls_left:
             return
         self._recalls_left -= 1
+        began = trio.current_time()
         recalled = await self._recall() if self._recall is not None else None
         if recalled is not None:
-            self._apply(recalled)
+            self._apply(recalled, began)
 
     def _apply_evacuations(self, update: MapUpdate) -> None:
         """Bring orders to evacuate zones into force, or end them."""
--- a/mulberrycleat/entry/filters/admit.py
+++ b/mulberrycleat/entry/filters/admit.py
@@ -11,7 +11,8 @@
 
 from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
 from mulberrycleat.entry.call import EntryCall
-from mulberrycleat.routes import PoolShare, RouteTable
+from mulberrycleat.entry.feeds import MapFeed
+from mulberrycleat.routes import PoolShare
 
 __all__ = ["AccountFilter", "DeadlineFilter", "RouteFilter"]
 
@@ -32,23 +33,15 @@
 
     Parameters
     ----------
-    table : callable
-        Returns the active route table, None before a route map has been read.
+    maps : MapFeed
+        The active route map, and how old it may be.
     random : Random
         Random source for the choice among a route's pools.
-    is_current : callable
-        Whether the map is known to be the newest one, but for changes that may still be under way.
     """
 
-    def __init__(
-        self,
-        table: Callable[[], RouteTable | None],
-        random: Random,
-        is_current: Callable[[], bool],
-    ) -> None:
-        self._table = table
+    def __init__(self, maps: MapFeed, random: Random) -> None:
+        self._maps = maps
         self._random = random
-        self._is_current = is_current
 
     async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
         """Refuse unreadable requests with 400, and requests that match no route with 404.
@@ -60,14 +53,14 @@
             return Err(NotRun(Step.ADMIT, "", call.facts.fault, 400, None, "bad_request"))
         if not call.facts.request_id:
             return Err(NotRun(Step.ADMIT, "", "no request id", 400, None, "bad_request"))
-        table = self._table()
+        table = self._maps.table
         if table is None:
             reason = "no route map has been read yet"
             return Err(NotRun(Step.ADMIT, "", reason, 503, NO_MAP_RETRY_AFTER_S, "no_route_map"))
-        call.progress.map_version = table.version
+        call.progress.map_version, call.progress.map_age_s = table.version, self._maps.age_s
         route = table.find_route(call.host, call.path)
         if route is None or not route.pools:
-            return Err(_unknown("no such route", 404, "unknown_route", self._is_current()))
+            return Err(_unknown("no such route", 404, "unknown_route", self._maps.is_current))
         call.progress.route = route.name
         pool = table.pool(self._choose_pool(route.pools))
         if pool is None:
@@ -86,12 +79,12 @@
 
     Parameters
     ----------
-    is_current : callable
-        Whether the map is known to be the newest one, but for changes that may still be under way.
+    maps : MapFeed
+        How old the active route map may be.
     """
 
-    def __init__(self, is_current: Callable[[], bool]) -> None:
-        self._is_current = is_current
+    def __init__(self, maps: MapFeed) -> None:
+        self._maps = maps
 
     async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
         """Refuse a request without a known key with 401, or 503 if the map may be outdated.
@@ -105,7 +98,7 @@
             return Err(NotRun(Step.AUTHENTICATE, "", "no key", 401, None, "unauthorized"))
         if account is None:
             reason = "the key is not known"
-            return Err(_unknown(reason, 401, "unauthorized", self._is_current()))
+            return Err(_unknown(reason, 401, "unauthorized", self._maps.is_current))
         call.progress.account = account.name
         return await proceed(replace(call, account=account))
 
--- a/mulberrycleat/entry/frontend.py
+++ b/mulberrycleat/entry/frontend.py
@@ -266,6 +266,8 @@
             "tokens_used": progress.tokens_used,
             "took_s": round(now - call.arrived, 4),
         }
+        if math.isfinite(progress.map_age_s):
+            fields["map_age_s"] = round(progress.map_age_s, 3)
         if math.isfinite(progress.deadline):
             fields["left_s"] = round(progress.deadline - now, 3)
         match outcome:
