--- a/mulberrycleat/entry/tests/test_feeds.py
+++ b/mulberrycleat/entry/tests/test_feeds.py
@@ -83,3 +83,22 @@
     assert store.reads == 2
     assert not directory.leaving("huts", began_at + 2.0, limit_s=2.0)
     assert directory.leaving("huts", began_at + 1.9, limit_s=2.0)
+
+
+class LateStore(RelayingStore):
+    """Answers reads of route maps as of their begin, long after it, and without waiting for one."""
+
+    async def read_map(self, position, wait_s):
+        """Return the newest route map, or none if it has been read before."""
+        update = await super().read_map(position, wait_s)
+        await trio.sleep(wait_s + 0.1)
+        return update
+
+
+async def test_the_age_of_a_route_map_counts_from_the_begin_of_a_read_that_did_not_wait():
+    decisions = DecisionLog(trio.current_time)
+    feed = MapFeed(LateStore(), TIMES, FleetRequirements, decisions, lambda table: None)
+    requirements = FleetRequirements()
+    with trio.move_on_after(10.0):
+        await feed.run()
+    assert feed.age_s >= requirements.map_wait_s
--- a/mulberrycleat/platform/store_standin.py
+++ b/mulberrycleat/platform/store_standin.py
@@ -24,6 +24,8 @@
 STORE_LATENCY_S = 0.004
 # Most records, and bytes, of a page of the newest records.
 PAGE_RECORDS, PAGE_BYTES = 500, 1_000_000
+# Bytes of a read before its records.
+READ_HEAD_BYTES = 16
 # Parameters of the calls.
 PARAMETERS = {
     "/log-append": {"topic", "part", "at"},
@@ -169,7 +171,7 @@
             case "POST", "/log-append":
                 return self._append(topic, query, body)
             case "GET", "/log-read":
-                return self._read(topic, int(query["from"]))
+                return self._read(topic, int(query["from"]), int(query["max_kb"]) * 1024)
             case "GET", "/log-newest":
                 return 200, self._newest_page(topic, query.get("after"))
         return 404, b""
@@ -206,7 +208,8 @@
             return None
         return 200, msgspec.json.encode({"offset": end, "end": self.end(topic)})
 
-    def _read(self, topic: str, offset: int) -> tuple[int, bytes]:
+    def _read(self, topic: str, offset: int, max_bytes: int) -> tuple[int, bytes]:
+        """Return the records from an offset on, as many as fit, but at least one."""
         first = self._first_offsets.get(topic, 0)
         if not first <= offset <= self.end(topic):
             return 410, msgspec.json.encode({"first": first})
@@ -214,6 +217,8 @@
         for record in self._topics.get(topic, [])[offset - first :]:
             key = _key_bytes(record.key)
             payload = bytes([len(key)]) + key + record.value
+            if len(data) > READ_HEAD_BYTES and len(data) + len(payload) > max_bytes:
+                break
             data += struct.pack(">I", len(payload)) + payload
         return 200, data
 
@@ -251,8 +256,8 @@
         if answer is None or query["topic"][0] in self._store.silent_topics:
             await trio.sleep(timeout_s)
             raise httpcore.ReadTimeout("the answer is lost")
-        # A body of 16 bytes has no records. The read then waits for one, and runs once more.
-        if wait_s and len(answer[1]) == 16:
+        # A read without any records waits for one, and runs once more.
+        if wait_s and len(answer[1]) == READ_HEAD_BYTES:
             with trio.move_on_after(wait_s):
                 await self._store.wait_for_append(query["topic"][0])
             answer = self._store.answer(method, url, body)
