Count the age of a route map from when the store was asked, not from when an answer had arrived

A read now tells of its begin, or, if it has waited at the store itself, of the moment when the answer's head came; after a new map, the next read doesn't wait.

--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 
 import trio
 from result import Err, Ok
@@ -22,9 +23,9 @@
 # Reads after the start, and after the store was restored from an older copy, with which the other
 # hosts are asked for the route map that they know; several, as not all hosts are known at once.
 RECALLS = 3
-# Time for an answer of the store to arrive and to be read by a busy host, as a share of the time in
-# which a new route map has to be in force. With the longest wait of the next read, three quarters,
-# the state of the map stays known.
+# Time for the head of an answer of the store to arrive and to be read by a busy host, as a share of
+# the time in which a new route map has to be in force. With the longest wait of a read, three
+# quarters, the state of the map stays known.
 ARRIVAL_SHARE = 0.1
 
 
@@ -83,6 +84,9 @@
         self._table: RouteTable | None = None
         self._read_at = float("-inf")
         self._confirmed_at = float("-inf")
+        self._answered_at = float("-inf")
+        self._failed_at = float("-inf")
+        self._found = False
 
     @property
     def table(self) -> RouteTable | None:
@@ -137,14 +141,12 @@
         """Read new route maps until cancelled."""
         while True:
             began = trio.current_time()
-            wait_s = self._bounds().map_wait_s if self._table is not None else 0.0
-            if self._recalls_left:
-                wait_s = 0.0
-            match await self._store.read_map(self._position, wait_s):
+            wait_s = self._wait_s()
+            note_answer = partial(self._note_answer, began, wait_s)
+            match await self._store.read_map(self._position, wait_s, note_answer):
                 case Ok(update):
                     self._apply(update, began)
-                    if update.next is not None:
-                        self._note_confirmed(began, wait_s, update.route_map is not None)
+                    self._note_read(update, began, wait_s)
                     await self._recall_map()
                     # A read through another host does not wait for a new map.
                     unwaited = update.route_map is None and (
@@ -156,24 +158,46 @@
                     elif update.next is None:
                         await self._pause(self._times.outage_retry_interval_s)
                 case Err(error):
+                    self._failed_at = trio.current_time()
                     age_s = round(self.age_s, 3) if math.isfinite(self.age_s) else None
-                    took_s = round(trio.current_time() - began, 3)
+                    took_s = round(self._failed_at - began, 3)
                     self._decisions.info(
                         "route map not read", why=str(error), age_s=age_s, took_s=took_s
                     )
                     await self._pause(self._times.outage_retry_interval_s)
 
-    def _note_confirmed(self, began: float, wait_s: float, found: bool) -> None:
-        """Note as of when the store has told of all route maps.
+    def _wait_s(self) -> float:
+        """Return the time for which the next read waits at the store for a new map, in seconds.
 
-        A read that waited in vain tells of the end of its waiting time, one that found a map of the
-        moment of the answer, and any other one of its beginning.
+        After a new map, the next read doesn't wait: another one may have been written while that
+        one was arriving.
         """
-        now = trio.current_time()
-        if found:
-            confirmed_at = max(began, now - ARRIVAL_SHARE * self._bounds().config_apply_s)
-        else:
-            confirmed_at = began + wait_s if now >= began + wait_s else began
+        if self._table is None or self._recalls_left or self._found:
+            return 0.0
+        return self._bounds().map_wait_s
+
+    def _note_answer(self, began: float, wait_s: float) -> None:
+        """Note that an answer of the store begins to arrive, to a read that began at `began`.
+
+        One that has come later than at once has waited for a new map; there was none until then.
+        """
+        now = self._answered_at = trio.current_time()
+        arrival_s = ARRIVAL_SHARE * self._bounds().config_apply_s
+        if wait_s and now - began > arrival_s:
+            self._confirmed_at = max(self._confirmed_at, now - arrival_s)
+
+    def _note_read(self, update: MapUpdate, began: float, wait_s: float) -> None:
+        """Note as of when an update tells of all route maps.
+
+        One that has waited in vain tells of the end of its waiting time, any other one of its
+        begin, as further maps may have been written while it was arriving.
+        """
+        self._found = update.route_map is not None
+        if update.next is None:
+            self._failed_at = trio.current_time()
+            return
+        has_waited = not self._found and self._answered_at >= began + wait_s
+        confirmed_at = began + wait_s if has_waited else began
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
     def _apply(self, update: MapUpdate, began: float) -> None:
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -177,7 +177,10 @@
                 self._has_prober = False
 
     async def read_map(
-        self, position: Position | None, wait_s: float
+        self,
+        position: Position | None,
+        wait_s: float,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> Result[MapUpdate, PeerError]:
         """Return the newest route map since `position`.
 
@@ -186,7 +189,10 @@
         arguments = CallArguments(position)
         wait_s = 0.0 if self.lost else wait_s
         return await self._call(
-            lambda: self._inner.read_map(position, wait_s), "read_map", arguments, MapUpdate
+            lambda: self._inner.read_map(position, wait_s, on_answer),
+            "read_map",
+            arguments,
+            MapUpdate,
         )
 
     async def recall_map(self) -> MapUpdate | None:
--- a/mulberrycleat/entry/store.py
+++ b/mulberrycleat/entry/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from result import Result
@@ -192,9 +193,16 @@
         ...
 
     async def read_map(
-        self, position: Position | None, wait_s: float
+        self,
+        position: Position | None,
+        wait_s: float,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> Result[MapUpdate, PeerError]:
-        """Return the newest route map since `position`, waiting up to `wait_s` seconds for one."""
+        """Return the newest route map since `position`, waiting up to `wait_s` seconds for one.
+
+        `on_answer` is called when an answer of the store itself, not through another host, begins
+        to arrive.
+        """
         ...
 
     async def read_entries(self, position: Position | None) -> Result[DirectoryUpdate, PeerError]:
--- a/mulberrycleat/entry/tests/test_feeds.py
+++ b/mulberrycleat/entry/tests/test_feeds.py
@@ -25,7 +25,7 @@
         self.reads = 0
         self.newest = RouteMap(7)
 
-    async def read_map(self, position, wait_s):
+    async def read_map(self, position, wait_s, on_answer):
         """Return the newest route map, or none if it has been read before."""
         self.reads += 1
         await trio.sleep(CALL_S)
@@ -88,9 +88,9 @@
 class LateStore(RelayingStore):
     """Answers reads of route maps as of their begin, long after it, and without waiting for one."""
 
-    async def read_map(self, position, wait_s):
+    async def read_map(self, position, wait_s, on_answer):
         """Return the newest route map, or none if it has been read before."""
-        update = await super().read_map(position, wait_s)
+        update = await super().read_map(position, wait_s, on_answer)
         await trio.sleep(wait_s + 0.1)
         return update
 
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -202,10 +202,13 @@
         return any(arrival.body for arrival in self._arrivals)
 
     async def read_map(
-        self, position: Position | None, wait_s: float
+        self,
+        position: Position | None,
+        wait_s: float,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> Result[MapUpdate, PeerError]:
         """Return the newest route map since `position`, waiting for up to `wait_s` seconds."""
-        match await self._read_latest(ROUTE_MAP_TOPIC, position, wait_s):
+        match await self._read_latest(ROUTE_MAP_TOPIC, position, wait_s, on_answer):
             case Err(error):
                 return Err(error)
             case Ok(changes):
@@ -373,14 +376,18 @@
         return Ok(AppendOutcome(True, Position(self._era, found.offset)))
 
     async def _read_latest(
-        self, topic: str, position: Position | None, wait_s: float
+        self,
+        topic: str,
+        position: Position | None,
+        wait_s: float,
+        on_answer: Callable[[], None],
     ) -> Result[_Changes, PeerError]:
         """Return the changes since `position` up to the end of the topic.
 
         They are a snapshot if there are many: on a slow link, reading the records that others have
         replaced takes longer than those may take that replace them.
         """
-        match await self._read_changes(topic, position, wait_s, MAX_PENDING_RECORDS):
+        match await self._read_changes(topic, position, wait_s, MAX_PENDING_RECORDS, on_answer):
             case Ok(changes) if not changes.at_end:
                 return await self._read_newest(topic)
             case outcome:
@@ -392,6 +399,7 @@
         position: Position | None,
         wait_s: float = 0.0,
         max_records: int | None = None,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> Result[_Changes, PeerError]:
         """Return the records since `position`, or a snapshot if `position` is None or not valid.
 
@@ -401,7 +409,7 @@
             return await self._read_newest(topic)
         if position.era == self._era:
             path = _read_path(topic, position.offset, wait_s)
-            match await self._read_from(topic, position, wait_s, max_records):
+            match await self._read_from(topic, position, wait_s, max_records, on_answer):
                 case Err(error):
                     return Err(error)
                 case Ok(answer) if answer.status == 200 and position.era == self._era:
@@ -413,7 +421,12 @@
         return (await self._read_newest(topic)).map(lambda found: found._replace(lost=True))
 
     async def _read_from(
-        self, topic: str, position: Position, wait_s: float, max_records: int | None = None
+        self,
+        topic: str,
+        position: Position,
+        wait_s: float,
+        max_records: int | None = None,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> Result[HttpAnswer, PeerError]:
         """Read the records since `position`, going on after those that a failed read has brought.
 
@@ -427,7 +440,7 @@
         # What was kept is not held back until there is more.
         wait_s = 0.0 if broken.count else wait_s
         path = _read_path(topic, start.offset, wait_s)
-        arrival = Arrival()
+        arrival = Arrival(on_head=on_answer)
 
         def is_enough(body: bytearray) -> bool:
             return _has_more_records(body, position, max_records)
--- a/mulberrycleat/web/client.py
+++ b/mulberrycleat/web/client.py
@@ -81,11 +81,15 @@
 
 @dataclass(slots=True, eq=False)
 class Arrival:
-    """What has arrived of a response so far; the status is 0 before its head is complete."""
+    """What has arrived of a response so far; the status is 0 before its head is complete.
+
+    `on_head` is called as soon as it is.
+    """
 
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
+    on_head: Callable[[], None] = lambda: None
 
 
 class _Stream(httpcore.AsyncNetworkStream):
@@ -251,6 +255,7 @@
                         reason = f"no answer within {head_timeout_s:g} s"
                         return Err(PeerError(step, _host(url), reason))
                     arrival.status, arrival.headers = answer.status, answer.headers
+                    arrival.on_head()
                     read = await _read_all(
                         answer.chunks,
                         arrival.body,
