Refuse requests as not run while a newer route map is due, also for routes that this one has

A host that reaches the store and can't tell that its map was the newest one config_apply_ms ago now refuses with 503 and Retry-After. One whose reads fail is served by the last map as before.

--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -27,6 +27,10 @@
 # the time in which a new route map has to be in force. With the longest wait of a read, three
 # quarters, the state of the map stays known.
 ARRIVAL_SHARE = 0.1
+# Time without a failed read from which a host counts as in reach of the store, as a share of
+# `contact_s`, the time that a host which was cut off has to learn what others know. It is longer
+# than a read that gets no answer takes, so that a host whose reads all fail is never in reach.
+REACH_SHARE = 0.85
 
 
 class MapFeed:
@@ -112,6 +116,15 @@
         """
         return self.age_s <= self._bounds().config_apply_s
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a newer map is due that this host, though in reach of the store, may lack.
+
+        A host that can't read maps goes on with the one that it has.
+        """
+        reached_s = trio.current_time() - self._failed_at
+        return not self.is_current and reached_s >= REACH_SHARE * self._bounds().contact_s
+
     @property
     def evacuated(self) -> frozenset[str]:
         """The zones that operators have evacuated."""
--- a/mulberrycleat/entry/filters/admit.py
+++ b/mulberrycleat/entry/filters/admit.py
@@ -46,8 +46,8 @@
     async def handle(self, call: EntryCall, proceed: Proceed) -> Result[Served, Refusal]:
         """Refuse unreadable requests with 400, and requests that match no route with 404.
 
-        Refuse with 503 before a route map has been read, if the map lacks the route's pool, or if
-        it lacks the route and may be outdated.
+        Refuse with 503 before a route map has been read, if a newer one is due, if the map lacks
+        the route's pool, or if it lacks the route and may be outdated.
         """
         if call.facts.fault:
             return Err(NotRun(Step.ADMIT, "", call.facts.fault, 400, None, "bad_request"))
@@ -58,6 +58,10 @@
             reason = "no route map has been read yet"
             return Err(NotRun(Step.ADMIT, "", reason, 503, NO_MAP_RETRY_AFTER_S, "no_route_map"))
         call.progress.map_version, call.progress.map_age_s = table.version, self._maps.age_s
+        if self._maps.is_behind:
+            reason = "a newer route map is due"
+            code = "outdated_route_map"
+            return Err(NotRun(Step.ADMIT, "", reason, 503, OUTDATED_RETRY_AFTER_S, code))
         route = table.find_route(call.host, call.path)
         if route is None or not route.pools:
             return Err(_unknown("no such route", 404, "unknown_route", self._maps.is_current))
