Ask for the newest route map alone after a failed read, in place of breaking off a read of many

The store is asked for the newest map in the first place now, if several may have been missed: after a read that has failed or found several, and for another host that is further behind than this one.

--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -57,9 +57,9 @@
 ARRIVAL_TIMEOUT_S = 8.0
 # A read that has failed goes on after the records that it has brought, of at most this size.
 MAX_KEPT_BYTES = MAX_READ_KB * 1024
-# Route maps replace each other. From more records on than these, the newest one of each key is read
-# alone, which takes a third more bytes for each.
-MAX_PENDING_RECORDS = 2
+# Route maps replace each other. From more records on than this one, the newest one of each key is
+# read alone, which takes a third more bytes.
+MAX_PENDING_RECORDS = 1
 # Pages of a snapshot are kept for this time from the begin of the first one, in seconds: some pages
 # over a slow link. What they state of a key that has changed since holds until the next read.
 MAX_PAGES_AGE_S = 30.0
@@ -190,6 +190,10 @@
         self._broken_reads: dict[str, _BrokenRead] = {}
         self._pages: dict[str, _Pages] = {}
         self._arrivals: set[Arrival] = set()
+        # By topic whose records replace each other: the end that has been read, and the topics of
+        # which several records may have been written since then.
+        self._ends: dict[str, Position] = {}
+        self._pending: set[str] = set()
 
     @property
     def calls(self) -> int:
@@ -384,37 +388,52 @@
     ) -> Result[_Changes, PeerError]:
         """Return the changes since `position` up to the end of the topic.
 
-        They are a snapshot if there are many: on a slow link, reading the records that others have
-        replaced takes longer than those may take that replace them.
+        They are a snapshot if there may be many: on a slow link, reading records that others have
+        replaced would hold up those that have replaced them.
         """
-        match await self._read_changes(topic, position, wait_s, MAX_PENDING_RECORDS, on_answer):
-            case Ok(changes) if not changes.at_end:
-                return await self._read_newest(topic)
-            case outcome:
-                return outcome
+        if position is not None and not self._may_lack_many(topic, position):
+            outcome = await self._read_changes(topic, position, wait_s, on_answer)
+        else:
+            outcome = await self._read_newest(topic)
+        if isinstance(outcome, Ok) and not outcome.ok_value.at_end:
+            outcome = await self._read_newest(topic)
+        self._note_pending(topic, outcome)
+        return outcome
+
+    def _may_lack_many(self, topic: str, position: Position) -> bool:
+        """Whether several records may have been written to a topic since `position`."""
+        known = self._ends.get(topic, position)
+        return topic in self._pending or known > position.after(MAX_PENDING_RECORDS)
+
+    def _note_pending(self, topic: str, outcome: Result[_Changes, PeerError]) -> None:
+        """Note whether several records of a topic may be found by the next read.
+
+        They may if this one has failed, or if it has found several itself.
+        """
+        match outcome:
+            case Ok(changes) if changes.snapshot or len(changes.records) <= MAX_PENDING_RECORDS:
+                self._pending.discard(topic)
+                self._broken_reads.pop(topic, None)
+                self._ends[topic] = max(changes.next, self._ends.get(topic, changes.next))
+            case _:
+                self._pending.add(topic)
 
     async def _read_changes(
         self,
         topic: str,
         position: Position | None,
         wait_s: float = 0.0,
-        max_records: int | None = None,
         on_answer: Callable[[], None] = lambda: None,
     ) -> Result[_Changes, PeerError]:
-        """Return the records since `position`, or a snapshot if `position` is None or not valid.
-
-        None of the records are returned if the store has more than `max_records`.
-        """
+        """Return the records since `position`, or a snapshot if `position` is None or not valid."""
         if position is None:
             return await self._read_newest(topic)
         if position.era == self._era:
             path = _read_path(topic, position.offset, wait_s)
-            match await self._read_from(topic, position, wait_s, max_records, on_answer):
+            match await self._read_from(topic, position, wait_s, on_answer):
                 case Err(error):
                     return Err(error)
                 case Ok(answer) if answer.status == 200 and position.era == self._era:
-                    if _has_more_records(answer.body, position, max_records):
-                        return Ok(_Changes(position, False, (), at_end=False))
                     return self._decode_read(answer.body, position, path)
                 case Ok(answer) if answer.status != GONE and position.era == self._era:
                     return Err(self._status_error(answer, Step.READ, path))
@@ -425,13 +444,11 @@
         topic: str,
         position: Position,
         wait_s: float,
-        max_records: int | None = None,
         on_answer: Callable[[], None] = lambda: None,
     ) -> Result[HttpAnswer, PeerError]:
         """Read the records since `position`, going on after those that a failed read has brought.
 
-        The answer is that of one read from `position`. It ends before its end if the store has more
-        than `max_records`.
+        The answer is that of one read from `position`.
         """
         broken = self._broken_reads.get(topic)
         if broken is None or broken.position != position:
@@ -441,11 +458,7 @@
         wait_s = 0.0 if broken.count else wait_s
         path = _read_path(topic, start.offset, wait_s)
         arrival = Arrival(on_head=on_answer)
-
-        def is_enough(body: bytearray) -> bool:
-            return _has_more_records(body, position, max_records)
-
-        match await self._call("GET", path, b"", Step.READ, wait_s, arrival, is_enough):
+        match await self._call("GET", path, b"", Step.READ, wait_s, arrival):
             case Err(error):
                 stated = arrival.headers.get(ERA_HEADER, str(position.era))
                 if arrival.status == 200 and stated == str(position.era):
@@ -526,7 +539,6 @@
         step: Step,
         wait_s: float = 0.0,
         arrival: Arrival | None = None,
-        is_enough: Callable[[bytearray], bool] = lambda body: False,
     ) -> Result[HttpAnswer, PeerError]:
         self._calls += 1
         timeout_s = wait_s + self._timeout_s
@@ -544,7 +556,6 @@
                 head_timeout_s=timeout_s,
                 stall_timeout_s=self._timeout_s,
                 arrival=arrival,
-                is_enough=is_enough,
             )
         finally:
             self._arrivals.discard(arrival)
@@ -573,14 +584,6 @@
         return PeerError(step, self._url, f"{path}: status {answer.status}", sent=sent)
 
 
-def _has_more_records(data: bytes | bytearray, position: Position, count: int | None) -> bool:
-    """Whether a read, of which `data` has arrived, states more than `count` records."""
-    if count is None or len(data) < READ_HEAD_BYTES:
-        return False
-    (end,) = struct.unpack_from(">Q", data)
-    return end - position.offset > count
-
-
 def _read_path(topic: str, offset: int, wait_s: float) -> str:
     wait = {"wait_ms": int(wait_s * 1000)} if wait_s else {}
     return _path("/log-read", topic, **{"from": offset}, max_kb=MAX_READ_KB, **wait)
--- a/mulberrycleat/web/client.py
+++ b/mulberrycleat/web/client.py
@@ -217,7 +217,6 @@
         head_timeout_s: float = math.inf,
         stall_timeout_s: float = math.inf,
         arrival: Arrival | None = None,
-        is_enough: Callable[[bytearray], bool] = lambda body: False,
     ) -> Result[HttpAnswer, PeerError]:
         """Send a request and read the complete response.
 
@@ -239,9 +238,6 @@
             Longest time without any byte of the body, in seconds.
         arrival : Arrival, optional
             Is given the response as it arrives.
-        is_enough : callable, optional
-            Whether what has arrived of the body is enough; the rest is then not read, and the
-            connection is closed.
         """
         arrival = Arrival() if arrival is None else arrival
         try:
@@ -257,13 +253,7 @@
                     arrival.status, arrival.headers = answer.status, answer.headers
                     arrival.on_head()
                     read = await _read_all(
-                        answer.chunks,
-                        arrival.body,
-                        step,
-                        url,
-                        max_bytes,
-                        stall_timeout_s,
-                        is_enough,
+                        answer.chunks, arrival.body, step, url, max_bytes, stall_timeout_s
                     )
                     return read.map(lambda data: HttpAnswer(answer.status, answer.headers, data))
         except trio.TooSlowError:
@@ -386,12 +376,8 @@
     url: str,
     max_bytes: int,
     stall_timeout_s: float,
-    is_enough: Callable[[bytearray], bool],
 ) -> Result[bytes, PeerError]:
-    """Read the chunks into `data`, all of them or until it has enough.
-
-    It is one object, as small chunks would take more memory.
-    """
+    """Read all chunks into `data`, which is one object as small chunks would take more memory."""
     chunks = aiter(chunks)
     while True:
         # Each chunk has a scope of its own: one that is read by a late event loop, at the same time
@@ -404,8 +390,6 @@
         if chunk is None:
             return Ok(bytes(data))
         data += chunk
-        if is_enough(data):
-            return Ok(bytes(data))
         if len(data) > max_bytes:
             reason = f"an answer of more than {max_bytes} bytes"
             return Err(PeerError(step, _host(url), reason))
