--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -268,6 +268,7 @@
             self._store.recall_map,
             self._store.pause,
             self._apply_evacuations,
+            lambda: self._store.in_reach_since,
         )
         self._directory = DirectoryFeed(
             self._store,
--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -27,9 +27,9 @@
 # the time in which a new route map has to be in force. With the longest wait of a read, three
 # quarters, the state of the map stays known.
 ARRIVAL_SHARE = 0.1
-# Time without a failed read from which a host counts as in reach of the store, as a share of
-# `contact_s`, the time that a host which was cut off has to learn what others know. It is longer
-# than a read that gets no answer takes, so that a host whose reads all fail is never in reach.
+# Time without an outage or a failed read from which a newer map is due, as a share of `contact_s`,
+# the time that a host which was cut off has to learn what others know. It is longer than a read
+# that gets no answer takes: to a host whose reads all fail, none is due.
 REACH_SHARE = 0.85
 
 
@@ -58,6 +58,9 @@
         seconds.
     on_evacuations : callable, optional
         Called with each zone whose evacuation has come into force or has ended, at once.
+    in_reach_since : callable, optional
+        Returns the time since which the store answers this host, in seconds on trio's clock; inf
+        while it doesn't.
     """
 
     def __init__(
@@ -71,8 +74,10 @@
         recall: Callable[[], Awaitable[MapUpdate | None]] | None = None,
         pause: Callable[[float], Awaitable[None]] = trio.sleep,
         on_evacuations: Callable[[Sequence[EvacuationChange]], None] = lambda changes: None,
+        in_reach_since: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         self._pause = pause
+        self._in_reach_since = in_reach_since
         self._on_evacuations = on_evacuations
         self._evacuations = Evacuations()
         self._freezes = FreezeWatch()
@@ -122,7 +127,7 @@
 
         A host that can't read maps goes on with the one that it has.
         """
-        reached_s = trio.current_time() - self._failed_at
+        reached_s = trio.current_time() - max(self._failed_at, self._in_reach_since())
         return not self.is_current and reached_s >= REACH_SHARE * self._bounds().contact_s
 
     @property
--- a/mulberrycleat/entry/relay.py
+++ b/mulberrycleat/entry/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 from typing import Annotated, Any, TypeVar
@@ -147,6 +148,14 @@
         """
         return self._outage.lost_at is not None
 
+    @property
+    def in_reach_since(self) -> float:
+        """Time since which the store answers this host, in seconds on trio's clock.
+
+        It is -inf before the first outage, and inf during one.
+        """
+        return math.inf if self.lost else self._outage.regained_at
+
     @property
     def lost_everywhere(self) -> bool:
         """Whether no host is believed to reach the store."""
--- a/mulberrycleat/entry/store_outage.py
+++ b/mulberrycleat/entry/store_outage.py
@@ -71,6 +71,11 @@
         """Time since which the store has not answered this host, in seconds; None if it does."""
         return self._lost_at
 
+    @property
+    def regained_at(self) -> float:
+        """End of the latest outage, in seconds; -inf before one."""
+        return self._regained_at
+
     @property
     def helper(self) -> str:
         """Address of the host that has reached the store for this one; empty if none is known."""
--- a/mulberrycleat/platform/tests/test_late_route_maps.py
+++ b/mulberrycleat/platform/tests/test_late_route_maps.py
@@ -10,7 +10,7 @@
 from mulberrycleat.entry.settings import FleetRequirements
 from mulberrycleat.platform.standin import ServerStandin
 from mulberrycleat.platform.store_standin import StoreStandin
-from mulberrycleat.platform.tests.fixtures import CONFIG, HostHarness, entry_host
+from mulberrycleat.platform.tests.fixtures import CONFIG, HostHarness, entry_host, entry_hosts
 from mulberrycleat.testing import fixture
 
 BOUNDS = FleetRequirements()
@@ -113,6 +113,17 @@
         assert await statuses(harness, "/find/x", 15.0) == {200}
 
 
+async def test_a_host_that_is_cut_off_serves_on_while_its_questions_to_other_hosts_take_long(
+    booking_server,
+):
+    async with entry_hosts(4, booking_server) as harnesses:
+        host = harnesses[0]
+        await trio.sleep(BOUNDS.contact_s)
+        host.store.down = True
+        host.apps.cut_off |= {"a2", "a3", "a4"}
+        assert await statuses(host, "/find/x", 25.0) == {200}
+
+
 async def test_a_lost_answer_to_a_read_of_the_route_map_refuses_no_request(booking_server):
     async with entry_host(booking_server) as harness:
         for _ in range(5):
