--- a/mulberrycleat/entry/tests/test_cut_relays.py
+++ b/mulberrycleat/entry/tests/test_cut_relays.py
@@ -37,7 +37,7 @@
 class UnreachableStore:
     """A store that never answers."""
 
-    async def read_map(self, position, wait_s):
+    async def read_map(self, position, wait_s, on_answer):
         """Return an error."""
         return Err(PeerError(Step.READ, "store", "no answer", sent=False))
 
--- a/mulberrycleat/entry/tests/test_relay.py
+++ b/mulberrycleat/entry/tests/test_relay.py
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self.waits: list[float] = []
 
-    async def read_map(self, position, wait_s):
+    async def read_map(self, position, wait_s, on_answer):
         """Return an error."""
         return Err(PeerError(Step.READ, "store", "no answer", sent=False))
 
