--- a/mulberrycleat/entry/feeds.py
+++ b/mulberrycleat/entry/feeds.py
@@ -95,7 +95,7 @@
         self._confirmed_at = float("-inf")
         self._answered_at = float("-inf")
         self._failed_at = float("-inf")
-        self._found = False
+        self._found_map = False
 
     @property
     def table(self) -> RouteTable | None:
@@ -190,14 +190,14 @@
         After a new map, the next read doesn't wait: another one may have been written while that
         one was arriving.
         """
-        if self._table is None or self._recalls_left or self._found:
+        if self._table is None or self._recalls_left or self._found_map:
             return 0.0
         return self._bounds().map_wait_s
 
     def _note_answer(self, began: float, wait_s: float) -> None:
         """Note that an answer of the store begins to arrive, to a read that began at `began`.
 
-        One that has come later than at once has waited for a new map; there was none until then.
+        If the answer did not come at once, the store had no newer map until it answered.
         """
         now = self._answered_at = trio.current_time()
         arrival_s = ARRIVAL_SHARE * self._bounds().config_apply_s
@@ -210,11 +210,11 @@
         One that has waited in vain tells of the end of its waiting time, any other one of its
         begin, as further maps may have been written while it was arriving.
         """
-        self._found = update.route_map is not None
+        self._found_map = update.route_map is not None
         if update.next is None:
             self._failed_at = trio.current_time()
             return
-        has_waited = not self._found and self._answered_at >= began + wait_s
+        has_waited = not self._found_map and self._answered_at >= began + wait_s
         confirmed_at = began + wait_s if has_waited else began
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
--- a/mulberrycleat/platform/store.py
+++ b/mulberrycleat/platform/store.py
@@ -57,8 +57,8 @@
 ARRIVAL_TIMEOUT_S = 8.0
 # A read that has failed goes on after the records that it has brought, of at most this size.
 MAX_KEPT_BYTES = MAX_READ_KB * 1024
-# Route maps replace each other. From more records on than this one, the newest one of each key is
-# read alone, which takes a third more bytes.
+# Route maps replace each other. If more records than this may be pending, only the newest of each
+# key is read; its encoding takes a third more bytes.
 MAX_PENDING_RECORDS = 1
 # Pages of a snapshot are kept for this time from the begin of the first one, in seconds: some pages
 # over a slow link. What they state of a key that has changed since holds until the next read.
