Free the bodies of a request when its attempts have ended

Cause: an attempt refers to its exchange, the exchange to its hooks, and the hooks to the attempt, the call and the answers so far. Only the cyclic collector freed this cycle, and with it the bodies, whose room had been given back. It runs after a number of objects, not of bytes.

Change: an attempt that has ended lets its exchange go.

--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -379,6 +379,9 @@
             connections.end()
             if not attempt.replaced:
                 self._record_end(call, tries, attempt, outcome)
+            # The hooks of the exchange refer to the attempt and the call: their cycle would keep
+            # bodies until a garbage collection.
+            attempt.exchange = None
         return outcome
 
     def _silence_limits(
