Keep no error in a frame of its own traceback while requests are sent

Cause: EndpointPaths and the send of a large body raise an error that a list in the raising frame still holds. The traceback keeps the frame, and its callers' frames the body.

Change: the error is taken out of the list before it is raised.

--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -465,7 +465,9 @@
             errors.append(error)
         nursery.cancel_scope.cancel()
     if errors:
-        raise errors[0]
+        # Taken out, as the list is in a frame of each error's traceback.
+        del errors[1:]
+        raise errors.pop()
 
 
 async def _discard_body(connection: Connection) -> None:
--- a/mulberrycleat/entry/paths.py
+++ b/mulberrycleat/entry/paths.py
@@ -250,7 +250,8 @@
         if not opened or isinstance(opened[0], TunnelPipe):
             self.probe(address)
         if not opened:
-            raise errors[0]
+            # Taken out, as the list is in a frame of the error's traceback.
+            raise errors.pop()
         return opened[0]
 
     async def _open_directly(self, address: str) -> Pipe:
--- a/mulberrycleat/entry/tests/test_exchange.py
+++ b/mulberrycleat/entry/tests/test_exchange.py
@@ -2,19 +2,28 @@
 
 from __future__ import annotations
 
+from functools import partial
 from types import SimpleNamespace
 from typing import Any
 
 import trio
 
 from mulberrycleat.entry.call import Progress
-from mulberrycleat.entry.exchange import Exchange, ExchangeHooks, ForwardedResponse, Outcome
+from mulberrycleat.entry.exchange import (
+    Exchange,
+    ExchangeHooks,
+    ForwardedResponse,
+    Outcome,
+    _send_within,
+)
 from mulberrycleat.entry.silence import Silence
 from mulberrycleat.testing import fixture
+from mulberrycleat.testing.held_memory import count_large_objects, no_collections
 from mulberrycleat.web import Responder
-from mulberrycleat.web.upstream import AnswerHead
+from mulberrycleat.web.upstream import AnswerHead, ExchangeError
 
 PAUSE_S, FREEZE_S = 0.5, 1.0
+LARGE_BODY_BYTES = 1_000_000
 
 
 class FrozenConnection:
@@ -99,3 +108,24 @@
     body = b"".join(message.get("body", b"") for message in sent)
     assert outcome == ForwardedResponse(200)
     assert body.count(b"id: ") == progress.delivered_events == progress.last_event_id == 4
+
+
+async def test_the_body_of_a_request_whose_send_fails_is_freed():
+    """A list of errors in a frame of their tracebacks kept the body until a collection."""
+
+    async def send(body: bytes) -> None:
+        await trio.sleep(0.1)
+        raise ExchangeError("send: reset")
+
+    async def replace(why: str) -> Outcome | None:
+        raise AssertionError(f"the endpoint is taken for silent: {why}")
+
+    with no_collections():
+        try:
+            connection = FrozenConnection(0)
+            await _send_within(
+                Silence(1.0, replace), connection, partial(send, bytes(LARGE_BODY_BYTES))
+            )
+        except ExchangeError:
+            pass
+        assert count_large_objects(LARGE_BODY_BYTES) == 0
--- a/mulberrycleat/platform/tests/test_released_bodies.py
+++ b/mulberrycleat/platform/tests/test_released_bodies.py
@@ -96,6 +96,13 @@
     assert {answer.status for answer in answers} == {503}
 
 
+async def test_the_body_of_a_request_that_no_endpoint_can_be_reached_for(booking_server):
+    booking_server.refuses_connections = True
+    async with entry_host(booking_server, config=LARGE_BODIES) as harness:
+        answers = await check_released(harness, request(harness, "/book/x"))
+    assert {answer.status for answer in answers} == {503}
+
+
 async def test_the_body_of_a_request_whose_deadline_passes(booking_server):
     booking_server.never_answers = True
     async with entry_host(booking_server, config=LARGE_BODIES) as harness:
