Remember how a send has failed in words, not as the error

Cause: SocketPipe and the client's stream keep the error of a failed send for the reader. Its traceback has the frames that hold the pipe and the body.

Change: they keep the error's text, which is all that is used.

Evidence: test_released_bytes, two tests over sockets with the collector off; both found bodies of 8 MB that nothing but these frames referred to, and find none now.

--- a/mulberrycleat/web/client.py
+++ b/mulberrycleat/web/client.py
@@ -102,13 +102,14 @@
 
     def __init__(self, inner: httpcore.AsyncNetworkStream) -> None:
         self._inner = inner
-        self._send_error: httpcore.WriteError | None = None
+        # How a send has failed, in words: the frames of an error's traceback keep the body.
+        self._send_fault: str | None = None
 
     async def read(self, max_bytes: int, *limit: Any, **limits: Any) -> bytes:
         """Return the next bytes, or empty bytes at the end of the stream."""
         data = await self._inner.read(max_bytes, *limit, **limits)
-        if not data and self._send_error is not None:
-            raise httpcore.ReadError(f"after a failed send: {self._send_error}")
+        if not data and self._send_fault is not None:
+            raise httpcore.ReadError(f"after a failed send: {self._send_fault}")
         return data
 
     async def write(self, buffer: bytes, *limit: Any, **limits: Any) -> None:
@@ -116,7 +117,7 @@
         try:
             await self._inner.write(buffer, *limit, **limits)
         except httpcore.WriteError as error:
-            self._send_error = error
+            self._send_fault = str(error)
             raise
 
     async def aclose(self) -> None:
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -167,14 +167,15 @@
     def __init__(self, stream: DirectStream, resets: bool = False) -> None:
         self._stream = stream
         self._resets = resets
-        self._send_error: trio.BrokenResourceError | None = None
+        # How a send has failed, in words: the frames of an error's traceback keep the body.
+        self._send_fault: str | None = None
 
     async def send_all(self, data: bytes) -> None:
         """Send all of `data`."""
         try:
             await self._stream.send_all(data)
         except trio.BrokenResourceError as error:
-            self._send_error = error
+            self._send_fault = str(error)
             raise
 
     async def receive_some(self, max_bytes: int) -> bytes:
@@ -184,8 +185,8 @@
         before the reset can still be received, and then an end that nobody has sent.
         """
         data = await self._stream.receive_some(max_bytes)
-        if not data and self._send_error is not None:
-            raise trio.BrokenResourceError(f"after a failed send: {self._send_error}")
+        if not data and self._send_fault is not None:
+            raise trio.BrokenResourceError(f"after a failed send: {self._send_fault}")
         return data
 
     def is_readable(self) -> bool:
