Catch the exceptions of a handler before they pass through its nursery

Cause: an exception that leaves a nursery which runs another task, the watch for the caller's disconnect, becomes the context of that task's cancellation; the frames of both tracebacks form a cycle that keeps the request.

Change: HttpFrontend and App catch the exception inside the nursery; App raises it again outside, no longer in an exception group.

--- a/mulberrycleat/entry/frontend.py
+++ b/mulberrycleat/entry/frontend.py
@@ -212,18 +212,32 @@
                 for _ in range(DISCONNECT_CHECKPOINTS):
                     await trio.lowlevel.checkpoint()
                 with self._shutdown.abortable() as abortable:
-                    outcome = await self._run(call)
+                    outcome = await self._run_caught(call)
                 if abortable.cancelled_caught:
                     reason = "this host ends before the answer is whole"
                     outcome = Err(stopping_refusal(call.progress, reason))
                 nursery.cancel_scope.cancel()
         except Exception as error:
-            self._decisions.warning(
-                "internal error", request=call.facts.request_id, why=exception_origin(error)
-            )
-            outcome = Err(_internal_error(call))
+            outcome = self._internal_error(call, error)
         await self._end(call, outcome)
 
+    async def _run_caught(self, call: EntryCall) -> Result[Served, Refusal]:
+        """Run the chain.
+
+        An exception that passed through a nursery with another task would leave a reference cycle,
+        in which the frames of its traceback keep the request.
+        """
+        try:
+            return await self._run(call)
+        except Exception as error:
+            return self._internal_error(call, error)
+
+    def _internal_error(self, call: EntryCall, error: Exception) -> Err[Refusal]:
+        self._decisions.warning(
+            "internal error", request=call.facts.request_id, why=exception_origin(error)
+        )
+        return Err(_internal_error(call))
+
     async def _end(
         self, call: EntryCall, outcome: Result[Served, Refusal] | None, closes: bool = False
     ) -> None:
--- a/mulberrycleat/platform/tests/test_released_bodies.py
+++ b/mulberrycleat/platform/tests/test_released_bodies.py
@@ -118,6 +118,17 @@
     assert not any(answer.status for answer in answers)
 
 
+async def test_the_body_of_a_request_that_raises_an_exception(booking_server):
+    async with entry_host(booking_server, config=LARGE_BODIES) as harness:
+
+        def fail(*arguments: Any) -> None:
+            raise LookupError("no endpoint")
+
+        harness.host._registry.choose = fail
+        answers = await check_released(harness, request(harness, "/book/x"))
+    assert {answer.status for answer in answers} == {500}
+
+
 async def test_the_body_of_a_request_that_the_stop_of_the_host_aborts(booking_server):
     booking_server.never_answers = True
     config = {**LARGE_BODIES, "routes": [{**r, "timeout_ms": 60_000} for r in CONFIG["routes"]]}
--- a/mulberrycleat/web/asgi.py
+++ b/mulberrycleat/web/asgi.py
@@ -246,12 +246,20 @@
         if body is None:
             return
         request = _build_request(scope, body, params)
+        # An exception that passed through the nursery would leave a reference cycle, in which the
+        # frames of its traceback keep the request.
+        faults: list[Exception] = []
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch_disconnect, receive, responder)
-            reply = await route.handler(request, responder)
-            if reply is not None:
-                await responder.reply(reply)
+            try:
+                reply = await route.handler(request, responder)
+                if reply is not None:
+                    await responder.reply(reply)
+            except Exception as error:
+                faults.append(error)
             nursery.cancel_scope.cancel()
+        if faults:
+            raise faults.pop()
 
     def _match_route(
         self, method: str, path: str
--- a/mulberrycleat/web/tests/test_released_bytes.py
+++ b/mulberrycleat/web/tests/test_released_bytes.py
@@ -10,15 +10,22 @@
 import struct
 from contextlib import suppress
 
+import httpcore
 import trio
 
 from mulberrycleat.testing.held_memory import count_large_objects, held_bytes, no_collections
+from mulberrycleat.web import App, HttpClient, Reply, Request, Responder, Route, serve_app
+from mulberrycleat.web.tests.test_bad_callers import free_address
 from mulberrycleat.web.tests.test_tunnel import SETTINGS, Behaviour, tunnel_to
 from mulberrycleat.web.upstream import Connection, ExchangeError, Pipe, open_pipe
 
 BODY_BYTES = 8 * 2**20
+PEER_BODY_BYTES = 400_000
 ROUNDS = 3
+# Less than a tenth of one body of another host's call, which is the smaller one.
 MOST_HELD_BYTES = 40_000
+# Time after which a caller leaves, in seconds.
+PATIENCE_S = 0.2
 
 
 async def reset_after_a_part(stream: trio.SocketStream) -> None:
@@ -81,3 +88,47 @@
 
 def test_a_request_through_another_host_that_is_reset_while_it_is_sent():
     trio.run(send_through_another_host, reset_after_a_part)
+
+
+def test_calls_of_other_hosts():
+    async def serve(request: Request, responder: Responder) -> Reply:
+        return Reply(200, b"x" * len(request.body))
+
+    async def fail(request: Request, responder: Responder) -> Reply:
+        raise LookupError("not found")
+
+    async def answer_late(request: Request, responder: Responder) -> Reply:
+        await trio.sleep(2 * PATIENCE_S)
+        return Reply(200, b"x" * len(request.body))
+
+    routes = (
+        Route("POST", "/serve", serve),
+        Route("POST", "/fail", fail),
+        Route("POST", "/late", answer_late),
+    )
+
+    async def main() -> None:
+        app, stop, address = App(routes), trio.Event(), free_address()
+        client = HttpClient()
+
+        async def call(path: str) -> None:
+            with suppress(httpcore.TimeoutException, httpcore.NetworkError):
+                await client.request(
+                    "POST", f"http://{address}{path}", bytes(PEER_BODY_BYTES), timeout_s=PATIENCE_S
+                )
+
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve_app, app, address, stop, 1.0, 1.0)
+            for path in ("/serve", "/fail", "/late"):
+                await call(path)
+                await trio.sleep(2 * PATIENCE_S)
+                with no_collections():
+                    before = held_bytes()
+                    for _ in range(ROUNDS):
+                        await call(path)
+                    await trio.sleep(2 * PATIENCE_S)
+                    held = held_bytes() - before
+                    assert held <= MOST_HELD_BYTES, (path, held)
+            stop.set()
+
+    trio.run(main)
