Let neither a probe nor a failed endpoint keep the request it failed

This one no collection would have freed: each task that probes paths kept the last request that it was asked for, with its body, until the next probe.

Cause: what is called with the result of a probe held the call; and the failure of a silent endpoint was kept as an error, with the frames of its traceback.

--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -424,9 +424,10 @@
                 if is_crash:
                     tries.crashed = entry.incarnation
                 if helper:
-                    self._note_failure(call, attempt, is_crash, False)
+                    self._note_failure(attempt, call.suspects, is_crash, False)
                 elif broken or silent:
-                    then = partial(self._note_failure, call, attempt, is_crash)
+                    # Not the call, whose body would be kept until the end of the probe.
+                    then = partial(self._note_failure, attempt, call.suspects, is_crash)
                     self._paths.probe(entry.address, then)
             case ConnectionFailed(timed_out=timed_out):
                 placer.note_unreachable(entry_id, now, timed_out)
@@ -466,13 +467,13 @@
                 self._decisions.info("send cancelled", **fields)
 
     def _note_failure(
-        self, call: EntryCall, attempt: Attempt, is_crash: bool, path_is_lost: bool
+        self, attempt: Attempt, suspects: tuple[str, ...], is_crash: bool, path_is_lost: bool
     ) -> None:
         """Report a crash of the endpoint, unless it was only the path to it that failed."""
         if is_crash and not path_is_lost:
             self._reports.record_crash(
                 attempt.placement.entry.incarnation,
-                call.suspects,
+                suspects,
                 attempt.read_to,
                 attempt.retry_after,
             )
--- a/mulberrycleat/entry/silence.py
+++ b/mulberrycleat/entry/silence.py
@@ -139,7 +139,8 @@
             try:
                 part = await read()
             except ExchangeError as error:
-                self._failure = error
+                # Another error, as the frames in the traceback of this one keep the request.
+                self._failure = ExchangeError(str(error), error.broken)
                 return
             if not self._replaced:
                 parts.append(part)
@@ -153,5 +154,5 @@
         if outcome is not None:
             raise ReplacedError(outcome)
         if self._failure is not None:
-            raise self._failure
+            raise ExchangeError(str(self._failure), self._failure.broken)
         return parts
--- a/mulberrycleat/platform/tests/test_released_bodies.py
+++ b/mulberrycleat/platform/tests/test_released_bodies.py
@@ -76,6 +76,12 @@
     assert {answer.status for answer in answers} == {200}
 
 
+async def test_the_body_of_a_stream_that_breaks_off_and_goes_on_elsewhere(engine):
+    engine.break_after = 2
+    async with entry_host(engine, config=LARGE_BODIES) as harness:
+        await check_released(harness, request(harness, "/ask/x", **TOKEN_HEADERS))
+
+
 async def test_the_body_of_a_request_that_is_refused_before_it_is_sent(booking_server):
     refusals = {
         "/none/x": (404, {}),
@@ -103,6 +109,23 @@
     assert {answer.status for answer in answers} == {503}
 
 
+async def test_the_body_of_a_request_whose_answer_is_lost(booking_server):
+    booking_server.loses_answers = True
+    async with entry_host(booking_server, config=LARGE_BODIES) as harness:
+        for path in ("/book/x", "/find/x"):
+            answers = await check_released(harness, request(harness, path))
+            assert {answer.status for answer in answers} == {502}
+
+
+async def test_the_body_of_a_request_that_another_endpoint_takes_over(
+    booking_server, second_server
+):
+    booking_server.never_answers = second_server.never_answers = True
+    async with entry_host(booking_server, second_server, config=LARGE_BODIES) as harness:
+        answers = await check_released(harness, request(harness, "/find/x"))
+    assert {answer.status for answer in answers} == {504}
+
+
 async def test_the_body_of_a_request_whose_deadline_passes(booking_server):
     booking_server.never_answers = True
     async with entry_host(booking_server, config=LARGE_BODIES) as harness:
