Let streams that are recorded nowhere go on at the only version they can have begun at

Cause: while a pool has one version, streams begin before they are recorded, and hosts record them once a second. What a host has not recorded dies with it. The other hosts see two versions a moment later and can't tell at which of them such a stream began. So whether the case breaks depends on the moment of the last append.

Change: hosts state in the log of origins the base of a pool, the only version at which streams begin unrecorded. At any other version a stream begins only once it is recorded, so one that the log, read since its caller asked, doesn't have began at the base. Eight seconds after a second version has joined, hosts state the end of the base, and all is as before. Only the order of the log is compared. While the store can't be written, new streams are placed at the base in that time.

Ruled out: a shorter interval bounds the share that is lost, at ten times the store calls in calm; a copy at a second host costs a call for each batch, and the death of both loses it.

--- a/mulberrycleat/endpoint/stream_origins.py
+++ b/mulberrycleat/endpoint/stream_origins.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from mulberrycleat.endpoint.directory import Entry
+from mulberrycleat.endpoint.stream_bases import BaseStatement
 
 __all__ = [
     "MAX_NAME_LENGTH",
@@ -58,12 +59,16 @@
         return not self.version.startswith(UNKNOWN_PREFIX)
 
 
-class OriginRecord(msgspec.Struct, frozen=True):
-    """Streams that began at one version of a pool, by the ids of the callers' attempts."""
+class OriginRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Streams that began at one version of a pool, by the ids of the callers' attempts.
+
+    `base` is what the host that made the record has stated, or read, about the base of the pool.
+    """
 
     pool: Name
     version: Name
     requests: Annotated[tuple[Name, ...], msgspec.Meta(max_length=MAX_REQUESTS)]
+    base: BaseStatement | None = None
 
     @property
     def origin(self) -> StreamOrigin:
@@ -133,7 +138,8 @@
         """Remember the origins in a record of any host."""
         for request_id in record.requests:
             self.add(request_id, record.origin, now)
-        self._seen_at[record.origin] = now
+        if record.version:
+            self._seen_at[record.origin] = now
 
     def observe(self, entries: Iterable[Entry], now: float) -> None:
         """Note the versions of endpoints that are in the directory."""
--- a/mulberrycleat/entry/app.py
+++ b/mulberrycleat/entry/app.py
@@ -257,6 +257,7 @@
             lambda: self._store.recall_versions(settings.peers_listen, self._roster.peers),
             lambda: self._directory.refresh(),
             self._store.pause,
+            lambda: self._store.lost,
         )
         self._maps = MapFeed(
             self._store,
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -45,6 +45,7 @@
 from mulberrycleat.entry.statements import StatementController
 from mulberrycleat.entry.stream_origins import OriginController
 from mulberrycleat.routes import RouteKind
+from mulberrycleat.web.upstream import ExchangeError
 
 __all__ = ["DispatchFilter"]
 
@@ -183,7 +184,7 @@
         # An endpoint that was let go is asked again, so that no more endpoints run the request.
         is_last = progress.runs >= call.route.max_attempts
         is_last = is_last or len(tries.endpoint_ids) >= MAX_ENDPOINTS_TRIED
-        only = tries.let_go if is_last else None
+        only = tries.let_go if is_last else self._where_it_may_begin(call)
         if only == set():
             return None
         if progress.runs and not call.route.retryable:
@@ -211,6 +212,16 @@
             return None
         return placement
 
+    def _where_it_may_begin(self, call: EntryCall) -> set[str] | None:
+        """Return the endpoints at which a new stream may begin, None if it may at any."""
+        if not call.route.resumable or call.required_version is not None or call.is_taken_up:
+            return None
+        version = self._origins.begins_only_at(call.pool.name)
+        if version is None:
+            return None
+        ready = self._registry.directory.ready(call.pool.name, trio.current_time())
+        return {entry.id for entry in ready if entry.version == version}
+
     def _second_placement(
         self, call: EntryCall, tries: Attempts, silent: Attempt
     ) -> Placement | None:
@@ -357,7 +368,8 @@
             call.progress.version = connections.version
             if call.route.resumable and not call.is_taken_up:
                 origin = StreamOrigin(entry.pool, connections.version)
-                await self._origins.record_start(request_id, origin)
+                if not await self._origins.record_start(request_id, origin):
+                    raise ExchangeError("the version of the stream could not be recorded")
 
         hooks = ExchangeHooks(
             note_sending,
--- a/mulberrycleat/entry/stream_origins.py
+++ b/mulberrycleat/entry/stream_origins.py
@@ -11,9 +11,11 @@
 
 from mulberrycleat.core import START, Position
 from mulberrycleat.endpoint.directory import Directory, Entry
+from mulberrycleat.endpoint.stream_bases import StreamBases
 from mulberrycleat.endpoint.stream_origins import (
     MAX_NAME_LENGTH,
     MAX_REQUESTS,
+    ORIGIN_TTL_S,
     HostVersions,
     OriginRecord,
     StreamOrigin,
@@ -46,6 +48,14 @@
 MAX_LOOKUP_S = 0.6
 # Interval between attempts to read what was recorded before this host started, in seconds.
 START_READ_INTERVAL_S = 0.3
+# A pool that has got a second version keeps its base for this time, in seconds. Hosts learn of the
+# version within a read of the directory, and callers take up the streams of a host that was killed
+# before within seconds. While the store is away, new streams begin at the base only.
+BASE_KEPT_S = 8.0
+# A stream is taken to have begun at the base if the log had a statement of it in this time, in
+# seconds: half of that for which the log keeps its records, so that hosts which have started since
+# know the base.
+BASE_STATED_S = 10.0
 
 
 @dataclass(slots=True)
@@ -62,7 +72,10 @@
 
     While a pool has endpoints of several versions, or had them lately, the first event of a stream
     is held until the origin is recorded, so that a host that takes up the stream finds it, even if
-    all hosts have been killed in the meantime. Otherwise origins are recorded in the background.
+    all hosts have been killed in the meantime. Otherwise origins are recorded in the background:
+    streams of the only version, the base of the pool. When a second version joins, a host may be
+    killed before it has recorded all of them. A stream that is recorded nowhere goes on at the
+    base, which is kept for a while, in which streams begin at no other version unrecorded.
 
     Parameters
     ----------
@@ -88,6 +101,8 @@
     pause : callable, optional
         Waits before a call is repeated that did not reach the store; takes the interval, in
         seconds.
+    store_lost : callable, optional
+        Whether the store does not answer this host.
     """
 
     def __init__(
@@ -102,8 +117,10 @@
         ask_versions: Callable[[], Awaitable[tuple[StreamOrigin, ...] | None]],
         refresh_directory: Callable[[], Awaitable[bool]],
         pause: Callable[[float], Awaitable[None]] = trio.sleep,
+        store_lost: Callable[[], bool] = lambda: False,
     ) -> None:
         self._pause = pause
+        self._store_lost = store_lost
         self._host = host
         self._store = store
         self._directory = directory
@@ -112,6 +129,12 @@
         self._host_count = host_count
         self._ask_others = ask_others
         self._origins = StreamOrigins()
+        self._bases = StreamBases()
+        # When a pool with a base was first seen with several versions.
+        self._mixed_since: dict[str, float] = {}
+        # Pools in which streams began, or were taken up, at this host.
+        self._pools: set[str] = set()
+        self._restored = trio.Event()
         self._position: Position = START
         self._ask_versions = ask_versions
         self._refresh_directory = refresh_directory
@@ -121,6 +144,8 @@
         self._pending: list[_Pending] = []
         self._held = trio.Event()
         self._failing = False
+        # Whether the latest append took longer than events are held.
+        self._late = False
 
     @property
     def pending(self) -> int:
@@ -147,10 +172,23 @@
     def observe(self, entries: Iterable[Entry]) -> None:
         """Note the versions of endpoints that are, or were, in the directory."""
         self._origins.observe(entries, trio.current_time())
+        for pool in self._pools:
+            self._update_base(pool)
 
-    async def record_start(self, request_id: str, origin: StreamOrigin) -> None:
-        """Record where a stream begins; returns when its first event may be sent."""
+    def begins_only_at(self, pool: str) -> str | None:
+        """Return the only version at which streams may begin now, None if they may at any.
+
+        While no origin can be recorded in time, that is the base.
+        """
+        is_cut = self._failing or self._late or self._store_lost()
+        if not is_cut or not self._is_mixed(pool):
+            return None
+        return self._usable_base(pool)
+
+    async def record_start(self, request_id: str, origin: StreamOrigin) -> bool:
+        """Record where a stream begins; return whether its first event may be sent then."""
         now = trio.current_time()
+        self._note_pool(origin.pool)
         self._origins.add(request_id, origin, now, own=True)
         fault = ""
         if len(request_id) > MAX_NAME_LENGTH:
@@ -161,20 +199,50 @@
             self._decisions.warning(
                 "stream origin dropped", request=request_id[:40], step="append", why=fault
             )
-            return
+            return self._may_begin_unrecorded(origin)
         stream = _Pending(request_id, origin)
         self._pending.append(stream)
-        if not self._is_mixed(origin.pool):
-            return
+        may_begin = self._may_begin_unrecorded(origin)
+        if may_begin and not self._is_mixed(origin.pool):
+            return True
         self._held.set()
-        if self._failing:
-            return
-        with trio.move_on_after(MAX_HOLD_S) as limit:
-            await stream.recorded.wait()
-        if limit.cancelled_caught:
+        if not (self._failing or self._store_lost()):
+            # A stream that must be recorded also waits for the host's turn.
+            with trio.move_on_after(MAX_HOLD_S + (0.0 if may_begin else self._held_interval_s)):
+                await stream.recorded.wait()
+                return True
+            self._late = True
             self._decisions.warning(
                 "stream origin not recorded in time", request=request_id, version=origin.version
             )
+        return self._may_begin_unrecorded(origin)
+
+    @property
+    def _held_interval_s(self) -> float:
+        """Shortest time between two appends while events wait, in seconds."""
+        return max(HELD_INTERVAL_S, max(1, self._host_count()) / FLEET_APPENDS_PER_S)
+
+    def _may_begin_unrecorded(self, origin: StreamOrigin) -> bool:
+        """Whether a stream of this origin may begin before it is recorded.
+
+        No host may take it for one of another version. This can't be held for an endpoint that has
+        started again while the store is away, as all endpoints may have.
+        """
+        if not origin.is_known or origin.version == self._bases.may_be_in_force(origin.pool):
+            return True
+        return self._usable_base(origin.pool) in (None, origin.version)
+
+    def _usable_base(self, pool: str) -> str | None:
+        """Return the base that may be in force, None if no stream can begin there.
+
+        A host that has not read the log since its start takes the version of the endpoint that has
+        run for longest.
+        """
+        if not self._records.ever_succeeded:
+            ready = self._directory.ready(pool, trio.current_time())
+            return min(ready, key=lambda entry: entry.born).version if ready else None
+        base = self._bases.may_be_in_force(pool)
+        return base if base is not None and self._is_ready(pool, base) else None
 
     def correct(self, request_id: str, origin: StreamOrigin) -> None:
         """Record another origin of a stream that began at this host."""
@@ -200,19 +268,81 @@
         pool : str
             Pool that its route leads to.
         """
+        self._note_pool(pool)
         found = self.known(request_id)
         up_to_date = False
         if found is None and (request_id or not self._is_mixed(pool)):
             with trio.move_on_after(MAX_LOOKUP_S):
                 up_to_date = await self._records.read()
                 found = self.known(request_id)
-                if found is None and up_to_date and not self._is_mixed(pool):
+                needs_directory = not self._is_mixed(pool) or self._base(pool) is not None
+                if found is None and up_to_date and needs_directory:
                     up_to_date = False
                     up_to_date = await self._refresh_directory()
             if found is None and request_id and not up_to_date:
                 found = await self._ask_others(request_id)
+            if found is None and request_id and up_to_date:
+                found = self._unrecorded(request_id, pool)
         return await self._infer(pool, up_to_date) if found is None else found
 
+    def _unrecorded(self, request_id: str, pool: str) -> StreamOrigin | None:
+        """Return the origin of a stream of which the log, just read, has no record.
+
+        None if the pool has no base.
+        """
+        self._update_base(pool)
+        base = self._base(pool)
+        if base is None or self._bases.logged_age_s(pool, trio.current_time()) > BASE_STATED_S:
+            return None
+        self._decisions.info("stream taken to have begun at the base", resumes=request_id, of=base)
+        return StreamOrigin(pool, base)
+
+    def _base(self, pool: str) -> str | None:
+        """Return the base of a pool, as far as the log was read."""
+        return self._bases.in_force(pool, self._position.era)
+
+    def _is_ready(self, pool: str, version: str) -> bool:
+        """Whether a version has endpoints at which streams may begin."""
+        ready = self._directory.ready(pool, trio.current_time())
+        return any(entry.version == version for entry in ready)
+
+    def _note_pool(self, pool: str) -> None:
+        if pool not in self._pools:
+            self._pools.add(pool)
+            self._update_base(pool)
+
+    def _update_base(self, pool: str) -> None:
+        """State the base of a pool, or its end, if that is due."""
+        now = trio.current_time()
+        if not self._records.ever_succeeded or not self._directory.is_complete(now):
+            return
+        versions, base = self._versions(pool), self._base(pool)
+        if base is None:
+            self._mixed_since.pop(pool, None)
+            statement = self._bases.statement(pool)
+            is_due = statement is None or statement.era < self._position.era
+            if len(versions) == 1 and (is_due or self._bases.age_s(pool, now) >= ORIGIN_TTL_S):
+                self._bases.declare(pool, *versions, self._position.era, now)
+                self._log_base(pool, "the only version")
+        elif not self._is_ready(pool, base):
+            self._bases.withdraw(pool, now)
+            self._log_base(pool, "the version leaves")
+        elif len(versions) < 2:
+            self._mixed_since.pop(pool, None)
+        elif now - self._mixed_since.setdefault(pool, now) >= BASE_KEPT_S:
+            self._bases.withdraw(pool, now)
+            self._log_base(pool, "there are several versions")
+
+    def _log_base(self, pool: str, why: str) -> None:
+        statement = self._bases.statement(pool)
+        self._decisions.info(
+            "base of streams stated",
+            pool=pool,
+            version=statement.version,
+            number=statement.number,
+            why=why,
+        )
+
     async def _infer(self, pool: str, up_to_date: bool) -> StreamOrigin | None:
         """Return the only version at which a stream may have begun, None if there are several.
 
@@ -243,12 +373,15 @@
             if request_id not in waiting
         ]
         self._held.set()
+        self._restored.set()
 
     async def run_start(self) -> None:
-        """Read what was recorded before this host started, until it has been read once."""
-        while not await self._records.read():
-            await self._pause(START_READ_INTERVAL_S)
-        await trio.sleep_forever()
+        """Read what was recorded before this host started, or before the store was restored."""
+        while True:
+            self._restored = trio.Event()
+            while not await self._records.read():
+                await self._pause(START_READ_INTERVAL_S)
+            await self._restored.wait()
 
     async def run_appends(self) -> None:
         """Record origins until cancelled."""
@@ -257,9 +390,11 @@
             with trio.move_on_after(max(IDLE_INTERVAL_S, hosts / FLEET_IDLE_APPENDS_PER_S)):
                 await self._held.wait()
             self._held = trio.Event()
-            while self._pending:
+            for pool in self._pools:
+                self._update_base(pool)
+            while self._pending or self._bases.unlogged:
                 await self._append_pending()
-            await trio.sleep(max(HELD_INTERVAL_S, hosts / FLEET_APPENDS_PER_S))
+            await trio.sleep(self._held_interval_s)
 
     async def _append_pending(self) -> None:
         """Record pending streams; those whose append fails stay pending.
@@ -272,12 +407,23 @@
         requests: dict[StreamOrigin, list[str]] = defaultdict(list)
         for stream, origin in batch:
             requests[origin].append(stream.request_id)
-        records = tuple(OriginRecord(*origin, tuple(ids)) for origin, ids in requests.items())
-        match await self._store.append_origins(self._host, records):
+        bases = {pool: self._bases.statement(pool) for pool, _ in requests} | self._bases.unlogged
+        records = [
+            OriginRecord(*origin, tuple(ids), bases[origin.pool])
+            for origin, ids in requests.items()
+        ]
+        unsaid = set(bases) - {origin.pool for origin in requests}
+        records += [OriginRecord(pool, bases[pool].version, (), bases[pool]) for pool in unsaid]
+        began_at = trio.current_time()
+        match await self._store.append_origins(self._host, tuple(records)):
             case Ok(_):
+                self._late = trio.current_time() - began_at > MAX_HOLD_S
                 corrected = [stream for stream, origin in batch if stream.origin != origin]
                 self._pending[: len(batch)] = corrected
                 self._failing = False
+                for pool, statement in bases.items():
+                    if statement is not None:
+                        self._bases.apply(pool, statement, trio.current_time())
                 for stream, origin in batch:
                     if stream.origin == origin:
                         stream.recorded.set()
@@ -304,6 +450,8 @@
                         self._decisions.warning("stream origin unreadable", why=fault)
                     for record in update.records:
                         self._origins.apply(record, now)
+                        if record.base is not None:
+                            self._bases.apply(record.pool, record.base, now)
                     self._position = update.next
                     if update.at_end:
                         return True
@@ -317,7 +465,7 @@
         return self._origins.versions(pool, trio.current_time())
 
     def _observe_directory(self) -> None:
-        self.observe(self._directory.entries.values())
+        self._origins.observe(self._directory.entries.values(), trio.current_time())
 
     def _log_failure(self, step: str, why: str) -> None:
         if not self._failing:
