Remember the prefixes of prompts by keys of fixed size, with one bound for all endpoints

Cause: the placer remembered each sequence of leading parts of a prompt under a text of all their ids, for each endpoint that it was sent to: time and memory that grow with the square of the number of parts. 2,000 texts were kept for each endpoint, whatever their length, and no budget counts them.

Change: a prefix has a key that is chained over its parts, of fixed size. Of long prompts, eight prefixes for each doubling of the number of parts are remembered. At most 16,384 are, of all endpoints of a host together, some 3 MB. Keys and lengths are computed once for each request.

Evidence: test_prompts_of_very_many_parts_take_little_memory, 40 prompts at 15 endpoints, failed before and holds within 3.5 MB.

--- a/mulberrycleat/endpoint/placement.py
+++ b/mulberrycleat/endpoint/placement.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from mulberrycleat.endpoint.cached_prefixes import Part, Prefix, prefixes_of
 from mulberrycleat.endpoint.directory import Entry
 from mulberrycleat.endpoint.shared_load import LoadSeen
 
@@ -30,13 +30,6 @@
 PARTITION_TRIAL_S = 0.4
 
 
-class Part(NamedTuple):
-    """A part of a prompt that several requests may share, with its length in tokens."""
-
-    id: str
-    tokens: int
-
-
 @dataclass(frozen=True, slots=True)
 class Work:
     """Work that a request causes at an endpoint.
@@ -48,10 +41,21 @@
     parts : tuple of Part
         Shared parts of the prompt, in order. The rest of the prompt, which only this request has,
         is not included.
+    shared_tokens : int
+        Length of these parts together.
+    prefixes : tuple of Prefix
+        Sequences of leading parts that are remembered of endpoints, the shortest first.
     """
 
     prompt_tokens: int = 0
     parts: tuple[Part, ...] = ()
+    shared_tokens: int = field(init=False)
+    prefixes: tuple[Prefix, ...] = field(init=False)
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "prefixes", prefixes_of(self.parts))
+        shared_tokens = self.prefixes[-1].tokens if self.prefixes else 0
+        object.__setattr__(self, "shared_tokens", shared_tokens)
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,8 +154,6 @@
 
     Attributes
     ----------
-    parts : OrderedDict of str to float
-        Time of last use for each sequence of leading prompt parts, least recently used first.
     slowness : float
         Smoothed response time, relative to that of an endpoint of normal speed.
     failures, samples : float
@@ -172,7 +174,6 @@
 
     entry: Entry
     in_flight: dict[str, InFlightRequest] = field(default_factory=dict)
-    parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
     slowness: float = 1.0
     failures: float = 0.0
     samples: float = 0.0
--- a/mulberrycleat/endpoint/placer.py
+++ b/mulberrycleat/endpoint/placer.py
@@ -19,6 +19,7 @@
 from random import Random
 from typing import NamedTuple
 
+from mulberrycleat.endpoint.cached_prefixes import CachedPrefixes
 from mulberrycleat.endpoint.directory import Entry
 from mulberrycleat.endpoint.placement import (
     EndpointState,
@@ -42,8 +43,6 @@
 # Preferred endpoints that are remembered, by session and endpoints. One takes about the memory of
 # the names of the endpoints, which sessions share.
 PREFERENCE_CACHE_SIZE = 512
-# Largest number of sequences of prompt parts that are remembered for an endpoint.
-MAX_PARTS = 2000
 SLOWNESS_GAIN = 0.15
 MIN_SLOWNESS, MAX_SLOWNESS = 0.3, 20.0
 # Successful outcomes added to the samples when the failure rate is computed.
@@ -138,6 +137,9 @@
         Source of the random choice among endpoints with nearly the best score.
     on_slowness : callable, optional
         Called whenever an endpoint states its slowness.
+    prefixes : CachedPrefixes, optional
+        Prompt prefixes that endpoints have read, which the placers of all pools share; by default,
+        this one's alone.
     """
 
     def __init__(
@@ -146,7 +148,9 @@
         zone: str,
         random: Random,
         on_slowness: Callable[[], None] = lambda: None,
+        prefixes: CachedPrefixes | None = None,
     ) -> None:
+        self._prefixes = CachedPrefixes() if prefixes is None else prefixes
         self._on_slowness = on_slowness
         self._settings = settings
         self._zone = zone
@@ -267,13 +271,7 @@
         state.in_flight[request_id] = InFlightRequest(
             now, placement.expected_s, uncached, placement.slowness
         )
-        prefix = ""
-        for part in work.parts:
-            prefix = f"{prefix}/{part.id}"
-            state.parts[prefix] = now
-            state.parts.move_to_end(prefix)
-        while len(state.parts) > MAX_PARTS:
-            state.parts.popitem(last=False)
+        self._prefixes.note(placement.entry.incarnation, work.prefixes, now)
 
     def heard(self, entry_id: str, request_id: str, now: float) -> None:
         """Record that bytes of an answer arrived; the first ones update the slowness."""
@@ -413,12 +411,11 @@
         """
         if len(states) <= MAX_COMPARED:
             return states
-        prefix = "".join(f"/{part.id}" for part in work.parts)
         kept, near, far = [], [], []
         for state in states:
             if state.entry.id == home:
                 kept.insert(0, state)
-            elif prefix and prefix in state.parts:
+            elif work.prefixes and self._prefixes.has(state.entry.incarnation, work.prefixes[-1]):
                 kept.append(state)
             else:
                 (near if state.entry.zone == self._zone else far).append(state)
@@ -454,14 +451,9 @@
         The preferred endpoint is assumed to have all of them, since all hosts prefer it.
         """
         if is_preferred:
-            return sum(part.tokens for part in work.parts)
-        prefix, tokens = "", 0
-        for part in work.parts:
-            prefix = f"{prefix}/{part.id}"
-            if now - state.parts.get(prefix, float("-inf")) > self._settings.cache_ttl_s:
-                break
-            tokens += part.tokens
-        return tokens
+            return work.shared_tokens
+        since = now - self._settings.cache_ttl_s
+        return self._prefixes.tokens(state.entry.incarnation, work.prefixes, since)
 
     def _slowness(self, state: EndpointState, now: float, lowest_slowness: float) -> float:
         """Return the expected slowness.
@@ -501,7 +493,7 @@
         expected_s = max(expected_s, state.longest_wait_s(now))
         self._decay(state, now)
         failing = state.failures / (state.samples + PRIOR_SAMPLES)
-        shared_uncached = max(0, sum(part.tokens for part in work.parts) - cached)
+        shared_uncached = max(0, work.shared_tokens - cached)
         reprefill_s = settings.affinity * shared_uncached / settings.prefill_tokens_per_s
         return Score(expected_s, reprefill_s, 0.0, failing * settings.failure_cost_s)
 
--- a/mulberrycleat/endpoint/tests/test_placer.py
+++ b/mulberrycleat/endpoint/tests/test_placer.py
@@ -8,8 +8,11 @@
 from mulberrycleat.endpoint.directory import Entry
 from mulberrycleat.endpoint.placer import MAX_COMPARED, Part, Placer, PlacerSettings, Work
 from mulberrycleat.testing import fixture
+from mulberrycleat.testing.held_memory import held_bytes, no_collections
 
 NO_PROMPT = Work()
+# Prompts of so many short parts fit into a head of 16 KB.
+MANY_PARTS = 1_360
 
 
 def entries(count=4, zones="a", slots=8):
@@ -274,3 +277,39 @@
         placer.heard("e0", f"s{number}", now + 0.1)
         placer.ended("e0", f"s{number}", now + 0.1, False)
     assert abs(placer.choose(found, NO_PROMPT, now + 1.0).slowness - before) < 0.15
+
+
+def many_parts(first, count=MANY_PARTS):
+    """Return work whose parts have numbers from `first` on."""
+    return Work(count, tuple(Part(f"{first + n:08x}", 1) for n in range(count)))
+
+
+def test_prompts_of_very_many_parts_take_little_memory(placer):
+    """Each sequence of leading parts was kept as a text of all their ids, for each endpoint."""
+    found = entries(15)
+    with no_collections():
+        before = held_bytes()
+        for number in range(40):
+            work = many_parts(number * MANY_PARTS)
+            for entry in found:
+                placement = placer.choose([entry], work, float(number))
+                placer.sent(placement, f"{number}-{entry.id}", work, float(number))
+                placer.ended(entry.id, f"{number}-{entry.id}", float(number), False)
+        del work
+        # A request may leave what is in its own head, 16 KB, for each endpoint at most, and all
+        # endpoints together a fiftieth of the smallest host's memory.
+        assert held_bytes() - before <= 3_500_000
+
+
+def test_a_long_prompt_that_goes_on_is_taken_to_be_cached_where_its_begin_was_read(placer):
+    found = entries(2)
+    first, longer = many_parts(0, 1_000), many_parts(0, 1_100)
+    home = placer.choose(found, longer, 0.0).entry.id
+    other = next(entry for entry in found if entry.id != home)
+    placer.sent(placer.choose([other], first, 0.0), "r1", first, 0.0)
+    placer.ended(other.id, "r1", 0.1, False)
+    cached = {c.entry.id: c.cached_tokens for c in placer.explain(found, longer, 0.2)}
+    # One of eight prefixes for each doubling of the number of parts is remembered.
+    assert 1_000 * 7 / 8 <= cached[other.id] <= 1_000
+    unlike = {c.entry.id: c.cached_tokens for c in placer.explain(found, many_parts(7), 0.2)}
+    assert unlike[other.id] in (0, MANY_PARTS)
--- a/mulberrycleat/entry/call.py
+++ b/mulberrycleat/entry/call.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from mulberrycleat.endpoint.crashing_parts import content_id
+from mulberrycleat.endpoint.placement import Work
 from mulberrycleat.entry.events import EventOrder
 from mulberrycleat.entry.protocol import RequestFacts
 from mulberrycleat.routes import ClientAccount, Pool, Route, RouteTable
@@ -42,6 +43,8 @@
         Address of the host through which that attempt is made; empty for a direct one.
     suspects : tuple of str or None
         Value of :attr:`EntryCall.suspects` once it was used.
+    work : Work or None
+        Value of :attr:`EntryCall.work` once it was used.
     tokens_used : int
         Tokens charged to the prepaid total for the request.
     route, account, map_version, map_age_s, deadline
@@ -60,6 +63,7 @@
     endpoint: str = ""
     helper: str = ""
     suspects: tuple[str, ...] | None = None
+    work: Work | None = None
     tokens_used: int = 0
     route: str = ""
     account: str = ""
@@ -124,6 +128,13 @@
         facts = self.facts
         return self.route.resumable and (facts.last_event_id is not None or bool(facts.resumes))
 
+    @property
+    def work(self) -> Work:
+        """The work that the request causes at an endpoint."""
+        if self.progress.work is None:
+            self.progress.work = self.facts.work
+        return self.progress.work
+
     @property
     def suspects(self) -> tuple[str, ...]:
         """What may crash the endpoints that run the request: its content, and shared prompt parts.
--- a/mulberrycleat/entry/endpoints.py
+++ b/mulberrycleat/entry/endpoints.py
@@ -8,14 +8,15 @@
 import trio
 
 from mulberrycleat.endpoint.brittleness import BrittleEndpoints
+from mulberrycleat.endpoint.cached_prefixes import CachedPrefixes
 from mulberrycleat.endpoint.directory import Directory, Entry, EntryState
-from mulberrycleat.endpoint.placer import Candidate, Placement, Placer, PlacerSettings, Work
+from mulberrycleat.endpoint.placer import Candidate, Placement, Placer, PlacerSettings
 from mulberrycleat.endpoint.rate_limits import EndpointLimits
 from mulberrycleat.endpoint.statements import DRAIN_MARGIN_S, EndpointStatements
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.protocol import RequestFacts
 
-__all__ = ["EndpointRegistry", "work_of"]
+__all__ = ["EndpointRegistry"]
 
 
 class EndpointRegistry:
@@ -56,6 +57,7 @@
         self._may_lack_orders = may_lack_orders
         self._evacuated: frozenset[str] = frozenset()
         self._zone = zone
+        self._prefixes = CachedPrefixes()
         self._random = random
         self._limits = limits
         self._brittle = brittle
@@ -122,7 +124,7 @@
             entries = [entry for entry in entries if entry.id in only]
         entries = self._statements.sendable(entries, now, self._drain_s())
         entries = self._with_room(call.pool.name, entries, now)
-        return self.placer(call.pool.name).choose(entries, work_of(call.facts), now, tried)
+        return self.placer(call.pool.name).choose(entries, call.work, now, tried)
 
     def explain(self, pool: str, facts: RequestFacts) -> list[Candidate]:
         """Return the endpoints of a pool as they compare for a request that is not sent."""
@@ -131,7 +133,7 @@
         limited = self._limits.sendable(entries, now)
         stated = self._statements.sendable(entries, now, self._drain_s())
         roomy = self._with_room(pool, entries, now)
-        found = self.placer(pool).explain(entries, work_of(facts), now)
+        found = self.placer(pool).explain(entries, facts.work, now)
         cold = {e.id for e in entries if e not in limited and self._limits.is_cold(e, now)}
         not_cold = [entry for entry in entries if entry.id not in cold]
         reasons = (
@@ -257,7 +259,11 @@
         """Return the placer of one pool, which is created on first use."""
         if pool not in self._placers:
             self._placers[pool] = Placer(
-                self._settings, self._zone, self._random, lambda: self._on_slowness(pool)
+                self._settings,
+                self._zone,
+                self._random,
+                lambda: self._on_slowness(pool),
+                self._prefixes,
             )
         return self._placers[pool]
 
@@ -275,12 +281,3 @@
         leaving = self._statements.leaving(trio.current_time())
         entries = self._directory.entries.values()
         return {entry.address for entry in entries if entry.incarnation not in leaving}
-
-
-def work_of(facts: RequestFacts) -> Work:
-    """Return the work of a request, without the prompt's last part: no other request shares it.
-
-    A prompt of a single part keeps that part.
-    """
-    shared = facts.parts[:-1] if len(facts.parts) > 1 else facts.parts
-    return Work(facts.prompt_tokens, shared)
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -20,7 +20,7 @@
 from mulberrycleat.entry.call import EntryCall
 from mulberrycleat.entry.decisions import DecisionLog
 from mulberrycleat.entry.endpoint_reports import EndpointReports
-from mulberrycleat.entry.endpoints import EndpointRegistry, work_of
+from mulberrycleat.entry.endpoints import EndpointRegistry
 from mulberrycleat.entry.events import EventOrder
 from mulberrycleat.entry.exchange import (
     SERVER_ERROR,
@@ -311,7 +311,7 @@
         call.progress.endpoint, call.progress.helper = entry.id, ""
         attempt = Attempt(placement, trio.current_time(), self._reports.read_to, tries.crashed)
         self._registry.record_send(entry, attempt.sent_at)
-        placer.sent(placement, request_id, work_of(call.facts), attempt.sent_at)
+        placer.sent(placement, request_id, call.work, attempt.sent_at)
         self._reports.record_send(entry)
         self._decisions.info(
             "sent",
--- a/mulberrycleat/entry/protocol.py
+++ b/mulberrycleat/entry/protocol.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
-from mulberrycleat.endpoint.placer import Part
+from mulberrycleat.endpoint.placement import Part, Work
 from mulberrycleat.endpoint.statements import Leaving, Pause, Statement
 from mulberrycleat.web.upstream import AnswerHead, RawHeaders
 
@@ -62,6 +62,15 @@
         """Parts that other requests may have too: all but the last."""
         return self.parts[:-1]
 
+    @property
+    def work(self) -> Work:
+        """The request's work, without the prompt's last part: no other request shares it.
+
+        A prompt of a single part keeps that part.
+        """
+        shared = self.shared_parts if len(self.parts) > 1 else self.parts
+        return Work(self.prompt_tokens, shared)
+
 
 class EndpointLoad(NamedTuple):
     """An endpoint's load report.
