Keep a digest in place of a very long id of a prompt part

Callers would see: memory that grows with the length of ids, kept by the cache of preferred endpoints and with what crashes endpoints; and a part that crashes endpoints and is never refused, since a report that names an id of over 128 characters can't be read by any host.

Change: hosts know a part by its id up to 64 characters, by a digest of it otherwise, from where the headers are read. Endpoints get the header as the caller has sent it.

--- a/mulberrycleat/core/__init__.py
+++ b/mulberrycleat/core/__init__.py
@@ -9,7 +9,7 @@
     Served,
     Step,
 )
-from mulberrycleat.core.ids import Holder, new_id
+from mulberrycleat.core.ids import Holder, bounded_id, new_id
 from mulberrycleat.core.positions import START, Position
 
 __all__ = [
@@ -23,5 +23,6 @@
     "RequestResult",
     "Served",
     "Step",
+    "bounded_id",
     "new_id",
 ]
--- a/mulberrycleat/endpoint/cached_prefixes.py
+++ b/mulberrycleat/endpoint/cached_prefixes.py
@@ -6,11 +6,14 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-__all__ = ["CachedPrefixes", "Part", "Prefix", "prefixes_of"]
+__all__ = ["MAX_PART_ID_LENGTH", "CachedPrefixes", "Part", "Prefix", "prefixes_of"]
 
 # Most prefixes that are remembered, of all endpoints together. One takes some 200 bytes, so that
 # all take 3 MB, a fiftieth of the memory of the smallest host.
 MAX_PREFIXES = 16_384
+# Longest id of a part that hosts keep and tell each other, in characters; of a longer one, they use
+# a digest. Callers' ids have some ten characters.
+MAX_PART_ID_LENGTH = 64
 # Of a prompt with more parts than this, not each prefix is remembered, but eight for each doubling
 # of their number: a request may list a thousand parts.
 MAX_DENSE_PREFIXES, DENSE_BITS = 32, 4
--- a/mulberrycleat/platform/headers.py
+++ b/mulberrycleat/platform/headers.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
+from mulberrycleat.core import bounded_id
 from mulberrycleat.core.numbers import parse_count, parse_rate, parse_seconds
-from mulberrycleat.endpoint.placer import Part
+from mulberrycleat.endpoint.cached_prefixes import MAX_PART_ID_LENGTH, Part
 from mulberrycleat.entry.protocol import (
     AnswerFacts,
     EndpointLoad,
@@ -241,7 +242,8 @@
         if match is None:
             faults.append(f"{PROMPT_PARTS.decode()}: {item.strip()[:40]!r} is not ID:TOKENS")
             return ()
-        parts.append(Part(match[1].lower(), int(match[2])))
+        part_id = bounded_id(match[1].lower(), MAX_PART_ID_LENGTH)
+        parts.append(Part(part_id, int(match[2])))
     return tuple(parts)
 
 
