Know streams with very long request ids by a digest of the id

Callers saw, by reading and by a test: a stream whose id is longer than 256 characters is not recorded and can't be taken up at another host beside a release; hosts keep its whole id for 120 s, up to 65,536 of them with 15 KB each, which no budget counts.

Cause: the id was remembered before its length was checked, and left out of the records.

Change: a stream is known by its id up to 256 characters, by a digest of it otherwise, at this host, in the records and in questions of other hosts.

Evidence: two tests of test_long_ids failed before: 41 long ids were held after 40 streams, now 8 at most; and a stream with an id of 12,000 characters goes on at its version at another host.

--- a/mulberrycleat/entry/stream_origins.py
+++ b/mulberrycleat/entry/stream_origins.py
@@ -9,7 +9,7 @@
 import trio
 from result import Err, Ok
 
-from mulberrycleat.core import START, Position
+from mulberrycleat.core import START, Position, bounded_id
 from mulberrycleat.endpoint.directory import Directory, Entry
 from mulberrycleat.endpoint.stream_bases import StreamBases
 from mulberrycleat.endpoint.stream_origins import (
@@ -154,7 +154,7 @@
 
     def known(self, request_id: str) -> StreamOrigin | None:
         """Return the origin of a stream if this host remembers it."""
-        return self._origins.find(request_id, trio.current_time())
+        return self._origins.find(_key(request_id), trio.current_time())
 
     def known_versions(self, hosts: tuple[str, ...]) -> HostVersions | None:
         """Return what this host knows of the versions in service, None before it has read them.
@@ -189,15 +189,11 @@
         """Record where a stream begins; return whether its first event may be sent then."""
         now = trio.current_time()
         self._note_pool(origin.pool)
+        request_id = _key(request_id)
         self._origins.add(request_id, origin, now, own=True)
-        fault = ""
-        if len(request_id) > MAX_NAME_LENGTH:
-            fault = f"the id is longer than {MAX_NAME_LENGTH} characters"
-        elif len(self._pending) >= MAX_PENDING:
-            fault = "too many pending"
-        if fault:
+        if len(self._pending) >= MAX_PENDING:
             self._decisions.warning(
-                "stream origin dropped", request=request_id[:40], step="append", why=fault
+                "stream origin dropped", request=request_id, step="append", why="too many pending"
             )
             return self._may_begin_unrecorded(origin)
         stream = _Pending(request_id, origin)
@@ -246,11 +242,12 @@
 
     def correct(self, request_id: str, origin: StreamOrigin) -> None:
         """Record another origin of a stream that began at this host."""
+        request_id = _key(request_id)
         self._origins.add(request_id, origin, trio.current_time(), own=True)
         waiting = [stream for stream in self._pending if stream.request_id == request_id]
         for stream in waiting:
             stream.origin = origin
-        if not waiting and len(request_id) <= MAX_NAME_LENGTH:
+        if not waiting:
             self._pending.append(_Pending(request_id, origin))
         self._held.set()
 
@@ -269,6 +266,7 @@
             Pool that its route leads to.
         """
         self._note_pool(pool)
+        request_id = _key(request_id)
         found = self.known(request_id)
         up_to_date = False
         if found is None and (request_id or not self._is_mixed(pool)):
@@ -471,3 +469,8 @@
         if not self._failing:
             self._decisions.warning("stream origins not reached", step=step, peer="store", why=why)
         self._failing = True
+
+
+def _key(request_id: str) -> str:
+    """Return what a stream is known by: its id, which may be as long as a head allows."""
+    return bounded_id(request_id, MAX_NAME_LENGTH)
