--- a/mulberrycleat/web/tests/test_released_bytes.py
+++ b/mulberrycleat/web/tests/test_released_bytes.py
@@ -69,6 +69,22 @@
     trio.run(main)
 
 
+def test_a_call_of_another_host_that_is_reset_while_it_is_sent():
+    async def main() -> None:
+        client = HttpClient()
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, reset_after_a_part, 0)
+            url = f"http://127.0.0.1:{listeners[0].socket.getsockname()[1]}/x"
+            with no_collections():
+                for _ in range(ROUNDS):
+                    with suppress(httpcore.NetworkError, httpcore.RemoteProtocolError):
+                        await client.request("POST", url, bytes(BODY_BYTES))
+                assert count_large_objects(BODY_BYTES) == 0
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 async def send_through_another_host(behaviour: Behaviour) -> None:
     async with tunnel_to(behaviour) as (pipe, _):
         await send_body(pipe)
@@ -129,6 +145,7 @@
                     await trio.sleep(2 * PATIENCE_S)
                     held = held_bytes() - before
                     assert held <= MOST_HELD_BYTES, (path, held)
+                    assert count_large_objects(PEER_BODY_BYTES) == 0, path
             stop.set()
 
     trio.run(main)
