Name at most as many prompt parts in the line of a failed attempt as in a crash report

Operators would see: log lines of 15 KB, one for each failed attempt, for prompts of 1,360 parts. Evidence: the new test of test_crashing_parts saw 1,000 parts in a line before, and sees 64 now.

--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -10,6 +10,7 @@
 
 from mulberrycleat.core import MayHaveRun, NotRun, Refusal, Served, Step
 from mulberrycleat.endpoint.placer import Placement
+from mulberrycleat.endpoint.reports import MAX_PARTS
 from mulberrycleat.endpoint.stream_origins import StreamOrigin
 from mulberrycleat.entry.attempts import (
     TAKEOVER_S,
@@ -463,7 +464,7 @@
             fields["limit_per_s"] = attempt.limit_per_s
         match outcome:
             case ExchangeFailed(reason=reason):
-                content, *parts = call.suspects
+                content, *parts = call.suspects[: MAX_PARTS + 1]
                 self._decisions.warning(
                     "send failed", why=reason, content=content, parts=parts, **fields
                 )
--- a/mulberrycleat/platform/tests/test_crashing_parts.py
+++ b/mulberrycleat/platform/tests/test_crashing_parts.py
@@ -42,6 +42,17 @@
     assert failed[0].parts == ["aa", CRASHING_PART]
 
 
+async def test_the_line_of_a_broken_attempt_is_not_as_long_as_its_prompt_has_parts(records):
+    parts = [f"{number:x}a" for number in range(1000)]
+    async with entry_host(engine(1)) as harness:
+        prefix = ",".join(f"{part}:1" for part in [CRASHING_PART, *parts])
+        headers = {"model": "m", "token_counts": "1001,20", "prompt_prefix": prefix}
+        await harness.send_request("/ask/x", **headers)
+    failed = [record for record in records if record.msg == "send failed"]
+    assert len(failed[0].parts) == 64
+    assert failed[0].parts[0] == CRASHING_PART
+
+
 async def test_the_lines_of_broken_attempts_tell_which_requests_have_the_same_content(records):
     async with entry_hosts(2, *map(engine, range(1, 5)), config=FLEET_CONFIG) as harnesses:
         for number, last in enumerate(("cc", "cc", "dd")):
