Begin a stream at the base when it could not be recorded where it was about to begin

Found by rereading. Callers would see: streams that fail in the first half second of an outage of the store beside a release, as the next attempt was bound to the version of the given-up one; and, by reading, a stream joined of two versions, if the store does the late append of the given-up origin after that of the origin where the stream has begun.

Change: a stream that is given up before its first event has no version. It is recorded as one of no known version, which later and earlier records don't change, so that it goes on nowhere else.

Evidence: test_streams_begin_at_the_base_when_the_store_is_lost_while_they_wait_for_their_record failed before, as some of these streams were taken up. All are answered whole, and none goes on elsewhere.

--- a/mulberrycleat/endpoint/stream_origins.py
+++ b/mulberrycleat/endpoint/stream_origins.py
@@ -17,6 +17,7 @@
 from mulberrycleat.endpoint.stream_bases import BaseStatement
 
 __all__ = [
+    "GIVEN_UP_VERSION",
     "MAX_NAME_LENGTH",
     "MAX_REQUESTS",
     "HostVersions",
@@ -38,6 +39,9 @@
 
 # Begin of the names that stand for versions that are not known.
 UNKNOWN_PREFIX = "unknown/"
+# Version of streams that were given up before their first event, as their origin could not be
+# recorded in time.
+GIVEN_UP_VERSION = f"{UNKNOWN_PREFIX}given-up"
 
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
--- a/mulberrycleat/entry/filters/dispatch.py
+++ b/mulberrycleat/entry/filters/dispatch.py
@@ -370,6 +370,7 @@
             if call.route.resumable and not call.is_taken_up:
                 origin = StreamOrigin(entry.pool, connections.version)
                 if not await self._origins.record_start(request_id, origin):
+                    call.progress.version = None
                     raise ExchangeError("the version of the stream could not be recorded")
 
         hooks = ExchangeHooks(
--- a/mulberrycleat/entry/stream_origins.py
+++ b/mulberrycleat/entry/stream_origins.py
@@ -13,6 +13,7 @@
 from mulberrycleat.endpoint.directory import Directory, Entry
 from mulberrycleat.endpoint.stream_bases import StreamBases
 from mulberrycleat.endpoint.stream_origins import (
+    GIVEN_UP_VERSION,
     MAX_NAME_LENGTH,
     MAX_REQUESTS,
     ORIGIN_TTL_S,
@@ -186,11 +187,14 @@
         return self._usable_base(pool)
 
     async def record_start(self, request_id: str, origin: StreamOrigin) -> bool:
-        """Record where a stream begins; return whether its first event may be sent then."""
-        now = trio.current_time()
-        self._note_pool(origin.pool)
+        """Record where a stream begins; return whether its first event may be sent then.
+
+        A stream that must not begin there goes on nowhere, wherever it begins after that: the store
+        may do the append of this origin after those that follow.
+        """
         request_id = _key(request_id)
-        self._origins.add(request_id, origin, now, own=True)
+        self._note_pool(origin.pool)
+        self._origins.add(request_id, origin, trio.current_time(), own=True)
         if len(self._pending) >= MAX_PENDING:
             self._decisions.warning(
                 "stream origin dropped", request=request_id, step="append", why="too many pending"
@@ -198,20 +202,29 @@
             return self._may_begin_unrecorded(origin)
         stream = _Pending(request_id, origin)
         self._pending.append(stream)
+        if await self._is_recorded(stream) or self._may_begin_unrecorded(origin):
+            return True
+        self.correct(request_id, StreamOrigin(origin.pool, GIVEN_UP_VERSION))
+        return False
+
+    async def _is_recorded(self, stream: _Pending) -> bool:
+        """Wait for the record of a stream, if it has to be held; return whether it is there."""
+        origin = stream.origin
         may_begin = self._may_begin_unrecorded(origin)
         if may_begin and not self._is_mixed(origin.pool):
-            return True
+            return False
         self._held.set()
-        if not (self._failing or self._store_lost()):
-            # A stream that must be recorded also waits for the host's turn.
-            with trio.move_on_after(MAX_HOLD_S + (0.0 if may_begin else self._held_interval_s)):
-                await stream.recorded.wait()
-                return True
-            self._late = True
-            self._decisions.warning(
-                "stream origin not recorded in time", request=request_id, version=origin.version
-            )
-        return self._may_begin_unrecorded(origin)
+        if self._failing or self._store_lost():
+            return False
+        # A stream that must be recorded also waits for the host's turn.
+        with trio.move_on_after(MAX_HOLD_S + (0.0 if may_begin else self._held_interval_s)):
+            await stream.recorded.wait()
+            return True
+        self._late = True
+        self._decisions.warning(
+            "stream origin not recorded in time", request=stream.request_id, version=origin.version
+        )
+        return False
 
     @property
     def _held_interval_s(self) -> float:
--- a/mulberrycleat/platform/tests/test_begun_streams_beside_releases.py
+++ b/mulberrycleat/platform/tests/test_begun_streams_beside_releases.py
@@ -172,6 +172,37 @@
             assert answer.complete
 
 
+async def test_streams_begin_at_the_base_when_the_store_is_lost_while_they_wait_for_their_record():
+    servers = engines("v1", "v1", "v2", "v2")
+    store = StoreStandin()
+    config = {**TAKEN_UP, "routes": [{**TAKEN_UP["routes"][0], "max_attempts": 2}]}
+    answers = {}
+    async with entry_hosts(2, *servers[:2], config=config, store=store) as harnesses:
+        await harnesses[0].send_request("/ask/x", "earlier", **PROMPT)
+        await trio.sleep(READS_S)
+        join(harnesses[0], *servers[2:])
+        await trio.sleep(READS_S)
+        store.down = True
+
+        async def send(number: int) -> None:
+            prompt = {**PROMPT, "prompt_prefix": f"{number:x}a:50,{number:x}b:40"}
+            answers[number] = await harnesses[0].send_request("/ask/x", f"s{number}", **prompt)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(STREAMS):
+                nursery.start_soon(send, number)
+        given_up = {f"s{n}" for n in range(STREAMS)} & set(servers[2].ran + servers[3].ran)
+        assert given_up
+        store.down = False
+        await trio.sleep(READS_S)
+        # What the store has of them may be out of order, so they go on nowhere.
+        for request_id in given_up:
+            names = {"resumes": request_id, "last_event_id": "2"}
+            answer = await harnesses[1].send_request("/ask/x", f"t{request_id}", **names, **PROMPT)
+            assert answer.status == 503
+    assert all(answer.complete and answer.status == 200 for answer in answers.values())
+
+
 async def test_a_store_that_was_restored_has_no_base_from_before():
     """Records of streams at the second version may be gone, and the hosts that made them."""
     servers = engines("v1", "v1", "v2", "v2")
