Serve callers in HTTP/1.1 only, as the bounds of connections count one request each

Cause: hypercorn goes over to HTTP/2 on its preface and on Upgrade: h2c, and to WebSocket. The bounds know neither: such a connection counts 26 KB, takes 1.2 MB and is never closed for room.

Change: a connection stays with HTTP/1.1. One that begins as HTTP/2 is answered 505 and closed; a request for an upgrade is answered in HTTP/1.1.

--- a/mulberrycleat/platform/tests/test_crowds.py
+++ b/mulberrycleat/platform/tests/test_crowds.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 
@@ -24,6 +25,9 @@
 # A head of 16,384 bytes at most, of valid fields with names of one letter.
 MANY_FIELDS = [f"{chr(97 + number % 26)}:" for number in range(3900)]
 BODY_BYTES = 1_048_576
+# Requests that each caller has open at a time, where the protocol allows several.
+OPEN_REQUESTS = 100
+HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 # Longest time that a caller sends without end, in seconds, before the host is examined.
 SENT_FOR_S = 3.0
 
@@ -177,3 +181,42 @@
     request = head("GET", "/find/x", "timeout-remaining: 10000")
     crowd = callers(400, lambda: [bytes([b]) for b in request], endless=True, pause_s=0.5)
     check(run_beside(crowd, MEMORY_MB, FEW_FDS, settles=False), max_fds=FEW_FDS)
+
+
+def frame(kind: int, flags: int, stream: int, data: bytes = b"") -> bytes:
+    """Return a frame of HTTP/2."""
+    return (
+        struct.pack(">I", len(data))[1:] + bytes([kind, flags]) + struct.pack(">I", stream) + data
+    )
+
+
+def begun_request(stream: int) -> bytes:
+    """Return the frames of a request in HTTP/2 whose body stops short of its end."""
+    fields = {
+        ":method": "POST",
+        ":path": "/book/x",
+        ":scheme": "http",
+        ":authority": "a.example",
+        "attempt-id": f"r{stream}",
+        "content-length": "1000",
+    }
+    texts = (text.encode() for pair in fields.items() for text in pair)
+    block = b"".join(
+        b"\x00" * (number % 2 == 0) + bytes([len(text)]) + text for number, text in enumerate(texts)
+    )
+    return frame(1, 4, stream, block) + frame(0, 0, stream, b"b" * 10)
+
+
+def test_requests_in_http2_whose_bodies_stop_short():
+    """The bounds knew one request a connection, and none of this protocol."""
+    requests = [begun_request(2 * number + 1) for number in range(OPEN_REQUESTS)]
+    first = HTTP2_PREFACE + frame(4, 0, 0) + b"".join(requests)
+    check(run_beside(callers(120, lambda: [first]), MEMORY_MB, MAX_FDS))
+
+
+def test_upgrades_to_http2_with_requests_whose_bodies_stop_short():
+    upgrade = head("GET", "/find/x", "connection: upgrade, http2-settings", "upgrade: h2c")
+    upgrade = upgrade[:-2] + b"http2-settings: \r\n\r\n"
+    requests = [begun_request(2 * number + 3) for number in range(OPEN_REQUESTS)]
+    first = upgrade + HTTP2_PREFACE + frame(4, 0, 0) + b"".join(requests)
+    check(run_beside(callers(120, lambda: [first]), MEMORY_MB, MAX_FDS))
--- a/mulberrycleat/web/connections.py
+++ b/mulberrycleat/web/connections.py
@@ -20,7 +20,7 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.events import Closed, Event, RawData, Updated
-from hypercorn.protocol import ProtocolWrapper
+from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.trio.task_group import TaskGroup
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import AppWrapper, ConnectionState
@@ -199,6 +199,30 @@
             self._room_logged_at, self._closed_for_room = now, 0
 
 
+class Http1Protocol(H11Protocol):
+    """HTTP/1.1, whatever other protocol a caller asks for.
+
+    hypercorn goes over to HTTP/2 and to WebSocket, of which the bounds of connections know nothing:
+    a connection may then have any number of requests. A request for an upgrade is answered in
+    HTTP/1.1, as the protocol allows.
+    """
+
+    async def _check_protocol(self, event: h11.Request) -> None:
+        """Go over to no other protocol; called by hypercorn."""
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        """Hand a request to the application, without what it asks to upgrade to."""
+        headers = [pair for pair in request.headers.raw_items() if pair[0].lower() != b"upgrade"]
+        if len(headers) < len(request.headers):
+            request = h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=headers,
+                http_version=request.http_version,
+            )
+        await super()._create_stream(request)
+
+
 class CallerConnection:
     """One connection of a caller.
 
@@ -233,7 +257,7 @@
         self._context = context
         self._state = state
         self._stream = stream
-        self._protocol: ProtocolWrapper | None = None
+        self._protocol: Http1Protocol | None = None
         self._send_lock = trio.Lock()
         self._reason: CloseReason | None = None
         self._unsent = False
@@ -267,7 +291,7 @@
         if self._sending is not None:
             stalled_s = now - self._progress_at
             return stalled_s if stalled_s >= UNREAD_STALL_S else None
-        connection = getattr(self._protocol.protocol, "connection", None)
+        connection = getattr(self._protocol, "connection", None)
         if getattr(connection, "their_state", None) is h11.SEND_BODY:
             return now - self._progress_at
         return None
@@ -296,7 +320,7 @@
             client = parse_socket_addr(sock.family, sock.getpeername())
             server = parse_socket_addr(sock.family, sock.getsockname())
             async with TaskGroup() as tasks:
-                self._protocol = ProtocolWrapper(
+                self._protocol = Http1Protocol(
                     self._app,
                     self._config,
                     self._context,
@@ -308,12 +332,11 @@
                     self._carry_out,
                 )
                 await self._protocol.initiate()
-                if self._config.max_fields is not None:
-                    self._protocol.protocol.connection = BoundedParser(
-                        self._config.h11_max_incomplete_size,
-                        self._config.max_fields,
-                        self._config.counts.count_refused_head,
-                    )
+                self._protocol.connection = BoundedParser(
+                    self._config.h11_max_incomplete_size,
+                    self._config.max_fields,
+                    self._config.counts.count_refused_head,
+                )
                 self._set_idle(True)
                 if self._config.budget is not None:
                     self._config.budget.add(self, trio.current_time())
@@ -366,7 +389,7 @@
 
     def _is_running(self) -> bool:
         """Whether a complete request has been received, which may have reached an endpoint."""
-        connection = getattr(self._protocol.protocol, "connection", None)
+        connection = getattr(self._protocol, "connection", None)
         return self._idle_since is None and getattr(connection, "their_state", None) is h11.DONE
 
     def _stay(self) -> None:
@@ -388,7 +411,7 @@
 
     def _hold_request(self) -> None:
         """Count the fields of a request that has been read, in place of the bytes of its head."""
-        connection = getattr(self._protocol.protocol, "connection", None)
+        connection = getattr(self._protocol, "connection", None)
         fields = getattr(connection, "fields", 0)
         self._hold(CONNECTION_BYTES + REQUEST_BYTES + FIELD_BYTES * fields - self._held)
 
@@ -454,8 +477,7 @@
 
         Callers of HTTP/1.0 know no chunks: an answer without a length ends with the connection.
         """
-        protocol = self._protocol.protocol if self._protocol is not None else None
-        connection = getattr(protocol, "connection", None)
+        connection = getattr(self._protocol, "connection", None)
         return (
             isinstance(connection, h11.Connection)
             and connection.our_state is h11.SEND_BODY
--- a/mulberrycleat/web/request_parser.py
+++ b/mulberrycleat/web/request_parser.py
@@ -14,11 +14,16 @@
 MAX_JOINED_CHUNKS = 64
 # A chunk of at least this size is passed on by itself, in bytes: joining saves a task switch only.
 MIN_ALONE_BYTES = 1024
+# Versions of HTTP that are served, and the status for others; HTTP/2 begins like a request.
+VERSIONS = (b"1.0", b"1.1")
+VERSION_NOT_SUPPORTED = 505
 
 
 class BoundedParser(h11.Connection):
     """Server side of HTTP/1.1 that refuses a head with too many fields before it is parsed.
 
+    Other versions than 1.0 and 1.1 are refused.
+
     A parsed field takes about 270 bytes, however short it is, so that a head of 16 KB with the
     shortest fields takes a megabyte. Chunks of a few bytes are joined: each of them by itself
     would cost a switch to the task of the application and back.
@@ -27,14 +32,14 @@
     ----------
     max_head_bytes : int
         Most bytes of a head that is not complete.
-    max_fields : int
-        Most header fields of a request.
+    max_fields : int or None
+        Most header fields of a request; None for any number.
     on_refusal : callable
         Called when a head is refused.
     """
 
     def __init__(
-        self, max_head_bytes: int, max_fields: int, on_refusal: Callable[[], None]
+        self, max_head_bytes: int, max_fields: int | None, on_refusal: Callable[[], None]
     ) -> None:
         super().__init__(h11.SERVER, max_incomplete_event_size=max_head_bytes)
         self._max_fields = max_fields
@@ -56,6 +61,9 @@
             self._check_fields()
         event = super().next_event()
         if type(event) is h11.Request:
+            if event.http_version not in VERSIONS:
+                reason = f"HTTP version {event.http_version.decode()}"
+                raise h11.RemoteProtocolError(reason, error_status_hint=VERSION_NOT_SUPPORTED)
             self._fields = len(event.headers)
         elif type(event) is h11.Data and len(event.data) < MIN_ALONE_BYTES:
             return self._join(event)
@@ -67,6 +75,8 @@
         super().start_next_cycle()
 
     def _check_fields(self) -> None:
+        if self._max_fields is None:
+            return
         data = self.trailing_data[0]
         if len(data) <= self._max_fields * MIN_FIELD_BYTES:
             return
