Move the statements of bases to a controller of their own

Change: entry/stream_bases.py states bases and tells where streams may begin unrecorded; entry/stream_origins.py records and looks up. No behaviour: the tests of both, and of versions and restarted endpoints, pass as before.

--- a/mulberrycleat/entry/stream_origins.py
+++ b/mulberrycleat/entry/stream_origins.py
@@ -11,12 +11,10 @@
 
 from mulberrycleat.core import START, Position, bounded_id
 from mulberrycleat.endpoint.directory import Directory, Entry
-from mulberrycleat.endpoint.stream_bases import StreamBases
 from mulberrycleat.endpoint.stream_origins import (
     GIVEN_UP_VERSION,
     MAX_NAME_LENGTH,
     MAX_REQUESTS,
-    ORIGIN_TTL_S,
     HostVersions,
     OriginRecord,
     StreamOrigin,
@@ -26,6 +24,7 @@
 from mulberrycleat.entry.settings import EntryTimes
 from mulberrycleat.entry.shared_reads import SharedRead
 from mulberrycleat.entry.store import StateStore
+from mulberrycleat.entry.stream_bases import BaseController
 
 __all__ = ["OriginController"]
 
@@ -49,14 +48,6 @@
 MAX_LOOKUP_S = 0.6
 # Interval between attempts to read what was recorded before this host started, in seconds.
 START_READ_INTERVAL_S = 0.3
-# A pool that has got a second version keeps its base for this time, in seconds. Hosts learn of the
-# version within a read of the directory, and callers take up the streams of a host that was killed
-# before within seconds. While the store is away, new streams begin at the base only.
-BASE_KEPT_S = 8.0
-# A stream is taken to have begun at the base if the log had a statement of it in this time, in
-# seconds: half of that for which the log keeps its records, so that hosts which have started since
-# know the base.
-BASE_STATED_S = 10.0
 
 
 @dataclass(slots=True)
@@ -130,11 +121,7 @@
         self._host_count = host_count
         self._ask_others = ask_others
         self._origins = StreamOrigins()
-        self._bases = StreamBases()
-        # When a pool with a base was first seen with several versions.
-        self._mixed_since: dict[str, float] = {}
-        # Pools in which streams began, or were taken up, at this host.
-        self._pools: set[str] = set()
+        self._bases = BaseController(directory, self._versions, decisions)
         self._restored = trio.Event()
         self._position: Position = START
         self._ask_versions = ask_versions
@@ -173,8 +160,7 @@
     def observe(self, entries: Iterable[Entry]) -> None:
         """Note the versions of endpoints that are, or were, in the directory."""
         self._origins.observe(entries, trio.current_time())
-        for pool in self._pools:
-            self._update_base(pool)
+        self._bases.update()
 
     def begins_only_at(self, pool: str) -> str | None:
         """Return the only version at which streams may begin now, None if they may at any.
@@ -182,9 +168,7 @@
         While no origin can be recorded in time, that is the base.
         """
         is_cut = self._failing or self._late or self._store_lost()
-        if not is_cut or not self._is_mixed(pool):
-            return None
-        return self._usable_base(pool)
+        return self._bases.usable(pool) if is_cut and self._is_mixed(pool) else None
 
     async def record_start(self, request_id: str, origin: StreamOrigin) -> bool:
         """Record where a stream begins; return whether its first event may be sent then.
@@ -193,16 +177,16 @@
         may do the append of this origin after those that follow.
         """
         request_id = _key(request_id)
-        self._note_pool(origin.pool)
+        self._bases.note_pool(origin.pool)
         self._origins.add(request_id, origin, trio.current_time(), own=True)
         if len(self._pending) >= MAX_PENDING:
             self._decisions.warning(
                 "stream origin dropped", request=request_id, step="append", why="too many pending"
             )
-            return self._may_begin_unrecorded(origin)
+            return self._bases.allows_unrecorded(origin)
         stream = _Pending(request_id, origin)
         self._pending.append(stream)
-        if await self._is_recorded(stream) or self._may_begin_unrecorded(origin):
+        if await self._is_recorded(stream) or self._bases.allows_unrecorded(origin):
             return True
         self.correct(request_id, StreamOrigin(origin.pool, GIVEN_UP_VERSION))
         return False
@@ -210,7 +194,7 @@
     async def _is_recorded(self, stream: _Pending) -> bool:
         """Wait for the record of a stream, if it has to be held; return whether it is there."""
         origin = stream.origin
-        may_begin = self._may_begin_unrecorded(origin)
+        may_begin = self._bases.allows_unrecorded(origin)
         if may_begin and not self._is_mixed(origin.pool):
             return False
         self._held.set()
@@ -231,28 +215,6 @@
         """Shortest time between two appends while events wait, in seconds."""
         return max(HELD_INTERVAL_S, max(1, self._host_count()) / FLEET_APPENDS_PER_S)
 
-    def _may_begin_unrecorded(self, origin: StreamOrigin) -> bool:
-        """Whether a stream of this origin may begin before it is recorded.
-
-        No host may take it for one of another version. This can't be held for an endpoint that has
-        started again while the store is away, as all endpoints may have.
-        """
-        if not origin.is_known or origin.version == self._bases.may_be_in_force(origin.pool):
-            return True
-        return self._usable_base(origin.pool) in (None, origin.version)
-
-    def _usable_base(self, pool: str) -> str | None:
-        """Return the base that may be in force, None if no stream can begin there.
-
-        A host that has not read the log since its start takes the version of the endpoint that has
-        run for longest.
-        """
-        if not self._records.ever_succeeded:
-            ready = self._directory.ready(pool, trio.current_time())
-            return min(ready, key=lambda entry: entry.born).version if ready else None
-        base = self._bases.may_be_in_force(pool)
-        return base if base is not None and self._is_ready(pool, base) else None
-
     def correct(self, request_id: str, origin: StreamOrigin) -> None:
         """Record another origin of a stream that began at this host."""
         request_id = _key(request_id)
@@ -278,7 +240,7 @@
         pool : str
             Pool that its route leads to.
         """
-        self._note_pool(pool)
+        self._bases.note_pool(pool)
         request_id = _key(request_id)
         found = self.known(request_id)
         up_to_date = False
@@ -286,74 +248,23 @@
             with trio.move_on_after(MAX_LOOKUP_S):
                 up_to_date = await self._records.read()
                 found = self.known(request_id)
-                needs_directory = not self._is_mixed(pool) or self._base(pool) is not None
+                needs_directory = not self._is_mixed(pool) or self._bases.in_force(pool) is not None
                 if found is None and up_to_date and needs_directory:
                     up_to_date = False
                     up_to_date = await self._refresh_directory()
             if found is None and request_id and not up_to_date:
                 found = await self._ask_others(request_id)
             if found is None and request_id and up_to_date:
-                found = self._unrecorded(request_id, pool)
+                # The log, just read, has no record of the stream.
+                found = self._bases.unrecorded_origin(pool)
+                if found is not None:
+                    self._decisions.info(
+                        "stream taken to have begun at the base",
+                        resumes=request_id,
+                        of=found.version,
+                    )
         return await self._infer(pool, up_to_date) if found is None else found
 
-    def _unrecorded(self, request_id: str, pool: str) -> StreamOrigin | None:
-        """Return the origin of a stream of which the log, just read, has no record.
-
-        None if the pool has no base.
-        """
-        self._update_base(pool)
-        base = self._base(pool)
-        if base is None or self._bases.logged_age_s(pool, trio.current_time()) > BASE_STATED_S:
-            return None
-        self._decisions.info("stream taken to have begun at the base", resumes=request_id, of=base)
-        return StreamOrigin(pool, base)
-
-    def _base(self, pool: str) -> str | None:
-        """Return the base of a pool, as far as the log was read."""
-        return self._bases.in_force(pool, self._position.era)
-
-    def _is_ready(self, pool: str, version: str) -> bool:
-        """Whether a version has endpoints at which streams may begin."""
-        ready = self._directory.ready(pool, trio.current_time())
-        return any(entry.version == version for entry in ready)
-
-    def _note_pool(self, pool: str) -> None:
-        if pool not in self._pools:
-            self._pools.add(pool)
-            self._update_base(pool)
-
-    def _update_base(self, pool: str) -> None:
-        """State the base of a pool, or its end, if that is due."""
-        now = trio.current_time()
-        if not self._records.ever_succeeded or not self._directory.is_complete(now):
-            return
-        versions, base = self._versions(pool), self._base(pool)
-        if base is None:
-            self._mixed_since.pop(pool, None)
-            statement = self._bases.statement(pool)
-            is_due = statement is None or statement.era < self._position.era
-            if len(versions) == 1 and (is_due or self._bases.age_s(pool, now) >= ORIGIN_TTL_S):
-                self._bases.declare(pool, *versions, self._position.era, now)
-                self._log_base(pool, "the only version")
-        elif not self._is_ready(pool, base):
-            self._bases.withdraw(pool, now)
-            self._log_base(pool, "the version leaves")
-        elif len(versions) < 2:
-            self._mixed_since.pop(pool, None)
-        elif now - self._mixed_since.setdefault(pool, now) >= BASE_KEPT_S:
-            self._bases.withdraw(pool, now)
-            self._log_base(pool, "there are several versions")
-
-    def _log_base(self, pool: str, why: str) -> None:
-        statement = self._bases.statement(pool)
-        self._decisions.info(
-            "base of streams stated",
-            pool=pool,
-            version=statement.version,
-            number=statement.number,
-            why=why,
-        )
-
     async def _infer(self, pool: str, up_to_date: bool) -> StreamOrigin | None:
         """Return the only version at which a stream may have begun, None if there are several.
 
@@ -401,8 +312,7 @@
             with trio.move_on_after(max(IDLE_INTERVAL_S, hosts / FLEET_IDLE_APPENDS_PER_S)):
                 await self._held.wait()
             self._held = trio.Event()
-            for pool in self._pools:
-                self._update_base(pool)
+            self._bases.update()
             while self._pending or self._bases.unlogged:
                 await self._append_pending()
             await trio.sleep(self._held_interval_s)
@@ -434,7 +344,7 @@
                 self._failing = False
                 for pool, statement in bases.items():
                     if statement is not None:
-                        self._bases.apply(pool, statement, trio.current_time())
+                        self._bases.apply(pool, statement)
                 for stream, origin in batch:
                     if stream.origin == origin:
                         stream.recorded.set()
@@ -462,9 +372,10 @@
                     for record in update.records:
                         self._origins.apply(record, now)
                         if record.base is not None:
-                            self._bases.apply(record.pool, record.base, now)
+                            self._bases.apply(record.pool, record.base)
                     self._position = update.next
                     if update.at_end:
+                        self._bases.note_read(update.next.era)
                         return True
 
     def _is_mixed(self, pool: str) -> bool:
