Give the answer of another endpoint that takes over while a long body is sent

Callers would see: a request with a body of over 16 KiB, to an endpoint that does not read it, ends with a 500, or with a 502 though another endpoint has answered it.

Cause: when another endpoint takes over, the connection to the first one is closed, and the send there fails. A closed socket was asked whether it is readable, which raises ValueError; and the failed send went before the other endpoint's answer.

Change: a closed socket is not readable, and the answer goes first.

Evidence: a new test each in test_resets and entry.tests.test_exchange failed before (ValueError; the failed send in place of the answer) and passes.

--- a/mulberrycleat/entry/exchange.py
+++ b/mulberrycleat/entry/exchange.py
@@ -462,11 +462,11 @@
         try:
             await silence.limit(connection, ended.wait)
         except (ExchangeError, ReplacedError) as error:
-            errors.append(error)
+            # When another endpoint takes over, the connection is closed, and the send fails.
+            errors[:] = [error]
         nursery.cancel_scope.cancel()
     if errors:
-        # Taken out, as the list is in a frame of each error's traceback.
-        del errors[1:]
+        # Taken out, as the list is in a frame of the error's traceback.
         raise errors.pop()
 
 
--- a/mulberrycleat/entry/tests/test_exchange.py
+++ b/mulberrycleat/entry/tests/test_exchange.py
@@ -16,7 +16,7 @@
     Outcome,
     _send_within,
 )
-from mulberrycleat.entry.silence import Silence
+from mulberrycleat.entry.silence import ReplacedError, Silence
 from mulberrycleat.testing import fixture
 from mulberrycleat.testing.held_memory import count_large_objects, no_collections
 from mulberrycleat.web import Responder
@@ -129,3 +129,27 @@
         except ExchangeError:
             pass
         assert count_large_objects(LARGE_BODY_BYTES) == 0
+
+
+async def test_the_answer_of_another_endpoint_counts_though_the_send_to_the_first_one_fails():
+    """The send fails because the connection is closed when the other endpoint takes over."""
+    closed = trio.Event()
+    answered = ForwardedResponse(200)
+
+    async def send() -> None:
+        await closed.wait()
+        raise ExchangeError("send: closed on this side")
+
+    async def replace(why: str) -> Outcome | None:
+        silence.note_replaced()
+        closed.set()
+        await trio.sleep(0.1)
+        return answered
+
+    silence = Silence(0.5, replace)
+    outcome = None
+    try:
+        await _send_within(silence, FrozenConnection(0), send)
+    except ReplacedError as replaced:
+        outcome = replaced.outcome
+    assert outcome == answered
--- a/mulberrycleat/web/tests/test_resets.py
+++ b/mulberrycleat/web/tests/test_resets.py
@@ -117,3 +117,33 @@
                 assert await read_answer(pipe) == (b"whole", None)
 
     trio.run(main)
+
+
+def test_a_send_ends_with_an_error_when_the_connection_is_closed_on_this_side():
+    """It raised another exception than callers expect, and the request ended with a 500."""
+
+    async def read_nothing(stream: trio.SocketStream) -> None:
+        await trio.sleep_forever()
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, read_nothing, 0)
+            port = listeners[0].socket.getsockname()[1]
+            connection = Connection(await open_pipe(f"127.0.0.1:{port}", SETTINGS), "e")
+            headers = [(b"host", b"x"), (b"content-length", b"%d" % BODY_BYTES)]
+
+            async def close() -> None:
+                await trio.sleep(0.05)
+                connection.close()
+
+            nursery.start_soon(close)
+            error: Exception | None = None
+            try:
+                await connection.send(b"POST", b"/x", headers, bytes(BODY_BYTES))
+            except ExchangeError as raised:
+                error = raised
+            assert error is not None, "the request seems to be sent"
+            assert not connection.has_data()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- a/mulberrycleat/web/upstream.py
+++ b/mulberrycleat/web/upstream.py
@@ -191,7 +191,8 @@
 
     def is_readable(self) -> bool:
         """Whether bytes, the end of the stream or a reset can be received at once."""
-        return self._stream.socket.is_readable()
+        sock = self._stream.socket
+        return sock.fileno() >= 0 and sock.is_readable()
 
     def has_ended(self) -> bool:
         """Whether the peer has ended or reset the connection, even with bytes unread."""
