--- a/mulberrycleat/entry/stream_origins.py
+++ b/mulberrycleat/entry/stream_origins.py
@@ -132,7 +132,7 @@
         self._pending: list[_Pending] = []
         self._held = trio.Event()
         self._failing = False
-        # Whether the latest append took longer than events are held.
+        # Whether the latest append took longer than events are held, or one has not ended by then.
         self._late = False
 
     @property
@@ -167,8 +167,8 @@
 
         While no origin can be recorded in time, that is the base.
         """
-        is_cut = self._failing or self._late or self._store_lost()
-        return self._bases.usable(pool) if is_cut and self._is_mixed(pool) else None
+        is_behind = self._failing or self._late or self._store_lost()
+        return self._bases.usable(pool) if is_behind and self._is_mixed(pool) else None
 
     async def record_start(self, request_id: str, origin: StreamOrigin) -> bool:
         """Record where a stream begins; return whether its first event may be sent then.
@@ -186,13 +186,13 @@
             return self._bases.allows_unrecorded(origin)
         stream = _Pending(request_id, origin)
         self._pending.append(stream)
-        if await self._is_recorded(stream) or self._bases.allows_unrecorded(origin):
+        if await self._await_record(stream) or self._bases.allows_unrecorded(origin):
             return True
         self.correct(request_id, StreamOrigin(origin.pool, GIVEN_UP_VERSION))
         return False
 
-    async def _is_recorded(self, stream: _Pending) -> bool:
-        """Wait for the record of a stream, if it has to be held; return whether it is there."""
+    async def _await_record(self, stream: _Pending) -> bool:
+        """Wait until a stream is recorded, if it has to be held; return whether it is."""
         origin = stream.origin
         may_begin = self._bases.allows_unrecorded(origin)
         if may_begin and not self._is_mixed(origin.pool):
--- a/mulberrycleat/platform/tests/test_begun_streams_beside_releases.py
+++ b/mulberrycleat/platform/tests/test_begun_streams_beside_releases.py
@@ -41,13 +41,19 @@
         harness.store.put("keyed.servers", server.id, server.entry())
 
 
-async def begin_unrecorded(harness: HostHarness, servers: list[ServerStandin]) -> None:
-    """Begin streams at a host right after it has recorded earlier ones."""
+async def kill_as_a_release_begins(harness: HostHarness, servers: list[ServerStandin]) -> None:
+    """Begin streams at a host right after it has recorded earlier ones, and kill it.
+
+    The last server, of a second version, joins just before.
+    """
     recorded = harness.store.end(ORIGIN_TOPIC)
     await harness.send_request("/ask/x", "earlier", **PROMPT)
     while harness.store.end(ORIGIN_TOPIC) == recorded:
         await trio.sleep(0.005)
-    await begin([harness], servers)
+    await begin([harness], servers[:-1])
+    join(harness, servers[-1])
+    await trio.sleep(KILL_AFTER_S)
+    harness.scope.cancel()
 
 
 def restart(harnesses: list[HostHarness], random: Random, most: int) -> None:
@@ -88,20 +94,14 @@
 async def test_streams_go_on_elsewhere_when_their_host_is_killed_as_a_release_begins():
     servers = engines("v1", "v1", "v2")
     async with entry_hosts(3, *servers[:2], config=TAKEN_UP) as harnesses:
-        await begin_unrecorded(harnesses[0], servers[:2])
-        join(harnesses[0], servers[2])
-        await trio.sleep(KILL_AFTER_S)
-        harnesses[0].scope.cancel()
+        await kill_as_a_release_begins(harnesses[0], servers)
         assert await take_up(harnesses[1:], servers) == STREAMS
 
 
 async def test_they_go_on_after_the_other_hosts_have_read_of_the_second_version():
     servers = engines("v1", "v1", "v2")
     async with entry_hosts(3, *servers[:2], config=TAKEN_UP) as harnesses:
-        await begin_unrecorded(harnesses[0], servers[:2])
-        join(harnesses[0], servers[2])
-        await trio.sleep(KILL_AFTER_S)
-        harnesses[0].scope.cancel()
+        await kill_as_a_release_begins(harnesses[0], servers)
         await trio.sleep(READS_S)
         assert await take_up(harnesses[1:], servers) == STREAMS
 
@@ -109,9 +109,7 @@
 async def test_they_go_on_when_all_hosts_are_killed():
     servers = engines("v1", "v1", "v2")
     async with entry_hosts(3, *servers[:2], config=TAKEN_UP) as harnesses:
-        await begin_unrecorded(harnesses[0], servers[:2])
-        join(harnesses[0], servers[2])
-        await trio.sleep(KILL_AFTER_S)
+        await kill_as_a_release_begins(harnesses[0], servers)
         harnesses[:] = [h.restart(f"a{n}") for n, h in enumerate(harnesses, 1)]
         await trio.sleep(1.0)
         assert await take_up(harnesses, servers) == STREAMS
@@ -120,10 +118,7 @@
 async def test_they_go_on_when_the_second_version_has_left_again():
     servers = engines("v1", "v1", "v2")
     async with entry_hosts(3, *servers[:2], config=TAKEN_UP) as harnesses:
-        await begin_unrecorded(harnesses[0], servers[:2])
-        join(harnesses[0], servers[2])
-        await trio.sleep(KILL_AFTER_S)
-        harnesses[0].scope.cancel()
+        await kill_as_a_release_begins(harnesses[0], servers)
         await trio.sleep(READS_S)
         harnesses[1].store.put("keyed.servers", servers[2].id, None)
         await trio.sleep(READS_S)
