--- a/mulberrycleat/platform/tests/test_begun_streams_beside_releases.py
+++ b/mulberrycleat/platform/tests/test_begun_streams_beside_releases.py
@@ -1,8 +1,8 @@
 """Streams that are recorded nowhere when their host dies as a second version joins.
 
 Guards against streams that go on nowhere because their host was killed before it had recorded them
-and before it had read of the second version. The moment is set: the store takes no append of
-origins in the second before.
+and before it had read of the second version. The moment is set: streams begin right after an append
+of their host, which makes the next one a second later.
 """
 
 from __future__ import annotations
