--- a/mulberrycleat/endpoint/cached_prefixes.py
+++ b/mulberrycleat/endpoint/cached_prefixes.py
@@ -88,11 +88,6 @@
         self._max_prefixes = max_prefixes
         self._used_at: OrderedDict[int, float] = OrderedDict()
 
-    @property
-    def count(self) -> int:
-        """Number of prefixes that are remembered."""
-        return len(self._used_at)
-
     def note(self, endpoint: str, prefixes: Iterable[Prefix], now: float) -> None:
         """Note that an endpoint, of one start, is sent a prompt with these prefixes."""
         for prefix in prefixes:
