--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -448,21 +448,28 @@
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = deploy["roles"]["entry"]["run"].replace("9464", str(self.ports.metrics)).split()
         command[0] = sys.executable if command[0] == "python3" else command[0]
-        settings = self.folder / f"{self.name}.toml"
-        settings.write_text(self._settings())
+        self.write_settings()
         environment = {
             "PATH": os.environ.get("PATH", ""),
             "HOME": str(self.folder),
             "LANG": "C.UTF-8",
             "PYTHONPATH": str(ROOT / "target/deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
-            "MULBERRYCLEAT_BOOT": str(settings),
+            "MULBERRYCLEAT_BOOT": str(self._settings_file),
         }
         with self.log.open("ab") as out:
             self.process = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=out, stderr=subprocess.STDOUT
             )
 
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        self._settings_file.write_text(self._settings())
+
+    @property
+    def _settings_file(self) -> Path:
+        return self.folder / f"{self.name}.toml"
+
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
         if self.process is not None and self.process.poll() is None:
