--- a/review/13/run.py
+++ b/review/13/run.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import sys
+from collections.abc import Awaitable
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -13,9 +14,9 @@
 import lab  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOSTS, REQUESTS_PER_S, WORK_S = 3, 120.0, 0.5
+HOSTS, REQUESTS_PER_S, WORK_S = 3, 150.0, 0.5
 LIMIT_PER_S = 0.5
-LATE_S, CONTACT_S, WINDOW_S = 6.0, 3.0, 4.0
+EARLIEST_S, LATEST_S, CONTACT_S, WINDOW_S = 5.0, 6.0, 3.0, 4.0
 MAX_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 # The end of an encoded report that a server states no limit.
 NO_LIMIT = b"\xablimit_per_s\xc0"
@@ -25,12 +26,13 @@
 class Play:
     def __init__(self, record: lab.Record) -> None:
         self.record = record
+        self.needy: lab.Server | None = None
         self.ended_at: float | None = None
         self.reports = 0
         self.passed_on: dict[str, float] = {}
         self.statuses: dict[int, int] = {}
 
-    def late(self, topic: str, body: bytes) -> float | None:
+    def late(self, topic: str, body: bytes) -> Awaitable[None] | None:
         """Have the first report of an ended limit done later, and its answer lost."""
         if topic != "endpoint-reports" or NO_LIMIT not in body:
             return None
@@ -39,8 +41,16 @@
         if not TROUBLE or self.reports > 1:
             self.ended_at = self.ended_at or self.record.now
             return None
-        self.record(f"store: done after {LATE_S:g} s, without an answer")
-        return LATE_S
+        self.record("store: no answer")
+        return self._wait()
+
+    async def _wait(self) -> None:
+        """Wait for 5 to 6 s, until no answer of the server is under way if there is such a time."""
+        since = self.record.now
+        await asyncio.sleep(EARLIEST_S)
+        while self.needy.running and self.record.now < since + LATEST_S:
+            await asyncio.sleep(0.005)
+        self.record(f"store: done after {self.record.now - since:.3f} s")
 
     async def send(self, host: lab.Host, number: int) -> None:
         name = f"r{number:06x}"
@@ -64,10 +74,10 @@
             "keyed.op", "config", lab.config(1, routes, [lab.service("plain")], tenants)
         )
         servers = [
-            await fleet.add_server("plain", fleet.hosts[n].zone, work_s=WORK_S, slots=64)
-            for n in range(3)
+            await fleet.add_server("plain", fleet.hosts[n].zone, work_s=WORK_S, slots=128)
+            for n in range(2)
         ]
-        needy = servers[0]
+        needy = play.needy = servers[0]
         for host in fleet.hosts:
             host.start()
         if not all(await asyncio.gather(*map(lab.ready, fleet.hosts))):
--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -85,9 +85,10 @@
         self.era = 1
         self.calls = 0
         self.down = False
-        # Returns after how many seconds an append is done, whose answer is then lost; None for one
-        # that is done and answered at once.
-        self.late: Callable[[str, bytes], float | None] = lambda topic, body: None
+        # Returns what an append waits for whose answer is lost; None for one that is done and
+        # answered at once.
+        self.late: Callable[[str, bytes], Awaitable[None] | None] = lambda topic, body: None
+        self._late_appends: set[asyncio.Task[None]] = set()
         self._changed: dict[str, asyncio.Event] = defaultdict(asyncio.Event)
 
     def put(self, topic: str, key: str, value: Any) -> int:
@@ -133,11 +134,11 @@
         match request.method, path:
             case "POST", "/log-append":
                 at = int(found["at"]) if "at" in found else None
-                delay_s = self.late(topic, request.body)
-                if delay_s is None:
+                awaited = self.late(topic, request.body)
+                if awaited is None:
                     return self._append(topic, at, request.body)
-                loop = asyncio.get_running_loop()
-                loop.call_later(delay_s, self._append, topic, at, request.body)
+                task = asyncio.create_task(self._append_late(awaited, topic, at, request.body))
+                self._late_appends.add(task)
                 return None
             case "GET", "/log-read":
                 offset = int(found["from"])
@@ -167,6 +168,12 @@
                 return 200, json.dumps(page).encode()
         return 404, b""
 
+    async def _append_late(
+        self, awaited: Awaitable[None], topic: str, at: int | None, data: bytes
+    ) -> None:
+        await awaited
+        self._append(topic, at, data)
+
     def _append(self, topic: str, at: int | None, data: bytes) -> tuple[int, bytes]:
         records = self.topics[topic]
         if at is not None and at != len(records):
